--- /dev/null
+++ b/cmd/dogwooddyke/main.go
@@ -0,0 +1,4 @@
+// Command dogwooddyke runs one instance.
+package main
+
+func main() {}
