dykectl: command table and exit codes

Cause: each command is built by another hand and needs one place to register. Change: a table of commands over go-flags; exit codes 0 to 4 as published.

--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -1,4 +1,78 @@
 // Command dykectl is the command of operators and experimenters.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of all commands.
+const (
+	exitDone     = 0
+	exitFailed   = 1
+	exitBadInput = 2
+	exitConflict = 3
+	exitUnknown  = 4
+)
+
+// exitError carries the exit code of a command that failed.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error gives the reason.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap gives the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+// command is one word of the command line; data has a go-flags Execute method.
+type command struct {
+	name  string
+	short string
+	long  string
+	data  any
+}
+
+func commands() []command {
+	return []command{}
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(arguments []string) int {
+	parser := flags.NewNamedParser("dykectl", flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range commands() {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			fmt.Fprintln(os.Stderr, "dykectl:", err)
+			return exitFailed
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return exitDone
+	}
+	if help, ok := errors.AsType[*flags.Error](err); ok {
+		if help.Type == flags.ErrHelp {
+			fmt.Println(help.Message)
+			return exitDone
+		}
+		fmt.Fprintln(os.Stderr, "dykectl:", help.Message)
+		return exitBadInput
+	}
+	fmt.Fprintln(os.Stderr, "dykectl:", err)
+	if exit, ok := errors.AsType[*exitError](err); ok {
+		return exit.code
+	}
+	return exitFailed
+}
