--- /dev/null
+++ b/transport/platform/client.go
@@ -0,0 +1,26 @@
+package platform
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+// Timeouts of connections to the platform.
+const (
+	dialTimeout     = 2 * time.Second
+	idleTimeout     = 20 * time.Second
+	responseTimeout = 35 * time.Second // beyond the longest wait of a long poll
+)
+
+// NewClient returns an HTTP client for the platform's services with bounded pools and timeouts.
+func NewClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
+	transport := &http.Transport{
+		DialContext:           dialer.DialContext,
+		MaxIdleConnsPerHost:   16,
+		IdleConnTimeout:       idleTimeout,
+		ResponseHeaderTimeout: responseTimeout,
+	}
+	return &http.Client{Transport: transport}
+}
