Router, lengths, endpoint and workspace state: thin working form

Cause: instances need admission, queueing and choice before the wiring can stand. Change: a pure core (time passed in) with expected-memory admission, fair queue, prefix-aware choice and early refusal; Router is its blocking shell. State for lengths, speed, cache, health, limits and service. Result: go test -race of routing and endpoint passes; nothing measured yet.

--- a/coordination/routing/ask.go
+++ b/coordination/routing/ask.go
@@ -46,6 +46,7 @@
 	ReasonDeadline       Reason = "deadline"       // the expected start lies past the deadline
 	ReasonWorkspaceLimit Reason = "workspaceLimit" // the workspace is over one of its limits
 	ReasonDraining       Reason = "draining"       // the instance takes no new work
+	ReasonCancelled      Reason = "cancelled"      // the caller left the queue
 )
 
 // Error gives the reason in one line.
--- /dev/null
+++ b/coordination/routing/decision.go
@@ -0,0 +1,45 @@
+package routing
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Candidate is one endpoint that was considered for a request.
+type Candidate struct {
+	Endpoint netip.AddrPort `json:"endpoint"`
+	Score    float64        `json:"score"`  // predicted seconds to the end
+	Batch    int            `json:"batch"`  // generations in progress there, as estimated
+	Memory   float64        `json:"memory"` // expected peak as a part of the share
+	Saved    float64        `json:"saved"`  // prompt tokens expected in the cache
+	Verdict  Verdict        `json:"verdict"`
+}
+
+// Verdict says how a candidate was judged.
+type Verdict string
+
+// The verdicts on a candidate.
+const (
+	VerdictFits     Verdict = "fits"
+	VerdictExcluded Verdict = "excluded"
+	VerdictLeaving  Verdict = "leaving"
+	VerdictNotReady Verdict = "notReady"
+	VerdictEjected  Verdict = "ejected"
+	VerdictSlots    Verdict = "slots"
+	VerdictMemory   Verdict = "memory"
+)
+
+// Decision tells how a request was decided.
+type Decision struct {
+	ID         string         `json:"id"`
+	Entry      string         `json:"entry"`
+	Workspace  string         `json:"workspace"`
+	Endpoint   netip.AddrPort `json:"endpoint"`
+	Reason     string         `json:"reason"`
+	Candidates []Candidate    `json:"candidates"`
+	Submitted  time.Time      `json:"submitted"`
+	Decided    time.Time      `json:"decided"`
+	Ahead      int            `json:"ahead"`    // requests in the queue before it at submission
+	Expected   time.Time      `json:"expected"` // start, as foreseen at submission
+	Length     float64        `json:"length"`   // mean tokens expected
+}
--- /dev/null
+++ b/coordination/routing/estimate.go
@@ -0,0 +1,66 @@
+package routing
+
+import (
+	"time"
+)
+
+// slots gives the generations that an endpoint's share leaves to this instance.
+func (c *Core) slots(a *account, now time.Time) int {
+	return a.current(c.config.Instances, now).Slots
+}
+
+// holdSeconds gives how long a request is expected to hold its slot.
+func (f *Flight) holdSeconds() float64 {
+	step, count := 0.0, 0
+	for _, a := range f.pool.accounts {
+		if a.leaving() {
+			continue
+		}
+		step += a.speed.Step(max(a.running(), 1)).Seconds()
+		count++
+	}
+	if count == 0 {
+		return f.remaining() * targetStep
+	}
+	return f.remaining() * step / float64(count)
+}
+
+// modelRate gives the starts per second that the shares allow when all requests are like this one.
+func (c *Core) modelRate(f *Flight, now time.Time) float64 {
+	length := f.remaining()
+	rate := 0.0
+	for _, a := range f.pool.accounts {
+		if a.leaving() || a.health.Ejected() {
+			continue
+		}
+		slots := c.slots(a, now)
+		hold := length*a.speed.Step(slots).Seconds() + float64(f.prompt())*a.prefill
+		rate += float64(slots) / max(hold, 0.01)
+	}
+	return rate
+}
+
+// expectedWait gives how long a new request is expected to wait for its start.
+func (c *Core) expectedWait(f *Flight, now time.Time) time.Duration {
+	ahead := f.decision.Ahead
+	if ahead == 0 && c.room(f, now) {
+		return 0
+	}
+	p := f.pool
+	model := c.modelRate(f, now)
+	rate := (p.starts + model*rateModelSeconds) / (p.waited + rateModelSeconds)
+	if rate <= 0 {
+		return time.Hour
+	}
+	return time.Duration(float64(ahead+1) / rate * float64(time.Second))
+}
+
+// room tells whether any endpoint has a free slot of this instance's share.
+func (c *Core) room(f *Flight, now time.Time) bool {
+	for _, a := range f.pool.accounts {
+		if !a.leaving() && a.running() < c.slots(a, now) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordination/routing/flight.go
@@ -0,0 +1,78 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+
+	"dogwooddyke/state/length"
+	"dogwooddyke/state/workspace"
+)
+
+type phase int
+
+const (
+	phaseQueued phase = iota
+	phaseRunning
+	phaseOver
+)
+
+// Flight is one request from its submission to its end.
+type Flight struct {
+	ask      *Ask
+	pool     *pool
+	line     *line
+	account  *account
+	lengths  *length.Histogram
+	service  *workspace.Account
+	limiters [2]*workspace.Limiter // of the workspace, and of the workspace on the entry
+	phase    phase
+	refusal  *RefusalError
+	decision Decision
+	decided  chan struct{} // closed when admitted or refused; nil in synthetic time
+	charged  float64
+	uncached float64 // prompt tokens that the endpoint had to compute, as expected
+
+	submitted time.Time
+	started   time.Time
+	flushed   time.Time // of the latest token that the shared tables know
+	counted   int       // tokens that the shared tables know
+	emitted   atomic.Int32
+}
+
+// Ask returns the request.
+func (f *Flight) Ask() *Ask { return f.ask }
+
+// Refusal tells why the request was refused; nil when it was not.
+func (f *Flight) Refusal() *RefusalError { return f.refusal }
+
+// Running tells whether the request was admitted and has not ended.
+func (f *Flight) Running() bool { return f.phase == phaseRunning }
+
+func (f *Flight) prompt() int {
+	if f.ask.PromptTokens > 0 {
+		return f.ask.PromptTokens
+	}
+	return defaultPrompt
+}
+
+// remaining gives the mean of the tokens that are still to come.
+func (f *Flight) remaining() float64 {
+	emitted := int(f.emitted.Load())
+	mean, _ := f.lengths.Remaining(emitted)
+	if f.ask.MaximumTokens > 0 {
+		mean = min(mean, float64(max(f.ask.MaximumTokens-emitted, 0)))
+	}
+	return mean
+}
+
+// survival gives the probability that the generation goes on for more than the further tokens.
+func (f *Flight) survival(further int) float64 {
+	emitted := int(f.emitted.Load())
+	if f.ask.MaximumTokens > 0 && emitted+further >= f.ask.MaximumTokens {
+		return 0
+	}
+	if further == 0 {
+		return 1
+	}
+	return f.lengths.Survival(emitted, further)
+}
--- /dev/null
+++ b/coordination/routing/limits.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"time"
+
+	"dogwooddyke/state/catalogue"
+	"dogwooddyke/state/workspace"
+)
+
+// LimitKey names limits: those of a workspace, or with the entry set those of the workspace on the entry.
+type LimitKey struct {
+	Workspace string
+	Entry     string
+}
+
+// SetWorkspace takes in a new or changed workspace.
+func (c *Core) SetWorkspace(w *catalogue.Workspace) {
+	c.limits[w.Name] = w.Limits
+	if l := c.limiters[LimitKey{Workspace: w.Name}]; l != nil {
+		l.SetLimits(w.Limits, c.config.Instances)
+	}
+}
+
+// RemoveWorkspace forgets a workspace's limits.
+func (c *Core) RemoveWorkspace(name string) { delete(c.limits, name) }
+
+// limitersOf gives the limiters that bind a request.
+func (c *Core) limitersOf(ask *Ask) [2]*workspace.Limiter {
+	return [2]*workspace.Limiter{
+		c.limiter(LimitKey{Workspace: ask.Workspace}, c.limits[ask.Workspace]),
+		c.limiter(LimitKey{Workspace: ask.Workspace, Entry: ask.Entry}, c.pools[ask.Entry].entry.Limits),
+	}
+}
+
+func (c *Core) limiter(key LimitKey, limits catalogue.Limits) *workspace.Limiter {
+	l := c.limiters[key]
+	if l == nil {
+		c.evictLimiter()
+		l = workspace.NewLimiter(limits, c.config.Instances)
+		c.limiters[key] = l
+	}
+	l.SetLimits(limits, c.config.Instances)
+	return l
+}
+
+func (c *Core) evictLimiter() {
+	if len(c.limiters) < maximumLimiters {
+		return
+	}
+	for key, l := range c.limiters {
+		if l.Idle() {
+			delete(c.limiters, key)
+			return
+		}
+	}
+}
+
+// allowed tells whether the limits let the request start now.
+func (c *Core) allowed(f *Flight, now time.Time) bool {
+	for _, l := range f.limiters {
+		if !l.Limited() {
+			continue
+		}
+		if _, ready := l.ReadyAt(now); !ready {
+			return false
+		}
+	}
+	return true
+}
+
+// limitWait gives how long the limits hold a new request back.
+func (c *Core) limitWait(f *Flight, now time.Time) time.Duration {
+	held := time.Duration(0)
+	ahead := c.queue.counts[f.ask.Workspace]
+	for _, l := range c.limitersOf(f.ask) {
+		if l.Limited() {
+			held = max(held, l.Wait(ahead, f.holdSeconds(), now))
+		}
+	}
+	return held
+}
+
+// SetLimitShare replaces this instance's share of a workspace's limits.
+func (c *Core) SetLimitShare(key LimitKey, share workspace.Share) {
+	if l := c.limiters[key]; l != nil {
+		l.SetShare(share)
+	}
+}
+
+// LimitDemands calls the function for each limited workspace that is in use.
+func (c *Core) LimitDemands(now time.Time, take func(key LimitKey, limits catalogue.Limits, demand workspace.Demand)) {
+	for key, l := range c.limiters {
+		if !l.Limited() {
+			continue
+		}
+		take(key, l.Limits(), l.Demand(now))
+	}
+}
--- /dev/null
+++ b/coordination/routing/line.go
@@ -0,0 +1,105 @@
+package routing
+
+import "time"
+
+// lineKey names a line: requests of one workspace on one entry with one priority.
+type lineKey struct {
+	entry     string
+	workspace string
+	priority  int
+}
+
+// line holds waiting requests that are served in the order in which they came.
+type line struct {
+	key     lineKey
+	flights []*Flight
+	tried   uint64 // round in which its head was last tried
+}
+
+func (l *line) head() *Flight { return l.flights[0] }
+
+func (l *line) remove(f *Flight) {
+	for i, other := range l.flights {
+		if other == f {
+			copy(l.flights[i:], l.flights[i+1:])
+			l.flights[len(l.flights)-1] = nil
+			l.flights = l.flights[:len(l.flights)-1]
+			return
+		}
+	}
+}
+
+// urgency gives the priority after ageing; the least is served first.
+func (l *line) urgency(now time.Time) int {
+	return l.key.priority - int(now.Sub(l.head().submitted)/ageStep)
+}
+
+// queue holds all lines of an instance.
+type queue struct {
+	lines  []*line // that are not empty
+	byKey  map[lineKey]*line
+	size   int
+	counts map[string]int // by workspace
+}
+
+func newQueue() *queue {
+	return &queue{byKey: make(map[lineKey]*line), counts: make(map[string]int)}
+}
+
+func (q *queue) push(f *Flight) {
+	key := lineKey{entry: f.ask.Entry, workspace: f.ask.Workspace, priority: f.ask.Priority}
+	l := q.byKey[key]
+	if l == nil {
+		l = &line{key: key}
+		q.byKey[key] = l
+		q.lines = append(q.lines, l)
+	}
+	l.flights = append(l.flights, f)
+	f.line = l
+	f.pool.queued++
+	q.size++
+	q.counts[f.ask.Workspace]++
+}
+
+func (q *queue) remove(f *Flight) {
+	l := f.line
+	l.remove(f)
+	f.line = nil
+	f.pool.queued--
+	q.size--
+	if q.counts[f.ask.Workspace]--; q.counts[f.ask.Workspace] == 0 {
+		delete(q.counts, f.ask.Workspace)
+	}
+	if len(l.flights) > 0 {
+		return
+	}
+	delete(q.byKey, l.key)
+	for i, other := range q.lines {
+		if other == l {
+			q.lines[i] = q.lines[len(q.lines)-1]
+			q.lines = q.lines[:len(q.lines)-1]
+			return
+		}
+	}
+}
+
+// ahead counts the requests that are served before a new one of the line.
+func (q *queue) ahead(f *Flight) int {
+	own := 0
+	if l := q.byKey[lineKey{f.ask.Entry, f.ask.Workspace, f.ask.Priority}]; l != nil {
+		own = len(l.flights)
+	}
+	total := own
+	for _, l := range q.lines {
+		if l.key.entry != f.ask.Entry || l.key.workspace == f.ask.Workspace && l.key.priority == f.ask.Priority {
+			continue
+		}
+		if l.key.priority < f.ask.Priority {
+			total += len(l.flights)
+		}
+		if l.key.priority == f.ask.Priority {
+			total += min(len(l.flights), own+1)
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/coordination/routing/router.go
@@ -0,0 +1,169 @@
+package routing
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"dogwooddyke/state/catalogue"
+	"dogwooddyke/state/endpoint"
+	"dogwooddyke/state/workspace"
+)
+
+// Router shares a core among goroutines; it has one lock, under which no other is taken and nothing waits.
+type Router struct {
+	mu   sync.Mutex
+	core *Core
+}
+
+// New returns a router without entries.
+func New(config Config) *Router { return &Router{core: NewCore(config)} }
+
+// with runs a change of the core and then admits what it made room for.
+func (r *Router) with(now time.Time, change func(c *Core)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r.core)
+	r.admit(now)
+}
+
+func (r *Router) admit(now time.Time) {
+	for _, f := range r.core.Admit(now) {
+		if f.decided != nil {
+			close(f.decided)
+		}
+	}
+}
+
+// SetEntry takes in a new or changed entry.
+func (r *Router) SetEntry(entry *catalogue.Entry, now time.Time) {
+	r.with(now, func(c *Core) { c.SetEntry(entry, now) })
+}
+
+// RemoveEntry forgets an entry and refuses its queued requests.
+func (r *Router) RemoveEntry(name string, now time.Time) {
+	r.with(now, func(c *Core) { c.RemoveEntry(name) })
+}
+
+// SetWorkspace takes in a new or changed workspace's limits.
+func (r *Router) SetWorkspace(w *catalogue.Workspace, now time.Time) {
+	r.with(now, func(c *Core) { c.SetWorkspace(w) })
+}
+
+// RemoveWorkspace forgets a workspace's limits.
+func (r *Router) RemoveWorkspace(name string, now time.Time) {
+	r.with(now, func(c *Core) { c.RemoveWorkspace(name) })
+}
+
+// SetInstances says how many instances share the endpoints and limits.
+func (r *Router) SetInstances(count int, now time.Time) {
+	r.with(now, func(c *Core) { c.SetInstances(count) })
+}
+
+// SetDraining says whether new requests are refused; those queued and running go on.
+func (r *Router) SetDraining(draining bool, now time.Time) {
+	r.with(now, func(c *Core) { c.SetDraining(draining) })
+}
+
+// UpdateLoad takes in an engine's report.
+func (r *Router) UpdateLoad(address netip.AddrPort, load endpoint.Load, now time.Time) {
+	r.with(now, func(c *Core) { c.UpdateLoad(address, load, now) })
+}
+
+// UpdateCache takes in an engine's cache events.
+func (r *Router) UpdateCache(address netip.AddrPort, events []endpoint.CacheEvent, now time.Time) {
+	r.with(now, func(c *Core) { c.UpdateCache(address, events) })
+}
+
+// Leaving notes that an endpoint takes no new work.
+func (r *Router) Leaving(address netip.AddrPort, now time.Time) {
+	r.with(now, func(c *Core) { c.Leaving(address) })
+}
+
+// SetShare replaces this instance's share of an endpoint.
+func (r *Router) SetShare(address netip.AddrPort, share endpoint.Share, now time.Time) {
+	r.with(now, func(c *Core) { c.SetShare(address, share) })
+}
+
+// SetLimitShare replaces this instance's share of a workspace's limits.
+func (r *Router) SetLimitShare(key LimitKey, share workspace.Share, now time.Time) {
+	r.with(now, func(c *Core) { c.SetLimitShare(key, share) })
+}
+
+// Demands calls the function, under the router's lock, for each endpoint that the instance works with.
+func (r *Router) Demands(now time.Time, take func(address netip.AddrPort, demand endpoint.Demand)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.Demands(now, take)
+}
+
+// LimitDemands calls the function, under the router's lock, for each limited workspace in use.
+func (r *Router) LimitDemands(now time.Time, take func(key LimitKey, limits catalogue.Limits, demand workspace.Demand)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.LimitDemands(now, take)
+}
+
+// Tick does what hangs on time alone; call it each 50 ms.
+func (r *Router) Tick(now time.Time) {
+	r.with(now, func(c *Core) { c.Tick(now) })
+}
+
+// Acquire waits until the request may start on an endpoint; it returns a *RefusalError when it is refused, or the context's error.
+func (r *Router) Acquire(ctx context.Context, ask *Ask) (*Slot, error) {
+	f := r.submit(ask, time.Now())
+	if f.decided != nil {
+		if err := r.wait(ctx, f); err != nil {
+			return nil, err
+		}
+	}
+	if f.refusal != nil {
+		return nil, f.refusal
+	}
+	return &Slot{router: r, flight: f}, nil
+}
+
+func (r *Router) submit(ask *Ask, now time.Time) *Flight {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f := r.core.Submit(ask, now)
+	if f.refusal != nil {
+		return f
+	}
+	f.decided = make(chan struct{})
+	r.admit(now)
+	return f
+}
+
+func (r *Router) wait(ctx context.Context, f *Flight) error {
+	var late <-chan time.Time
+	if !f.ask.Deadline.IsZero() {
+		timer := time.NewTimer(time.Until(f.ask.Deadline))
+		defer timer.Stop()
+		late = timer.C
+	}
+	select {
+	case <-f.decided:
+		return nil
+	case <-late:
+		r.withdraw(f, ReasonDeadline)
+		return nil
+	case <-ctx.Done():
+		if r.withdraw(f, ReasonCancelled) {
+			return ctx.Err()
+		}
+		return nil
+	}
+}
+
+// withdraw takes a flight out of the queue and tells whether it was still there.
+func (r *Router) withdraw(f *Flight, reason Reason) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f.phase != phaseQueued {
+		return false
+	}
+	r.core.Withdraw(f, reason, time.Now())
+	return true
+}
--- /dev/null
+++ b/coordination/routing/shares.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"net/netip"
+	"time"
+
+	"dogwooddyke/state/endpoint"
+)
+
+// SetShare replaces this instance's share of an endpoint.
+func (c *Core) SetShare(address netip.AddrPort, share endpoint.Share) {
+	if a := c.accounts[address]; a != nil {
+		a.share = share
+	}
+}
+
+// Demands calls the function for each endpoint that the instance works with.
+func (c *Core) Demands(now time.Time, take func(address netip.AddrPort, demand endpoint.Demand)) {
+	waiting := make(map[*account]waitingDemand, len(c.accounts))
+	for _, p := range c.pools {
+		p.spread(waiting)
+	}
+	for address, a := range c.accounts {
+		a.foresee(now)
+		w := waiting[a]
+		take(address, endpoint.Demand{
+			Running:  a.running(),
+			Waiting:  w.requests,
+			Memory:   int(a.profile.peak(0)) + w.memory,
+			Variance: a.profile.widest(),
+			Knee:     a.speed.Knee(),
+		})
+	}
+}
+
+// waitingDemand is what queued requests would need of one endpoint.
+type waitingDemand struct {
+	requests int
+	memory   int
+}
+
+// spread divides the pool's queued requests among its endpoints.
+func (p *pool) spread(waiting map[*account]waitingDemand) {
+	live := 0
+	for _, a := range p.accounts {
+		if !a.leaving() && !a.health.Ejected() {
+			live++
+		}
+	}
+	if live == 0 || p.queued == 0 {
+		return
+	}
+	part := (p.queued + live - 1) / live
+	for _, a := range p.accounts {
+		if a.leaving() || a.health.Ejected() {
+			continue
+		}
+		w := waiting[a]
+		w.requests += part
+		w.memory += part * p.need
+		waiting[a] = w
+	}
+}
--- /dev/null
+++ b/coordination/routing/slot.go
@@ -0,0 +1,37 @@
+package routing
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Slot is an admitted request's place on an endpoint; Release must be called once.
+type Slot struct {
+	router *Router
+	flight *Flight
+}
+
+// Endpoint gives the address to dispatch to.
+func (s *Slot) Endpoint() netip.AddrPort { return s.flight.decision.Endpoint }
+
+// Token notes one more token; it is cheap, and takes the router's lock at every 16th.
+func (s *Slot) Token(now time.Time) {
+	if !s.flight.emit() {
+		return
+	}
+	s.router.mu.Lock()
+	defer s.router.mu.Unlock()
+	s.router.core.Progress(s.flight, now)
+}
+
+// Release gives the place back; a second call does nothing.
+func (s *Slot) Release(outcome Outcome, now time.Time) {
+	s.router.with(now, func(c *Core) { c.Release(s.flight, outcome, now) })
+}
+
+// Decision tells how the request was decided.
+func (s *Slot) Decision() Decision {
+	s.router.mu.Lock()
+	defer s.router.mu.Unlock()
+	return s.flight.decision
+}
--- /dev/null
+++ b/state/workspace/doc.go
@@ -0,0 +1,2 @@
+// Package workspace keeps what each workspace was served and what its limits leave it.
+package workspace
--- /dev/null
+++ b/state/workspace/service.go
@@ -0,0 +1,61 @@
+package workspace
+
+// Service counts the tokens served to each workspace, so that the least served one goes first.
+type Service struct {
+	accounts map[string]*Account
+	floor    float64 // least count of the workspaces in use, when last known
+}
+
+// Account is the count of one workspace.
+type Account struct {
+	Served float64 // tokens, lifted to the least of the others after being idle
+	uses   int     // requests queued or running
+}
+
+// NewService returns a service without accounts.
+func NewService() *Service {
+	return &Service{accounts: make(map[string]*Account)}
+}
+
+// Enter notes a request of the workspace and returns its account; one that was idle is lifted to the least of those in use.
+func (s *Service) Enter(name string) *Account {
+	a := s.accounts[name]
+	if a == nil {
+		s.evict()
+		a = &Account{}
+		s.accounts[name] = a
+	}
+	if a.uses == 0 {
+		a.Served = max(a.Served, s.least())
+	}
+	a.uses++
+	return a
+}
+
+// Leave notes the end of a request that entered.
+func (s *Service) Leave(a *Account) { a.uses-- }
+
+func (s *Service) least() float64 {
+	least, found := 0.0, false
+	for _, a := range s.accounts {
+		if a.uses > 0 && (!found || a.Served < least) {
+			least, found = a.Served, true
+		}
+	}
+	if found {
+		s.floor = max(s.floor, least)
+	}
+	return s.floor
+}
+
+func (s *Service) evict() {
+	if len(s.accounts) < maximumAccounts {
+		return
+	}
+	for name, a := range s.accounts {
+		if a.uses == 0 {
+			delete(s.accounts, name)
+			return
+		}
+	}
+}
