--- /dev/null
+++ b/state/catalogue/check.go
@@ -0,0 +1,61 @@
+package catalogue
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+)
+
+// ErrForged reports a snapshot that no instance of this deployment can have written.
+var ErrForged = errors.New("snapshot not authentic or not valid")
+
+// validate lists the faults of a change that can be seen without the catalogue.
+func (c *Change) validate() Faults {
+	var faults Faults
+	checkName(&faults, "change", "id", c.ID)
+	checkName(&faults, "change", "operator", c.Operator)
+	switch {
+	case c.Entry != nil:
+		faults = append(faults, c.Entry.Validate()...)
+	case c.Workspace != nil:
+		faults = append(faults, c.Workspace.Validate()...)
+	default:
+		checkName(&faults, "removal", "name", c.Removal.Name)
+	}
+	return faults
+}
+
+func (c *Change) owner() string {
+	switch {
+	case c.Entry != nil:
+		return c.Entry.Owner
+	case c.Workspace != nil:
+		return c.Workspace.Owner
+	}
+	return ""
+}
+
+// check refuses snapshots that are not authentic or past a bound.
+func (s *Snapshot) check(rules Rules) error {
+	if !s.Authentic(rules.SnapshotKey) {
+		return fmt.Errorf("%w: seal", ErrForged)
+	}
+	if len(s.Digest) != sha256.Size || s.Revision > s.Covers || s.Horizon > s.Covers {
+		return fmt.Errorf("%w: offsets or digest", ErrForged)
+	}
+	if len(s.Entries) > MaximumEntries || len(s.Workspaces) > MaximumWorkspaces ||
+		len(s.Changes) > RememberedChanges || len(s.History) > RememberedHistory {
+		return fmt.Errorf("%w: bounds", ErrForged)
+	}
+	for _, e := range s.Entries {
+		if err := e.Entry.Validate().Err(); err != nil || e.Revision > s.Covers {
+			return fmt.Errorf("%w: entry %s", ErrForged, clip(e.Entry.Name))
+		}
+	}
+	for _, w := range s.Workspaces {
+		if err := w.Workspace.Validate().Err(); err != nil || w.Revision > s.Covers {
+			return fmt.Errorf("%w: workspace %s", ErrForged, clip(w.Workspace.Name))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/state/catalogue/codec.go
@@ -0,0 +1,66 @@
+package catalogue
+
+import (
+	"errors"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ErrUnreadable reports a record that is neither a change nor a snapshot.
+var ErrUnreadable = errors.New("record unreadable")
+
+// Record is what the stream holds: exactly one of a change and a snapshot.
+type Record struct {
+	Change   *Change   `cbor:"change,omitempty"`
+	Snapshot *Snapshot `cbor:"snapshot,omitempty"`
+}
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+func newEncoder() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		MaxNestedLevels:   16,
+		MaxArrayElements:  MaximumEndpoints + MaximumWorkspaces,
+		MaxMapPairs:       64,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the record's deterministic CBOR.
+func Encode(r Record) ([]byte, error) {
+	return encoder.Marshal(r)
+}
+
+// Decode reads a record; the error wraps ErrUnreadable.
+func Decode(data []byte) (Record, error) {
+	if len(data) > MaximumRecordBytes {
+		return Record{}, ErrUnreadable
+	}
+	var r Record
+	if err := decoder.Unmarshal(data, &r); err != nil {
+		return Record{}, errors.Join(ErrUnreadable, err)
+	}
+	if (r.Change == nil) == (r.Snapshot == nil) {
+		return Record{}, ErrUnreadable
+	}
+	return r, nil
+}
--- a/state/catalogue/entry.go
+++ b/state/catalogue/entry.go
@@ -28,6 +28,7 @@
 type Endpoint struct {
 	Address    netip.AddrPort `cbor:"address" json:"address"`
 	DataCentre string         `cbor:"dataCentre" json:"dataCentre"`
+	Role       string         `cbor:"role,omitempty" json:"role,omitempty"` // sent with orders; empty: the engine's own
 	Leaving    bool           `cbor:"leaving,omitempty" json:"leaving,omitempty"`
 }
 
--- /dev/null
+++ b/state/catalogue/file_test.go
@@ -0,0 +1,86 @@
+package catalogue
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const examples = "../../docs/examples"
+
+func TestParseFile(t *testing.T) {
+	t.Run("examples", func(t *testing.T) {
+		is := is.New(t)
+		names, err := filepath.Glob(examples + "/*.ini")
+		is.NoErr(err)
+		is.Equal(len(names), 3)
+		for _, n := range names {
+			data, err := os.ReadFile(n)
+			is.NoErr(err)
+			_, err = ParseFile(n, data)
+			is.NoErr(err)
+		}
+	})
+	faulty := []struct{ name, content, want string }{
+		{"unknownField", "[entry]\nname = a\ncolour = red\n", "f.ini: entry.colour: is an unknown field"},
+		{"unknownSection", "[entry]\n[other]\n", "f.ini: other: is an unknown section"},
+		{"twiceField", "[entry]\nname = a\nname = a\n", "f.ini: entry.name: stands twice"},
+		{"twiceEndpoint", "[entry]\n[endpoint 1.2.3.4:5]\ndataCentre=a\n[endpoint 1.2.3.4:5]\ndataCentre=a\n", "endpoint 1.2.3.4:5.address: stands twice"},
+		{"noAddress", "[entry]\n[endpoint host:5]\ndataCentre=a\n", `endpoint host:5.address: "host:5" is not an IP number and port`},
+		{"badNumber", "[entry]\npriority = high\n", `entry.priority: "high" is not a whole number`},
+		{"badFlag", "[entry]\nrepeatable = yes\n", `entry.repeatable: "yes" is neither`},
+		{"badDuration", "[entry]\nqueueTimeout = 5\n", `entry.queueTimeout: "5" is not a duration`},
+		{"missing", "[entry]\nkind = engine\n", "entry.model: is missing"},
+		{"engineOnly", "[entry]\nkind = service\nkeyRule = required\nmodel = m\n", "entry.model: is for engines only"},
+		{"both", "[entry]\n[workspace]\n", "exactly one section"},
+		{"none", "", "exactly one section"},
+		{"plainKey", "[workspace]\nname=a\nowner=b\nkeyHashes=secret\n", "is not a SHA-256 hash"},
+		{"loose", "name = a\n[entry]\n", "file.name: stands before any section"},
+	}
+	for _, f := range faulty {
+		t.Run(f.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := ParseFile("f.ini", []byte(f.content))
+			faults, ok := errors.AsType[Faults](err)
+			is.True(ok)
+			if !strings.Contains(faults.Error(), f.want) {
+				t.Fatalf("missing %q in:\n%s", f.want, faults.Error())
+			}
+		})
+	}
+}
+
+func FuzzParseFile(f *testing.F) {
+	names, err := filepath.Glob(examples + "/*.ini")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, n := range names {
+		data, err := os.ReadFile(n)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		file, err := ParseFile("f.ini", data)
+		if err != nil {
+			return
+		}
+		change := &Change{ID: "a", Operator: "b", Entry: file.Entry, Workspace: file.Workspace}
+		if faults := change.validate(); len(faults) > 0 {
+			t.Fatalf("accepted with faults: %v", faults)
+		}
+		encoded, err := Encode(Record{Change: change})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(encoded); err != nil {
+			t.Fatalf("does not decode: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/state/catalogue/table.go
@@ -0,0 +1,135 @@
+package catalogue
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"dogwooddyke/state/record"
+)
+
+// Table is the catalogue that an instance serves from; reads take no lock.
+type Table struct {
+	mu   sync.Mutex // guards fold; taken before nothing else
+	fold *Fold
+	view atomic.Pointer[View]
+}
+
+// NewTable returns an empty catalogue.
+func NewTable(rules Rules) *Table {
+	t := &Table{fold: NewFold(rules)}
+	t.view.Store(newView(t.fold))
+	return t
+}
+
+// View returns the catalogue as it is now.
+func (t *Table) View() *View { return t.view.Load() }
+
+// Offset returns the offset of the last folded record.
+func (t *Table) Offset() uint64 { return t.View().Offset }
+
+// Leaving tells whether an entry marks the endpoint as leaving.
+func (t *Table) Leaving(endpoint netip.AddrPort) bool { return t.View().Leaving(endpoint) }
+
+// Apply folds one record.
+func (t *Table) Apply(r record.Record) error {
+	_, err := t.ApplyAll([]record.Record{r})
+	return err
+}
+
+// ApplyAll folds the records that are not folded yet and shows the result at once; the error wraps ErrGap if one is missing.
+func (t *Table) ApplyAll(rs []record.Record) ([]Verdict, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.fold.Offset()
+	var verdicts []Verdict
+	var failure error
+	for _, r := range rs {
+		if r.Offset <= t.fold.Offset() {
+			continue
+		}
+		v, err := t.fold.Apply(r.Offset, r.Data)
+		if err != nil {
+			failure = err
+			break
+		}
+		verdicts = append(verdicts, v)
+	}
+	if t.fold.Offset() != before {
+		t.view.Store(newView(t.fold))
+	}
+	return verdicts, failure
+}
+
+// Restore takes the state of a snapshot that covers more than the table.
+func (t *Table) Restore(s *Snapshot) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.fold.Restore(s); err != nil {
+		return err
+	}
+	t.view.Store(newView(t.fold))
+	return nil
+}
+
+// Snapshot returns the authenticated state.
+func (t *Table) Snapshot() (*Snapshot, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.fold.Snapshot()
+	if err := s.Authenticate(t.fold.rules.SnapshotKey); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func newView(f *Fold) *View {
+	v := &View{
+		Offset:     f.offset,
+		Revision:   f.revision,
+		Digest:     f.digestName(),
+		Refused:    f.refused,
+		entries:    make(map[string]*entryState, len(f.entries)),
+		workspaces: make(map[string]*workspaceState, len(f.workspaces)),
+		keys:       make(map[[sha256.Size]byte]*Workspace, len(f.keys)),
+		leaving:    map[netip.AddrPort]bool{},
+		history:    slices.Clone(f.history),
+	}
+	for n, s := range f.entries {
+		v.entries[n] = s
+		v.sorted = append(v.sorted, &s.entry)
+		for _, p := range s.entry.Endpoints {
+			if p.Leaving {
+				v.leaving[p.Address] = true
+			}
+		}
+	}
+	for n, s := range f.workspaces {
+		v.workspaces[n] = s
+		for _, h := range s.workspace.KeyHashes {
+			v.keys[keyHash(h)] = &s.workspace
+		}
+	}
+	slices.SortFunc(v.sorted, func(a, b *Entry) int { return strings.Compare(a.Name, b.Name) })
+	return v
+}
+
+func keyHash(text string) [sha256.Size]byte {
+	var hash [sha256.Size]byte
+	if raw, err := hex.DecodeString(text); err == nil {
+		copy(hash[:], raw)
+	}
+	return hash
+}
+
+// Check tells whether a snapshot may be taken under the table's rules; the error wraps ErrForged.
+func (t *Table) Check(s *Snapshot) error {
+	t.mu.Lock()
+	rules := t.fold.rules
+	t.mu.Unlock()
+	return s.check(rules)
+}
