Load: candidates for answers that depend on the attempt; a naive proxy as baseline

Engines that do not decode repeatably give a text per attempt, so an answer is followed against each until one fits. The naive proxy is what faults and overhead are compared with.

Measured: go test -race ./experiment/... passes.

--- a/experiment/load/client.go
+++ b/experiment/load/client.go
@@ -16,7 +16,7 @@
 	http       *http.Client
 	targets    []string
 	profile    *Profile
-	content    Content
+	candidates Candidates
 	recorder   *recorder
 	resumeWait time.Duration
 }
@@ -34,7 +34,7 @@
 		http:       &http.Client{Transport: transport},
 		targets:    o.Targets,
 		profile:    o.Profile,
-		content:    o.Content,
+		candidates: o.Candidates,
 		recorder:   r,
 		resumeWait: resumeDelay,
 	}
--- a/experiment/load/run.go
+++ b/experiment/load/run.go
@@ -18,7 +18,7 @@
 	Rate        float64 // requests/s
 	Seconds     float64
 	Seed        uint64
-	Content     Content
+	Candidates  Candidates
 	MaximumOpen int       // requests in progress at once; arrivals over it are counted and not sent
 	Progress    io.Writer // nil: no progress
 }
--- /dev/null
+++ b/experiment/naive/doc.go
@@ -0,0 +1,2 @@
+// Package naive is a round-robin proxy without retries, queues or checks: the baseline of measurements.
+package naive
