standin: model of a batching engine and its HTTP face

Tests, demo and load need engines that batch, run out of memory and fail. The model is steppable in synthetic time; the engine drives it by the clock.

--- /dev/null
+++ b/standin/constants.go
@@ -0,0 +1,42 @@
+package standin
+
+import "time"
+
+// Bounds of what a stand-in takes and keeps.
+const (
+	maximumBody      = 4 << 20 // bytes
+	maximumHeader    = 1 << 16 // bytes
+	maximumCounted   = 1 << 18 // ids whose runs are counted
+	maximumFaultTime = 24 * time.Hour
+	maximumFaultUses = 1_000_000
+	maximumLag       = 3600 // seconds
+	maximumSlowness  = 1000 // factor
+	maximumReaders   = 64   // streams of one generation
+	maximumOrders    = 1024 // fencing numbers kept
+	maximumEvents    = 1000 // cache events in one answer
+)
+
+// Times of the stand-ins.
+const (
+	headerTimeout    = 10 * time.Second
+	relistenInterval = 5 * time.Millisecond
+	minimumPace      = time.Millisecond // between two looks at an engine's model
+	slowBase         = time.Millisecond // that the slow fault multiplies where no latency is set
+	pullRetry        = 100 * time.Millisecond
+	defaultRetention = time.Minute // of finished generations
+)
+
+// Headers of the wire formats.
+const (
+	headerGeneration = "Generation-Id"
+	headerPriority   = "Priority"
+	headerOutcome    = "Outcome"
+	headerKey        = "Idempotency-Key"
+	headerRequest    = "Request-Id"
+	headerRetry      = "Retry-After"
+)
+
+const (
+	outcomeNotRun  = "notRun"
+	outcomeUnknown = "unknown"
+)
