--- /dev/null
+++ b/instance/constants.go
@@ -0,0 +1,39 @@
+package instance
+
+import "time"
+
+// Defaults and bounds of the settings.
+const (
+	defaultMaximumBodyBytes = 4 << 20
+	defaultClaimPartitions  = 16
+	defaultClaimWindow      = 24 * time.Hour
+	defaultGrace            = 20 * time.Second
+	defaultResumeWindow     = 10 * time.Minute
+	defaultSubset           = 16
+	defaultExplanations     = 4096
+	defaultMaximumStreams   = 20000
+	minimumKeyBytes         = 16
+)
+
+// namespace begins the name of each metric.
+const namespace = "dogwooddyke"
+
+// Bounds of the values of metrics labels; what goes beyond shares otherLabel.
+const (
+	maximumWorkspaceLabels = 128
+	maximumClassLabels     = 8
+	maximumReasonLabels    = 64
+	otherLabel             = "other"
+)
+
+// stallBound is the wait between two tokens beyond which a caller is held to be stalled.
+const stallBound = 500 * time.Millisecond
+
+// Intervals and timeouts of an instance's loops.
+const (
+	tickInterval   = 50 * time.Millisecond
+	drainPoll      = 20 * time.Millisecond
+	loadInterval   = 500 * time.Millisecond
+	loadTimeout    = 2 * time.Second
+	explainTimeout = time.Second
+)
--- /dev/null
+++ b/instance/core.go
@@ -0,0 +1,306 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sourcegraph/conc"
+
+	"dogwooddyke/coordination/member"
+	"dogwooddyke/coordination/replica"
+	"dogwooddyke/coordination/routing"
+	"dogwooddyke/protocol/answer"
+	"dogwooddyke/state/catalogue"
+	"dogwooddyke/state/explanation"
+	"dogwooddyke/transport/caller"
+	"dogwooddyke/transport/endpoint"
+	"dogwooddyke/transport/operator"
+	"dogwooddyke/transport/peer"
+	"dogwooddyke/transport/platform"
+)
+
+// How a request flows:
+//
+//	caller -> transport/caller   authenticates, checks the body, makes an answer.Request
+//	       -> protocol/answer    carries the answer from state to state until its end
+//	       -> coordination/routing queues it, chooses an endpoint, gives a slot
+//	       -> transport/endpoint dispatches it to the engine and reads the tokens
+//	       -> protocol/answer    passes each token once, in order, from one generation
+//	       -> transport/caller   writes it to the caller with a resume token
+//
+// How news flows:
+//
+//	log    -> coordination/replica -> state/catalogue -> the router's entries (a change in force)
+//	list   -> coordination/member  -> who is live, who is steward of what
+//	engine -> the endpoint's steward -> share.ask -> each instance's router
+//
+// Lock order: Instance.mutex before any lock of the packages below; none of these calls back up while it holds its own.
+
+// Listeners are the open sockets of one instance.
+type Listeners struct {
+	Callers   net.Listener
+	Operators net.Listener
+	Peers     net.Listener
+}
+
+// Instance is one running instance of the system.
+type Instance struct {
+	settings *Settings
+	logger   *slog.Logger
+	metrics  *metrics
+	ring     *explanation.Ring
+
+	table   *catalogue.Table
+	replica *replica.Replica
+	members *member.Members
+	loops   *member.Loops
+	router  *routing.Router
+	runner  *answer.Runner
+	signer  *answer.Signer
+	clients *endpoint.Clients
+	node    *peer.Node
+	handler *caller.Handler
+
+	callers   *http.Server
+	operators *http.Server
+	listeners Listeners
+
+	stop  context.CancelFunc
+	group conc.WaitGroup
+
+	mutex    sync.Mutex
+	draining bool
+	view     *catalogue.View // the one that the router works by
+}
+
+// New wires an instance; nothing runs before Start.
+func New(settings *Settings, listeners Listeners, logger *slog.Logger) (*Instance, error) {
+	i := &Instance{
+		settings:  settings,
+		logger:    logger.With("instance", settings.Peers.String()),
+		metrics:   newMetrics(),
+		ring:      explanation.NewRing(settings.Explanations),
+		listeners: listeners,
+		clients:   endpoint.NewClients(),
+	}
+	if err := i.wirePeers(); err != nil {
+		return nil, err
+	}
+	i.wireCatalogue()
+	i.wireRouting()
+	if err := i.wireAnswers(); err != nil {
+		return nil, err
+	}
+	if err := i.wireCallers(); err != nil {
+		return nil, err
+	}
+	i.wireOperators()
+	i.registerGauges()
+	return i, nil
+}
+
+// Start begins to listen and to follow the platform.
+func (i *Instance) Start(ctx context.Context) {
+	ctx, i.stop = context.WithCancel(ctx)
+	i.node.Serve(i.listeners.Peers)
+	i.group.Go(func() { i.loops.Run(ctx) })
+	i.group.Go(func() { i.replica.Run(ctx) })
+	i.group.Go(func() { i.tick(ctx) })
+	i.group.Go(func() { i.pollLoads(ctx) })
+	i.group.Go(func() { i.serve(i.callers, i.listeners.Callers) })
+	i.group.Go(func() { i.serve(i.operators, i.listeners.Operators) })
+	i.logger.Info("started", "dataCentre", i.settings.DataCentre, "callers", i.settings.Callers, "operators", i.settings.Operators)
+}
+
+// Drain refuses new work and returns when all requests in progress have ended, or with the context.
+func (i *Instance) Drain(ctx context.Context) error {
+	i.mutex.Lock()
+	first := !i.draining
+	i.draining = true
+	i.mutex.Unlock()
+	if first {
+		now := time.Now()
+		i.logger.Info("draining", "inFlight", i.handler.InFlight())
+		i.handler.Drain()
+		i.members.Drain(now)
+		i.router.SetDraining(true, now)
+	}
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for i.handler.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	i.runner.Wait()
+	return nil
+}
+
+// Close ends the instance at once; after Drain it cuts nothing off.
+func (i *Instance) Close() {
+	i.stop()
+	_ = i.callers.Close()
+	_ = i.operators.Close()
+	i.node.Close()
+	i.clients.Close()
+	i.group.Wait()
+	i.logger.Info("stopped")
+}
+
+// Ready tells whether the instance may take work.
+func (i *Instance) Ready() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return !i.draining && i.view != nil && i.replica.Ready()
+}
+
+func (i *Instance) serve(server *http.Server, listener net.Listener) {
+	var err error
+	if server.TLSConfig != nil {
+		err = server.ServeTLS(listener, "", "")
+	} else {
+		err = server.Serve(listener)
+	}
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		i.logger.Error("listener failed", "address", listener.Addr().String(), "error", err)
+	}
+}
+
+func (i *Instance) wireCatalogue() {
+	client := platform.NewClient()
+	i.table = catalogue.NewTable(catalogue.Rules{Operators: i.settings.OperatorKeys, SnapshotKey: i.settings.PeerKeys[0]})
+	i.members = member.New(i.settings.Peers, i.table)
+	i.replica = replica.New(replica.Options{
+		Table:    i.table,
+		Log:      platform.NewLog(i.settings.Log, client),
+		Members:  i.members,
+		Peers:    i.node,
+		Observer: &replicaObserver{instance: i},
+	})
+	i.loops = &member.Loops{
+		Members:  i.members,
+		Roster:   roster{platform.NewRoster(i.settings.Roster, client)},
+		Peers:    i.node,
+		Position: i.position,
+		Observer: memberObserver{i.metrics},
+	}
+	i.node.Handle(member.MethodHeartbeat, i.loops.ServeHeartbeat)
+	i.node.Handle(replica.MethodPush, i.replica.ServePush)
+	i.node.Handle(replica.MethodFetch, i.replica.ServeFetch)
+}
+
+func (i *Instance) wireRouting() {
+	i.router = routing.New(routing.Config{
+		Self:       i.settings.Peers,
+		DataCentre: i.settings.DataCentre,
+		Subset:     i.settings.Subset,
+		Observer:   &routingObserver{instance: i},
+	})
+}
+
+func (i *Instance) wireAnswers() error {
+	var previous []byte
+	if len(i.settings.TokenKeys) > 1 {
+		previous = i.settings.TokenKeys[1]
+	}
+	signer, err := answer.NewSigner(i.settings.TokenKeys[0], previous)
+	if err != nil {
+		return err
+	}
+	i.signer = signer
+	i.runner = &answer.Runner{
+		Engines:   endpoint.NewEngines(i.clients),
+		Router:    &slots{instance: i},
+		Budget:    &answer.Budgets{},
+		Tokens:    signer,
+		Observer:  &answerObserver{metrics: i.metrics, ring: i.ring},
+		Peers:     i.node,
+		Self:      i.settings.Peers,
+		Grace:     i.settings.Grace,
+		TokenLife: i.settings.ResumeWindow,
+	}
+	i.node.Handle(answer.MethodResumed, i.runner.ServeResumed)
+	return nil
+}
+
+func (i *Instance) wireCallers() error {
+	i.handler = caller.NewHandler(caller.Config{
+		Answers:          i.runner,
+		Tokens:           i.signer,
+		Catalogue:        i.table,
+		Observer:         i.metrics,
+		MaximumBodyBytes: i.settings.MaximumBodyBytes,
+		MaximumStreams:   i.settings.MaximumStreams,
+	}, i.Ready)
+	i.callers = caller.NewServer(i.handler)
+	keeper, err := keeperOf(i.settings.CallerFiles)
+	if err != nil || keeper == nil {
+		return err
+	}
+	i.callers.TLSConfig = keeper.Server("h2", "http/1.1")
+	return nil
+}
+
+func (i *Instance) wirePeers() error {
+	config := peer.Config{Address: i.settings.Peers, Keys: i.settings.PeerKeys}
+	keeper, err := keeperOf(i.settings.PeerFiles)
+	if err != nil {
+		return err
+	}
+	if keeper != nil {
+		config.ServerTLS = keeper.Server()
+		config.ClientTLS = keeper.Client()
+	}
+	i.node = peer.NewNode(config)
+	i.node.Handle(methodExplain, i.serveExplain)
+	return nil
+}
+
+func (i *Instance) wireOperators() {
+	i.operators = operator.NewServer(operator.Config{
+		Registry: i.metrics.registry,
+		Ready:    i.Ready,
+		Status:   i.status,
+		Explain:  i.explain,
+	})
+}
+
+// position says how far this instance's catalogue is.
+func (i *Instance) position() member.Position {
+	v := i.table.View()
+	return member.Position{Offset: v.Offset, Digest: v.Digest}
+}
+
+// Listen opens the sockets that the settings name.
+func Listen(settings *Settings) (Listeners, error) {
+	var l Listeners
+	for _, s := range []struct {
+		address  netip.AddrPort
+		listener *net.Listener
+	}{{settings.Callers, &l.Callers}, {settings.Operators, &l.Operators}, {settings.Peers, &l.Peers}} {
+		opened, err := net.Listen("tcp", s.address.String())
+		if err != nil {
+			l.close()
+			return Listeners{}, oops.In("instance").With("address", s.address).Wrap(err)
+		}
+		*s.listener = opened
+	}
+	return l, nil
+}
+
+func (l Listeners) close() {
+	for _, c := range []net.Listener{l.Callers, l.Operators, l.Peers} {
+		if c != nil {
+			_ = c.Close()
+		}
+	}
+}
--- /dev/null
+++ b/instance/status.go
@@ -0,0 +1,115 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/samber/oops"
+
+	"dogwooddyke/state/endpoint"
+	"dogwooddyke/state/explanation"
+	"dogwooddyke/transport/operator"
+)
+
+// methodExplain looks up a decision on another instance.
+const methodExplain = "explain.find"
+
+// status tells operators how the instance is.
+func (i *Instance) status() operator.Status {
+	view := i.table.View()
+	s := operator.Status{
+		Address:           i.settings.Peers,
+		Callers:           i.settings.Callers,
+		DataCentre:        i.settings.DataCentre,
+		State:             i.state(),
+		Catalogue:         string(i.replica.State()),
+		CatalogueRevision: view.Revision,
+		CatalogueOffset:   view.Offset,
+		CatalogueDigest:   view.Digest,
+		InFlight:          i.handler.InFlight(),
+		Members:           i.members.Live(),
+	}
+	i.router.Demands(time.Now(), func(address netip.AddrPort, demand endpoint.Demand) {
+		s.Endpoints = append(s.Endpoints, operator.EndpointStatus{
+			Address: address, Running: demand.Running, Waiting: demand.Waiting, Knee: demand.Knee,
+		})
+	})
+	return s
+}
+
+func (i *Instance) state() string {
+	i.mutex.Lock()
+	draining := i.draining
+	i.mutex.Unlock()
+	switch {
+	case draining:
+		return "draining"
+	case i.Ready():
+		return "ready"
+	default:
+		return "starting"
+	}
+}
+
+// explain finds a decision here or, failing that, on another instance.
+func (i *Instance) explain(ctx context.Context, id string) (explanation.Explanation, bool) {
+	if found, ok := i.ring.Find(id); ok {
+		return found, true
+	}
+	for _, a := range i.members.Live() {
+		if a == i.settings.Peers {
+			continue
+		}
+		if found, err := i.askExplanation(ctx, a, id); err == nil {
+			return found, true
+		}
+	}
+	return explanation.Explanation{}, false
+}
+
+func (i *Instance) askExplanation(ctx context.Context, to netip.AddrPort, id string) (explanation.Explanation, error) {
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	var found explanation.Explanation
+	err := i.node.Call(ctx, to, methodExplain, struct {
+		ID string `json:"id"`
+	}{id}, &found)
+	return found, err
+}
+
+func (i *Instance) serveExplain(_ context.Context, _ netip.AddrPort, params json.RawMessage) (any, error) {
+	var asked struct {
+		ID string `json:"id"`
+	}
+	if err := json.Unmarshal(params, &asked); err != nil {
+		return nil, oops.In("instance").Wrap(err)
+	}
+	found, ok := i.ring.Find(asked.ID)
+	if !ok {
+		return nil, oops.In("instance").Errorf("no decision is kept for %q", asked.ID)
+	}
+	return found, nil
+}
+
+// registerGauges makes what is counted elsewhere readable.
+func (i *Instance) registerGauges() {
+	m := i.metrics
+	traffic := i.node.Traffic()
+	m.gauge("requests_in_flight", "Requests in progress.", func() float64 { return float64(i.handler.InFlight()) })
+	m.gauge("catalogue_offset", "Offset of the last folded record.", func() float64 { return float64(i.table.Offset()) })
+	m.gauge("catalogue_revision", "Offset of the last accepted change.", func() float64 { return float64(i.table.View().Revision) })
+	m.gauge("members_live", "Live instances.", func() float64 { return float64(len(i.members.Live())) })
+	m.gauge("members_moves", "Times that a member came or went.", func() float64 { return float64(i.members.Moves()) })
+	m.gauge("peer_bytes_in", "Bytes read from other instances.", func() float64 { return float64(traffic.BytesIn.Load()) })
+	m.gauge("peer_bytes_out", "Bytes written to other instances.", func() float64 { return float64(traffic.BytesOut.Load()) })
+	m.gauge("peer_calls_in", "Calls served for other instances.", func() float64 { return float64(traffic.CallsIn.Load()) })
+	m.gauge("peer_calls_out", "Calls made to other instances.", func() float64 { return float64(traffic.CallsOut.Load()) })
+	m.gauge("ready", "1 when the instance takes work.", func() float64 {
+		if i.Ready() {
+			return 1
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/state/explanation/doc.go
@@ -0,0 +1,2 @@
+// Package explanation keeps what was decided for recent requests, within a bound.
+package explanation
--- /dev/null
+++ b/transport/certificate/doc.go
@@ -0,0 +1,2 @@
+// Package certificate keeps TLS certificates that are read again while the program runs.
+package certificate
--- /dev/null
+++ b/transport/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator serves operators over HTTP: health, metrics, status and explanations.
+package operator
