Engines over HTTP and a runner that carries answers through lost connections and engines

Change: transport/endpoint starts, resumes and cancels generations; each start and resume has a fresh connection, and httptrace tells a dial that failed from a request that may have left. answer.Runner is a state machine with one transition table, a token filter, a progress deadline from observed waits, a retry budget, verified replay, signed resume tokens and a grace period. Contract changes: Request.Usage, Token.Extra, NoIndex, RefusedError; contexts of Start and Resume bound the call only, not the stream.

--- /dev/null
+++ b/protocol/answer/left.go
@@ -0,0 +1,143 @@
+package answer
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/samber/oops"
+
+	"dogwooddyke/coordination/routing"
+)
+
+// MethodResumed is the peers' method by which an instance tells the one that started an answer that it goes on with it.
+const MethodResumed = "answer.resumed"
+
+// resumedParams names an answer that goes on at the calling instance.
+type resumedParams struct {
+	ID string `json:"id"`
+}
+
+// place is where a generation runs.
+type place struct {
+	endpoint   netip.AddrPort
+	generation string
+}
+
+// linger is an answer whose caller left and may come back.
+type linger struct {
+	slot  Slot
+	taken chan struct{} // closed when the answer goes on
+}
+
+// leave keeps the generation for the grace period where the caller can come back, and cancels it at once otherwise.
+func (e *execution) leave() {
+	if !e.evidence.mayHaveRun || e.place.generation == "" {
+		e.release(routing.OutcomeCancelled, time.Now())
+		return
+	}
+	if e.elsewhere.Load() {
+		e.release(routing.OutcomeCancelled, time.Now())
+		return
+	}
+	kept := !e.request.Whole && e.evidence.delivered > 0
+	if kept && e.runner.linger(e.request.ID, e.slot, e.place) {
+		e.slot = nil
+		return
+	}
+	e.release(routing.OutcomeCancelled, time.Now())
+	e.runner.cancelLater(e.place)
+}
+
+// linger waits for the caller to come back; false means that too many are waited for.
+func (r *Runner) linger(id string, slot Slot, left place) bool {
+	l := &linger{slot: slot, taken: make(chan struct{})}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if len(r.lingering) >= maximumLingering || r.lingering[id] != nil {
+		return false
+	}
+	if r.lingering == nil {
+		r.lingering = make(map[string]*linger)
+	}
+	r.lingering[id] = l
+	r.background.Go(func() { r.await(id, l, left) })
+	return true
+}
+
+// await cancels the generation when the grace period ends before the caller has come back.
+func (r *Runner) await(id string, l *linger, left place) {
+	timer := time.NewTimer(r.grace())
+	defer timer.Stop()
+	select {
+	case <-l.taken:
+		return
+	case <-timer.C:
+	}
+	if !r.take(id, l) {
+		return
+	}
+	if l.slot != nil {
+		l.slot.Release(routing.OutcomeCancelled, time.Now())
+	}
+	r.cancel(left)
+}
+
+// take ends the wait for one answer; false means that it ended before.
+func (r *Runner) take(id string, l *linger) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.lingering[id] != l {
+		return false
+	}
+	delete(r.lingering, id)
+	close(l.taken)
+	return true
+}
+
+// adopt returns the place of an answer whose caller came back to this instance; nil if there is none.
+func (r *Runner) adopt(id string) Slot {
+	r.lock.Lock()
+	l := r.lingering[id]
+	r.lock.Unlock()
+	if l == nil || !r.take(id, l) {
+		return nil
+	}
+	return l.slot
+}
+
+// ServeResumed serves MethodResumed: it keeps an answer from being cancelled here.
+func (r *Runner) ServeResumed(_ context.Context, _ netip.AddrPort, params json.RawMessage) (any, error) {
+	var resumed resumedParams
+	if err := json.Unmarshal(params, &resumed); err != nil {
+		return nil, oops.Wrapf(err, "%s", MethodResumed)
+	}
+	r.lock.Lock()
+	if e := r.active[resumed.ID]; e != nil {
+		e.elsewhere.Store(true)
+	}
+	r.lock.Unlock()
+	if slot := r.adopt(resumed.ID); slot != nil {
+		slot.Release(routing.OutcomeCancelled, time.Now())
+	}
+	return struct{}{}, nil
+}
+
+// noticeLater tells the instance that signed a token that the answer goes on here.
+func (r *Runner) noticeLater(origin netip.AddrPort, id string) {
+	if r.Peers == nil || !origin.IsValid() || origin == r.Self {
+		return
+	}
+	r.background.Go(func() {
+		for range noticeTries {
+			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+			err := r.Peers.Call(ctx, origin, MethodResumed, resumedParams{ID: id}, &struct{}{})
+			cancel()
+			if err == nil {
+				return
+			}
+			time.Sleep(noticePause)
+		}
+	})
+}
--- a/protocol/answer/request.go
+++ b/protocol/answer/request.go
@@ -19,6 +19,7 @@
 	Body       []byte // JSON that the engine gets; streamed, with the seed set
 	Repeatable bool   // a second generation from the same body gives the same tokens
 	Whole      bool   // the caller takes the answer in one piece, so nothing is delivered before the end
+	Usage      bool   // an event with the usage follows the last token
 	Ask        routing.Ask
 	Deadline   time.Time // of the whole answer
 }
@@ -26,20 +27,21 @@
 // Token is one event of a generation; Data is the engine's OpenAI chunk.
 type Token struct {
 	Generation string
-	Index      int // from 0, without gaps
+	Index      int // from 0, without gaps; NoIndex for an event that carries no token
 	Text       string
+	Extra      string // what else the engine said, such as tool calls and the finish reason
 	Data       json.RawMessage
 	Last       bool // carries the finish reason; no token follows
 }
 
 // Stream reads the events of one connection to an engine.
 type Stream interface {
-	// Next returns the next event, io.EOF after the end, or the context's error.
+	// Next returns the next event, io.EOF after the end, or the context's error, after which the stream is of no more use.
 	Next(ctx context.Context) (Token, error)
 	Close() error
 }
 
-// Engines starts, resumes and cancels generations on endpoints.
+// Engines starts, resumes and cancels generations on endpoints; the contexts bound the calls, not the streams that they return.
 type Engines interface {
 	// Start dispatches a new generation; an error that wraps ErrNotStarted means that the engine did not start it.
 	Start(ctx context.Context, endpoint netip.AddrPort, generation string, request *Request) (Stream, error)
--- /dev/null
+++ b/protocol/answer/resume.go
@@ -0,0 +1,70 @@
+package answer
+
+import (
+	"bytes"
+	"time"
+)
+
+// resume goes on with the generation that the token names.
+func (e *execution) resume(token *ResumeToken) Result {
+	e.attempt = token.Attempt
+	e.place = place{endpoint: token.Endpoint, generation: token.Generation()}
+	e.filter = continueFilter(e.place.generation, token.Delivered, token.Sum)
+	e.filter.ended = token.Ended
+	e.evidence = evidence{mayHaveRun: true, ran: token.Delivered > 0, delivered: token.Delivered}
+	e.otherBody = !bytes.Equal(e.bodySum, token.Body)
+	e.bodySum = token.Body
+	if token.Ended {
+		return e.end(StateFinished, OutcomeFinished, nil)
+	}
+	e.resumed = true
+	e.slot = e.runner.adopt(e.request.ID)
+	e.runner.noticeLater(token.Origin, e.request.ID)
+	e.progress = time.Now()
+	err := e.reopen(errReturned)
+	if err == nil {
+		err = e.pump()
+	}
+	if err == nil {
+		return e.finish()
+	}
+	if result, final := e.afterFailure(err); final {
+		return result
+	}
+	return e.attempts(err)
+}
+
+// resumeToken signs where the caller is.
+func (e *execution) resumeToken() string {
+	text, err := e.runner.Tokens.Sign(&ResumeToken{
+		Answer:    e.request.ID,
+		Entry:     e.request.Entry,
+		Attempt:   e.attempt,
+		Endpoint:  e.place.endpoint,
+		Origin:    e.runner.Self,
+		Delivered: e.tokenPosition(),
+		Sum:       e.tokenSum(),
+		Ended:     e.filter.ended && !e.request.Whole,
+		Deadline:  time.Now().Add(e.runner.tokenLife()).Unix(),
+		Body:      e.bodySum,
+	}, e.request.Workspace)
+	if err != nil {
+		return ""
+	}
+	return text
+}
+
+// tokenPosition is the first token to read on from; a whole answer is read again from its start.
+func (e *execution) tokenPosition() int {
+	if e.request.Whole {
+		return 0
+	}
+	return e.filter.delivered
+}
+
+func (e *execution) tokenSum() uint64 {
+	if e.request.Whole {
+		return 0
+	}
+	return e.filter.wanted
+}
--- /dev/null
+++ b/protocol/answer/silence.go
@@ -0,0 +1,86 @@
+package answer
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// reopen goes on with the same generation on a new connection, since connections die while engines live.
+// It returns the cause itself where a new connection can't help, and why the engine is given up otherwise.
+func (e *execution) reopen(cause error) error {
+	if !e.reopens(cause) {
+		return cause
+	}
+	e.closeStream()
+	if errors.Is(cause, errSilent) {
+		e.life.move(StateSilent, detailOf(cause))
+	}
+	for broken := 0; ; {
+		if e.fruitless >= maximumFruitless {
+			return errFruitless
+		}
+		e.fruitless++
+		err := e.connect(cause)
+		if err == nil {
+			return nil
+		}
+		if ended := e.ended(); ended != nil {
+			return ended
+		}
+		if errors.Is(err, ErrUnknownGeneration) {
+			return errLost
+		}
+		broken++
+		if broken >= maximumBroken {
+			return errBroken
+		}
+		if err := pause(e.ctx, reopenPause); err != nil {
+			return e.ended()
+		}
+	}
+}
+
+// reopens reports whether a new connection to the same engine may help.
+func (e *execution) reopens(cause error) bool {
+	for _, final := range []error{errCaller, errReplay, errTooLarge} {
+		if errors.Is(cause, final) {
+			return false
+		}
+	}
+	return e.ended() == nil
+}
+
+// connect asks the engine for the rest of the generation and gives it more time with each connection that brought nothing.
+func (e *execution) connect(cause error) error {
+	if e.life.state != StateResuming {
+		e.life.move(StateResuming, detailOf(cause))
+	}
+	e.runner.observer().Resumed(e.request.ID, e.request.Entry)
+	ctx, cancel := context.WithTimeout(e.ctx, reopenTimeout)
+	defer cancel()
+	stream, err := e.runner.Engines.Resume(ctx, e.place.endpoint, e.place.generation, e.filter.next)
+	if err != nil {
+		return err
+	}
+	e.stream = stream
+	wait := e.pace.between.wait()
+	if e.filter.next == 0 {
+		wait = e.pace.first.wait()
+	}
+	e.deadline = time.Now().Add(wait << (e.fruitless - 1))
+	e.settle()
+	return nil
+}
+
+// pause waits for the duration or until the context ends.
+func pause(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/protocol/answer/token.go
@@ -0,0 +1,124 @@
+package answer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/oops"
+)
+
+// ErrToken reports a resume token that is malformed, forged or another workspace's.
+var ErrToken = errors.New("resume token invalid")
+
+// ErrTokenExpired reports a resume token whose deadline has passed.
+var ErrTokenExpired = errors.New("resume token expired")
+
+// Sizes of resume tokens.
+const (
+	minimumKeyBytes   = 32
+	signatureBytes    = 16 // HMAC-SHA256, cut
+	maximumTokenBytes = 1024
+	bodySumBytes      = 8
+)
+
+// ResumeToken is all that an instance needs to go on with an answer.
+type ResumeToken struct {
+	_         struct{}       `cbor:",toarray"`
+	Answer    string         // id
+	Entry     string         // catalogue entry
+	Attempt   int            // number of the generation
+	Endpoint  netip.AddrPort // engine that has the generation
+	Origin    netip.AddrPort // peer listener of the instance that signed
+	Delivered int            // tokens that the caller has
+	Sum       uint64         // rolling hash of them
+	Ended     bool           // the last token is among them
+	Deadline  int64          // seconds since the epoch
+	Body      []byte         // first bytes of the SHA-256 of the request, for a replay
+}
+
+// Generation returns the engine's name of the generation.
+func (t *ResumeToken) Generation() string { return generationName(t.Answer, t.Attempt) }
+
+func generationName(id string, attempt int) string {
+	return id + "." + strconv.Itoa(attempt)
+}
+
+// bodySum names a request's body in a token.
+func bodySum(body []byte) []byte {
+	sum := sha256.Sum256(body)
+	return sum[:bodySumBytes]
+}
+
+// Signer signs and checks resume tokens; it is safe for concurrent use.
+type Signer struct {
+	current  []byte
+	previous []byte
+}
+
+// NewSigner signs with the current key and accepts the previous one too, which may be empty; keys have 32 bytes or more.
+func NewSigner(current, previous []byte) (*Signer, error) {
+	if len(current) < minimumKeyBytes {
+		return nil, oops.Errorf("current resume key: %d bytes, needs %d", len(current), minimumKeyBytes)
+	}
+	if len(previous) > 0 && len(previous) < minimumKeyBytes {
+		return nil, oops.Errorf("previous resume key: %d bytes, needs %d", len(previous), minimumKeyBytes)
+	}
+	return &Signer{current: current, previous: previous}, nil
+}
+
+// Sign returns the token as text, valid for the workspace only.
+func (s *Signer) Sign(token *ResumeToken, workspace string) (string, error) {
+	payload, err := cbor.Marshal(token)
+	if err != nil {
+		return "", oops.Wrapf(err, "sign resume token")
+	}
+	raw := append(signature(s.current, workspace, payload), payload...)
+	return base64.RawURLEncoding.EncodeToString(raw), nil
+}
+
+// Verify reads a token that was signed for the workspace and whose deadline has not passed.
+func (s *Signer) Verify(text, workspace string, now time.Time) (*ResumeToken, error) {
+	if len(text) > maximumTokenBytes {
+		return nil, oops.Wrapf(ErrToken, "%d bytes", len(text))
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil || len(raw) <= signatureBytes {
+		return nil, oops.Wrapf(ErrToken, "encoding")
+	}
+	given, payload := raw[:signatureBytes], raw[signatureBytes:]
+	if !s.signed(given, workspace, payload) {
+		return nil, oops.Wrapf(ErrToken, "signature")
+	}
+	token := &ResumeToken{}
+	if err := cbor.Unmarshal(payload, token); err != nil {
+		return nil, oops.Wrapf(ErrToken, "payload")
+	}
+	if token.Delivered < 0 || token.Attempt < 0 || !token.Endpoint.IsValid() {
+		return nil, oops.Wrapf(ErrToken, "fields")
+	}
+	if !now.Before(time.Unix(token.Deadline, 0)) {
+		return nil, ErrTokenExpired
+	}
+	return token, nil
+}
+
+func (s *Signer) signed(given []byte, workspace string, payload []byte) bool {
+	if hmac.Equal(given, signature(s.current, workspace, payload)) {
+		return true
+	}
+	return len(s.previous) > 0 && hmac.Equal(given, signature(s.previous, workspace, payload))
+}
+
+// signature covers the workspace's name with its length, so that no two pairs look alike.
+func signature(key []byte, workspace string, payload []byte) []byte {
+	code := hmac.New(sha256.New, key)
+	_, _ = code.Write([]byte(strconv.Itoa(len(workspace)) + ":" + workspace))
+	_, _ = code.Write(payload)
+	return code.Sum(nil)[:signatureBytes]
+}
--- /dev/null
+++ b/transport/endpoint/connection.go
@@ -0,0 +1,58 @@
+package endpoint
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// Clients holds the connections to endpoints: pooled ones for requests that may be repeated, and a fresh one for each that may not.
+type Clients struct {
+	pooled *http.Client
+	fresh  *http.Client
+}
+
+// NewClients returns clients without any open connection.
+func NewClients() *Clients {
+	return &Clients{pooled: newClient(false), fresh: newClient(true)}
+}
+
+// Close closes the idle connections.
+func (c *Clients) Close() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+func newClient(fresh bool) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:            dialer.DialContext,
+			DisableCompression:     true,
+			DisableKeepAlives:      fresh, // net/http repeats requests only on reused connections
+			IdleConnTimeout:        idleTimeout,
+			MaxIdleConnsPerHost:    idlePerEndpoint,
+			MaxResponseHeaderBytes: maximumHeaderBytes,
+			ReadBufferSize:         streamBufferBytes,
+			ExpectContinueTimeout:  expectContinueBound,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// departure records whether a request got a connection, before which no byte of it can have left.
+type departure struct {
+	connected atomic.Bool
+}
+
+// trace returns a context that records into the departure.
+func (d *departure) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { d.connected.Store(true) },
+	})
+}
+
+// possible reports whether a byte of the request may have left.
+func (d *departure) possible() bool { return d.connected.Load() }
--- /dev/null
+++ b/transport/endpoint/constants.go
@@ -0,0 +1,30 @@
+package endpoint
+
+import "time"
+
+// Limits on what an endpoint may send.
+const (
+	maximumEventBytes = 256 << 10 // one SSE event, and so each of its lines
+	maximumErrorBytes = 16 << 10  // body of a refusal
+)
+
+// Limits on connections.
+const (
+	dialTimeout         = 2 * time.Second
+	keepAliveInterval   = 5 * time.Second
+	idleTimeout         = 2 * time.Second // a pooled connection that was idle for longer is closed
+	idlePerEndpoint     = 8
+	maximumHeaderBytes  = 64 << 10
+	streamBufferBytes   = 16 << 10
+	expectContinueBound = time.Second
+)
+
+// Headers and paths of the engines' API.
+const (
+	headerGeneration = "Generation-Id"
+	headerPriority   = "Priority"
+	headerOutcome    = "Outcome"
+	outcomeNotRun    = "notRun"
+	generationsPath  = "/generations/"
+	doneData         = "[DONE]"
+)
--- /dev/null
+++ b/transport/endpoint/doc.go
@@ -0,0 +1,2 @@
+// Package endpoint speaks HTTP to model engines and plain services.
+package endpoint
