Shares of endpoints and limits: steward, holder, exchange

Cause: several instances on the same engines must not each count on the whole of them. Change: a pure steward grants deadline-stamped shares max-min fairly, a pure holder decides when to ask, an exchange carries both over peers. Result: builds and lints; not measured yet.

--- /dev/null
+++ b/coordination/share/constants.go
@@ -0,0 +1,25 @@
+package share
+
+import "time"
+
+// Method is the name under which peers serve asks.
+const Method = "share.ask"
+
+const (
+	grantSpan      = 3 * time.Second         // for which a share is granted
+	urgentPeriod   = 100 * time.Millisecond  // between asks for more while requests wait
+	changePeriod   = 500 * time.Millisecond  // between asks while demand changes
+	refreshPeriod  = 1 * time.Second         // between asks otherwise
+	callTimeout    = 500 * time.Millisecond  // of one call to a steward
+	settleSpan     = 1500 * time.Millisecond // in which a new steward learns what is held
+	memoryPart     = 0.97                    // of an engine's memory that is granted
+	spreadMargin   = 1.3                     // standard deviations that all margins together keep free
+	leastSpread    = 0.3                     // least factor on an instance's margin
+	maximumAsks    = 4096                    // lines of one ask
+	maximumLedgers = 8192                    // endpoints or limits that a steward keeps
+	maximumHolders = 2048                    // instances of one ledger
+	idleLimit      = 10 * time.Second        // without asks after which a ledger is dropped
+	defaultSlots   = 16                      // of an engine of unknown knee
+	defaultMemory  = 16384                   // tokens of an engine of unknown memory
+	loadFresh      = 5 * time.Second         // age of a load report that still counts
+)
--- /dev/null
+++ b/coordination/share/endpoints.go
@@ -0,0 +1,178 @@
+package share
+
+import (
+	"cmp"
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"dogwooddyke/state/endpoint"
+)
+
+// endpointLedger is a steward's account of one endpoint.
+type endpointLedger struct {
+	holders []endpointHolder // by address
+	load    endpoint.Load
+	loaded  time.Time
+	opened  time.Time
+	asked   time.Time
+}
+
+// endpointHolder is one instance that works with the endpoint.
+type endpointHolder struct {
+	instance netip.AddrPort
+	demand   endpoint.Demand
+	share    endpoint.Share
+	seen     time.Time
+}
+
+func (l *endpointLedger) find(instance netip.AddrPort) (int, bool) {
+	return slices.BinarySearchFunc(l.holders, instance, func(h endpointHolder, a netip.AddrPort) int {
+		return h.instance.Compare(a)
+	})
+}
+
+// note records an instance's demand and what it holds, and returns its place.
+func (l *endpointLedger) note(instance netip.AddrPort, demand endpoint.Demand, held endpoint.Share, now time.Time) int {
+	i, found := l.find(instance)
+	if !found {
+		l.holders = slices.Insert(l.holders, i, endpointHolder{instance: instance, share: held})
+	}
+	h := &l.holders[i]
+	h.demand, h.seen = demand, now
+	if held.Until.After(h.share.Until) {
+		h.share = held
+	}
+	return i
+}
+
+func (l *endpointLedger) forget(instance netip.AddrPort) {
+	if i, found := l.find(instance); found {
+		l.holders = slices.Delete(l.holders, i, i+1)
+	}
+}
+
+// expire drops instances that did not ask again and hold nothing any more.
+func (l *endpointLedger) expire(now time.Time) {
+	l.holders = slices.DeleteFunc(l.holders, func(h endpointHolder) bool {
+		return now.After(h.share.Until) && now.Sub(h.seen) > grantSpan
+	})
+}
+
+// knee gives the median of what the instances learnt.
+func (l *endpointLedger) knee() int {
+	knees := make([]int, 0, len(l.holders))
+	for _, h := range l.holders {
+		if h.demand.Knee > 0 {
+			knees = append(knees, h.demand.Knee)
+		}
+	}
+	if len(knees) == 0 {
+		return defaultSlots
+	}
+	slices.Sort(knees)
+	return knees[len(knees)/2]
+}
+
+// unknown gives the generations that the engine reports beyond what was granted, such as those of instances that are cut off.
+func (l *endpointLedger) unknown(now time.Time) int {
+	if now.Sub(l.loaded) > loadFresh {
+		return 0
+	}
+	granted := 0
+	for _, h := range l.holders {
+		granted += max(h.share.Slots, h.demand.Running)
+	}
+	return max(l.load.Running+l.load.Waiting-granted, 0)
+}
+
+// grant decides the share of the instance at the place.
+func (l *endpointLedger) grant(place, instances int, now time.Time) endpoint.Share {
+	spread := l.spreads()
+	slots := l.slots(place, now)
+	memory := l.memory(place, spread, slots, now)
+	if now.Sub(l.opened) < settleSpan {
+		slots, memory = l.cautious(place, slots, memory, instances, now)
+	}
+	h := &l.holders[place]
+	h.share = endpoint.Share{Slots: slots, Memory: memory, Spread: spread[place], Until: now.Add(grantSpan)}
+	return h.share
+}
+
+// slots gives the instance its fair part of the slots, as far as others' unexpired shares leave it.
+func (l *endpointLedger) slots(place int, now time.Time) int {
+	total := max(l.knee()-l.unknown(now), 1)
+	demands := make([]float64, len(l.holders))
+	free := total
+	for i, h := range l.holders {
+		demands[i] = float64(h.demand.Running + h.demand.Waiting)
+		if i != place {
+			free -= max(h.demand.Running, heldSlots(h, now))
+		}
+	}
+	fair := whole(fillAll(float64(total), demands))[place]
+	return max(min(fair, free), 0)
+}
+
+func heldSlots(h endpointHolder, now time.Time) int {
+	if now.After(h.share.Until) {
+		return 0
+	}
+	return h.share.Slots
+}
+
+// spreads gives each instance's factor on its own margin, so that all margins together cover the spread of the sum.
+func (l *endpointLedger) spreads() []float64 {
+	sum := 0.0
+	for _, h := range l.holders {
+		sum += h.demand.Variance
+	}
+	factors := make([]float64, len(l.holders))
+	for i, h := range l.holders {
+		factors[i] = 1
+		if sum > 0 {
+			factors[i] = max(math.Sqrt(h.demand.Variance/sum), leastSpread)
+		}
+	}
+	return factors
+}
+
+func (l *endpointLedger) capacity() float64 {
+	return memoryPart * float64(cmp.Or(l.load.CapacityTokens, defaultMemory))
+}
+
+// memory gives the instance its fair part of the memory; what nobody needs goes with the slots.
+func (l *endpointLedger) memory(place int, spread []float64, slots int, now time.Time) int {
+	total := l.capacity()
+	needs := make([]float64, len(l.holders))
+	free, allSlots := total, 0
+	for i, h := range l.holders {
+		needs[i] = float64(h.demand.Memory) + spreadMargin*spread[i]*math.Sqrt(h.demand.Variance)
+		if i == place {
+			allSlots += slots
+			continue
+		}
+		allSlots += h.share.Slots
+		if !now.After(h.share.Until) {
+			free -= float64(h.share.Memory)
+		}
+	}
+	parts := fill(total, needs)
+	left := total
+	for _, part := range parts {
+		left -= part
+	}
+	fair := parts[place] + left*float64(slots)/float64(max(allSlots, 1))
+	return int(max(min(fair, free), 0))
+}
+
+// cautious bounds a grant while the steward is new and may not know all that is held.
+func (l *endpointLedger) cautious(place, slots, memory, instances int, now time.Time) (boundSlots, boundMemory int) {
+	part := max(instances, len(l.holders))
+	equalSlots, equalMemory := max(l.knee()/part, 1), int(l.capacity())/part
+	if h := l.holders[place]; !now.After(h.share.Until) {
+		equalSlots, equalMemory = max(equalSlots, h.share.Slots), max(equalMemory, h.share.Memory)
+	}
+	return min(slots, equalSlots), min(memory, equalMemory)
+}
