dykectl load: options, keys and the stand-ins' texts

The command takes targets or the file of a held demo, draws a profile by seed and exits 1 when an answer was wrong.

--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -39,7 +39,9 @@
 }
 
 func commands() []command {
-	return []command{}
+	return []command{
+		{"load", "Send traffic to instances and check every answer", "Sends open-loop, seeded traffic in the shape of a profile and checks every token of every answer against stand-in engines.", &loadCommand{}},
+	}
 }
 
 func main() {
--- a/experiment/load/stream.go
+++ b/experiment/load/stream.go
@@ -97,7 +97,7 @@
 		return
 	}
 	if s.verifier == nil {
-		s.result.Answer = response.Header.Get("Answer-Id")
+		s.result.Answer = response.Header.Get(answerHeader)
 		s.verifier = newVerifier(s.result.Request, s.client.candidates(s.result.Request, s.result.Answer))
 	}
 	silence := time.AfterFunc(answerTimeout, cancel)
@@ -205,6 +205,9 @@
 		s.lost(err)
 		return
 	}
+	if s.result.Answer == "" {
+		s.result.Answer = response.Header.Get(answerHeader)
+	}
 	s.result.refuse(response.StatusCode, body)
 	again := s.result.Outcome != OutcomeInterrupted && response.StatusCode == http.StatusServiceUnavailable
 	if s.event != "" && again {
--- a/experiment/load/whole.go
+++ b/experiment/load/whole.go
@@ -7,7 +7,10 @@
 	"time"
 )
 
-const chatPath = "/v1/chat/completions"
+const (
+	chatPath     = "/v1/chat/completions"
+	answerHeader = "Answer-Id"
+)
 
 // whole sends a request for an answer in one piece.
 func (c *client) whole(ctx context.Context, r *Request, due time.Time) *Result {
@@ -22,7 +25,7 @@
 	defer response.Body.Close()
 	body, err := readBody(response)
 	result.Total = time.Since(due)
-	result.Answer = response.Header.Get("Answer-Id")
+	result.Answer = response.Header.Get(answerHeader)
 	if err != nil {
 		result.unanswered(err)
 		return result
