--- a/instance/constants.go
+++ b/instance/constants.go
@@ -12,7 +12,7 @@
 	defaultSubset           = 16
 	defaultExplanations     = 4096
 	defaultMaximumStreams   = 20000
-	minimumKeyBytes         = 16
+	minimumKeyBytes         = 32
 )
 
 // namespace begins the name of each metric.
@@ -31,9 +31,13 @@
 
 // Intervals and timeouts of an instance's loops.
 const (
-	tickInterval   = 50 * time.Millisecond
-	drainPoll      = 20 * time.Millisecond
-	loadInterval   = 500 * time.Millisecond
-	loadTimeout    = 2 * time.Second
-	explainTimeout = time.Second
+	tickInterval    = 50 * time.Millisecond
+	drainPoll       = 20 * time.Millisecond
+	shareInterval   = 75 * time.Millisecond // between two looks at whether a share has to be asked for
+	loadInterval    = 500 * time.Millisecond
+	leavingInterval = 500 * time.Millisecond
+	cacheInterval   = 2 * time.Second
+	pollWorkers     = 16
+	loadTimeout     = 2 * time.Second
+	explainTimeout  = time.Second
 )
--- a/instance/core.go
+++ b/instance/core.go
@@ -16,10 +16,12 @@
 	"dogwooddyke/coordination/member"
 	"dogwooddyke/coordination/replica"
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/coordination/share"
 	"dogwooddyke/protocol/answer"
 	"dogwooddyke/state/catalogue"
 	"dogwooddyke/state/explanation"
 	"dogwooddyke/transport/caller"
+	"dogwooddyke/transport/certificate"
 	"dogwooddyke/transport/endpoint"
 	"dogwooddyke/transport/operator"
 	"dogwooddyke/transport/peer"
@@ -62,12 +64,15 @@
 	members *member.Members
 	loops   *member.Loops
 	router  *routing.Router
+	shares  *share.Exchange
+	loads   *endpoint.Loads
 	runner  *answer.Runner
 	signer  *answer.Signer
 	clients *endpoint.Clients
 	node    *peer.Node
 	handler *caller.Handler
 
+	keepers   []*certificate.Keeper
 	callers   *http.Server
 	operators *http.Server
 	listeners Listeners
@@ -113,7 +118,10 @@
 	i.group.Go(func() { i.loops.Run(ctx) })
 	i.group.Go(func() { i.replica.Run(ctx) })
 	i.group.Go(func() { i.tick(ctx) })
+	i.group.Go(func() { i.exchangeShares(ctx) })
 	i.group.Go(func() { i.pollLoads(ctx) })
+	i.group.Go(func() { i.pollCaches(ctx) })
+	i.group.Go(func() { each(ctx, leavingInterval, i.followLeaving) })
 	i.group.Go(func() { i.serve(i.callers, i.listeners.Callers) })
 	i.group.Go(func() { i.serve(i.operators, i.listeners.Operators) })
 	i.logger.Info("started", "dataCentre", i.settings.DataCentre, "callers", i.settings.Callers, "operators", i.settings.Operators)
@@ -131,6 +139,7 @@
 		i.handler.Drain()
 		i.members.Drain(now)
 		i.router.SetDraining(true, now)
+		i.shares.HandOver(ctx, now)
 	}
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
@@ -142,6 +151,7 @@
 		}
 	}
 	i.runner.Wait()
+	i.shares.Leave(ctx, time.Now())
 	return nil
 }
 
@@ -205,6 +215,9 @@
 		Subset:     i.settings.Subset,
 		Observer:   &routingObserver{instance: i},
 	})
+	i.shares = share.NewExchange(i.node, i.members, i.router)
+	i.loads = endpoint.NewLoads(i.clients)
+	i.node.Handle(share.Method, i.shares.Serve)
 }
 
 func (i *Instance) wireAnswers() error {
@@ -246,6 +259,7 @@
 	if err != nil || keeper == nil {
 		return err
 	}
+	i.keepers = append(i.keepers, keeper)
 	i.callers.TLSConfig = keeper.Server("h2", "http/1.1")
 	return nil
 }
@@ -257,6 +271,7 @@
 		return err
 	}
 	if keeper != nil {
+		i.keepers = append(i.keepers, keeper)
 		config.ServerTLS = keeper.Server()
 		config.ClientTLS = keeper.Client()
 	}
@@ -280,6 +295,16 @@
 	return member.Position{Offset: v.Offset, Digest: v.Digest}
 }
 
+// Reload takes the peer keys of the settings and reads the certificates again; connections made from now on use them.
+func (i *Instance) Reload(settings *Settings) {
+	i.node.SetKeys(settings.PeerKeys)
+	for _, k := range i.keepers {
+		if err := k.Reload(); err != nil {
+			i.logger.Error("certificate not reloaded", "error", err)
+		}
+	}
+}
+
 // Listen opens the sockets that the settings name.
 func Listen(settings *Settings) (Listeners, error) {
 	var l Listeners
--- a/instance/loops.go
+++ b/instance/loops.go
@@ -33,6 +33,7 @@
 	i.view = view
 	i.mutex.Unlock()
 	i.router.SetInstances(len(i.members.Live()), now)
+	i.shares.SetInstances(len(i.members.Live()))
 	if former == view {
 		return
 	}
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/ed25519"
 	"encoding/base64"
+	"io"
 	"log/slog"
 	"net/netip"
 	"os"
@@ -160,6 +161,15 @@
 	}
 }
 
+// LogHandler returns the handler of structured logs that the settings ask for.
+func (s *Settings) LogHandler(w io.Writer) slog.Handler {
+	options := &slog.HandlerOptions{Level: s.LogLevel}
+	if s.LogFormat == "json" {
+		return slog.NewJSONHandler(w, options)
+	}
+	return slog.NewTextHandler(w, options)
+}
+
 // readKeys reads key and previousKey, each as text or from a file.
 func readKeys(f *settings.Fields) [][]byte {
 	var keys [][]byte
--- a/transport/endpoint/constants.go
+++ b/transport/endpoint/constants.go
@@ -4,8 +4,9 @@
 
 // Limits on what an endpoint may send.
 const (
-	maximumEventBytes = 256 << 10 // one SSE event, and so each of its lines
-	maximumErrorBytes = 16 << 10  // body of a refusal
+	maximumReportBytes = 1 << 20   // of a load report or a page of cache events
+	maximumEventBytes  = 256 << 10 // one SSE event, and so each of its lines
+	maximumErrorBytes  = 16 << 10  // body of a refusal
 )
 
 // Limits on connections.
