--- a/standin/apply.go
+++ b/standin/apply.go
@@ -58,7 +58,7 @@
 	}
 	load, events := e.config.Sizes.LoadLag, e.config.Sizes.CacheDelay
 	if lag, ok := e.faults.find(FaultLag); ok {
-		load = time.Duration(lag.Value * float64(time.Second))
+		load = seconds(lag.Value)
 		events = load
 	}
 	if config.LoadLag != load || config.CacheDelay != events {
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -132,6 +132,13 @@
 	f.changed = make(chan struct{})
 }
 
+// change returns a channel that is closed at the next change.
+func (f *faults) change() <-chan struct{} {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.changed
+}
+
 // find returns the fault of the kind if it is in force.
 func (f *faults) find(kind FaultKind) (Fault, bool) {
 	f.mutex.Lock()
--- a/standin/order.go
+++ b/standin/order.go
@@ -170,9 +170,9 @@
 
 // retryAfter reads the header in seconds; zero where it is missing.
 func retryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(header.Get(headerRetry), 64)
-	if err != nil || seconds <= 0 || seconds > maximumLag {
+	value, err := strconv.ParseFloat(header.Get(headerRetry), 64)
+	if err != nil || value <= 0 || value > maximumLag {
 		return 0
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return seconds(value)
 }
--- a/standin/server.go
+++ b/standin/server.go
@@ -20,11 +20,15 @@
 
 // server is what all stand-ins share: a listener, connections and faults; lock order: mutex before those of faults and connections.
 type server struct {
-	handler   http.Handler
-	kinds     []FaultKind
-	onFault   func(Fault) // after a fault has come into force
-	onClear   func()      // after all faults were cleared
-	latency   time.Duration
+	handler http.Handler
+	kinds   []FaultKind
+	onFault func(Fault)   // after a fault has come into force
+	onClear func()        // after all faults were cleared
+	latency time.Duration // of each call
+
+	losesRequests bool // the lose fault cuts requests before their effect
+	holdsAnswers  bool // the stall fault keeps answers back
+
 	faults    *faults
 	conns     *connections
 	http      *http.Server
@@ -165,7 +169,7 @@
 	if _, dead := s.faults.find(FaultDie); dead {
 		panic(http.ErrAbortHandler)
 	}
-	if !s.faults.wait(FaultPause, s.closed) || !s.delay() {
+	if !s.faults.wait(FaultPause, s.closed) || !s.delay(s.latency) {
 		panic(http.ErrAbortHandler)
 	}
 	if _, out := s.faults.find(FaultOutage); out {
@@ -177,11 +181,14 @@
 
 // serve runs the handler, cutting the answer before or after the effect where a fault says so.
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	if s.holdsAnswers {
+		w = &holdWriter{ResponseWriter: w, server: s}
+	}
 	if r.Method == http.MethodGet {
 		s.handler.ServeHTTP(w, r)
 		return
 	}
-	if s.losesRequests() && s.faults.take(FaultLose) {
+	if s.losesRequests && s.faults.take(FaultLose) {
 		panic(http.ErrAbortHandler)
 	}
 	if s.faults.take(FaultDropAnswer) {
@@ -191,19 +198,8 @@
 	s.handler.ServeHTTP(w, r)
 }
 
-// losesRequests tells the lose fault of requests from that of stream events.
-func (s *server) losesRequests() bool {
-	for _, kind := range s.kinds {
-		if kind == FaultForeign {
-			return false
-		}
-	}
-	return true
-}
-
-// delay waits for the latency, slowed; false when the stand-in closes.
-func (s *server) delay() bool {
-	wait := s.latency
+// delay waits for the time, longer when slow; false when the stand-in closes.
+func (s *server) delay(wait time.Duration) bool {
 	if slow, ok := s.faults.find(FaultSlow); ok {
 		wait = time.Duration(float64(max(wait, slowBase)) * slow.Value)
 	}
