--- a/state/catalogue/fold.go
+++ b/state/catalogue/fold.go
@@ -29,6 +29,7 @@
 // Fold makes the catalogue from the log's records in their order; it is not safe for concurrent use.
 type Fold struct {
 	rules      Rules
+	bound      int // of remembered ids
 	offset     uint64
 	revision   uint64
 	horizon    uint64
@@ -46,6 +47,7 @@
 func NewFold(rules Rules) *Fold {
 	return &Fold{
 		rules:      rules,
+		bound:      RememberedChanges,
 		entries:    map[string]*entryState{},
 		workspaces: map[string]*workspaceState{},
 		keys:       map[string]string{},
@@ -173,7 +175,7 @@
 	f.digest = sha256.Sum256(slices.Concat(f.digest[:], position[:], []byte(c.ID)))
 	f.ids[c.ID] = offset
 	f.order = append(f.order, ChangeOffset{ID: c.ID, Offset: offset})
-	if len(f.order) > RememberedChanges {
+	if len(f.order) > f.bound {
 		f.horizon = f.order[0].Offset
 		delete(f.ids, f.order[0].ID)
 		f.order = slices.Delete(f.order, 0, 1)
@@ -239,6 +241,7 @@
 		return err
 	}
 	next := NewFold(f.rules)
+	next.bound = f.bound
 	next.offset, next.revision, next.horizon, next.refused = s.Covers, s.Revision, s.Horizon, s.Refused
 	copy(next.digest[:], s.Digest)
 	for _, e := range s.Entries {
--- a/state/catalogue/verdict.go
+++ b/state/catalogue/verdict.go
@@ -1,5 +1,7 @@
 package catalogue
 
+import "strings"
+
 // Outcome is what the fold made of one change.
 type Outcome string
 
@@ -42,5 +44,5 @@
 	if len(text) <= maximumReasonBytes {
 		return text
 	}
-	return text[:maximumReasonBytes]
+	return strings.ToValidUTF8(text[:maximumReasonBytes], "")
 }
