--- a/state/catalogue/file_test.go
+++ b/state/catalogue/file_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 )
 
-const examples = "../../docs/examples"
+const examples = "../../docs/examples/catalogue"
 
 func TestParseFile(t *testing.T) {
 	t.Run("examples", func(t *testing.T) {
