Faults, resumes and replays of answers under test

Cause: the promises hold only where the failures that threaten them are brought about. An engine that refuses a new connection itself is asked for longer than one that takes none.

--- a/protocol/answer/constants.go
+++ b/protocol/answer/constants.go
@@ -23,11 +23,12 @@
 // Waits.
 const (
 	reopenTimeout    = 2 * time.Second        // for the first byte of a resumed generation
+	refusedPause     = 250 * time.Millisecond // after an engine's own refusal of a new connection
 	reopenPause      = 50 * time.Millisecond  // between failures to open a new connection
 	trailingTimeout  = 500 * time.Millisecond // for what follows the last token
 	unstartedPause   = 20 * time.Millisecond  // after a dispatch that certainly did not start
 	cancelTimeout    = 2 * time.Second        // of one try
-	cancelHorizon    = 20 * time.Second       // of all tries
+	cancelHorizon    = 10 * time.Second       // of all tries
 	cancelPause      = 500 * time.Millisecond // between tries
 	noticeTimeout    = 2 * time.Second
 	noticePause      = 200 * time.Millisecond
--- a/protocol/answer/ending.go
+++ b/protocol/answer/ending.go
@@ -136,7 +136,7 @@
 		result.Reason = reasonOf(cause)
 		detail = detailOf(cause)
 	}
-	if e.filter != nil && e.place.endpoint.IsValid() {
+	if e.filter != nil && e.evidence.mayHaveRun {
 		result.Resume = e.resumeToken()
 	}
 	e.life.move(state, detail)
--- /dev/null
+++ b/protocol/answer/resume_test.go
@@ -0,0 +1,203 @@
+package answer
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fakePeers calls the first instance's method.
+type fakePeers struct{ first *Runner }
+
+func (p *fakePeers) Call(ctx context.Context, _ netip.AddrPort, _ string, params, _ any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	_, err = p.first.ServeResumed(ctx, netip.AddrPort{}, raw)
+	return err
+}
+
+// second is another instance before the same engines.
+func (b *bench) second() *Runner {
+	b.other = &Runner{
+		Engines: b.engines, Router: b.router, Budget: &Budgets{}, Tokens: b.runner.Tokens, Observer: b.observer,
+		Peers: &fakePeers{first: b.runner}, Self: b.engines.order[0],
+	}
+	return b.other
+}
+
+// leaveAt runs an answer whose caller leaves after some tokens, and returns the resume token that it has.
+func (b *bench) leaveAt(t *testing.T, tokens int) *ResumeToken {
+	t.Helper()
+	is := is.New(t)
+	b.runner.Self = b.engines.order[1]
+	b.sink.leaveAt = tokens
+	result := b.runner.Run(context.Background(), b.request(false), b.sink)
+	is.Equal(result.Outcome, OutcomeCancelled)
+	is.Equal(result.Delivered, tokens)
+	token, err := b.runner.Tokens.Verify(b.sink.resume, "rescue", time.Now())
+	is.NoErr(err)
+	b.sink.leaveAt = 0
+	return token
+}
+
+func TestResume(t *testing.T) {
+	t.Run("sameInstance", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, false)
+			token := b.leaveAt(t, 40)
+			is.Equal(b.router.open, 1) // the generation still takes its place
+			result := b.runner.Resume(context.Background(), token, b.request(false), b.sink)
+			is.Equal(result.Outcome, OutcomeFinished)
+			whole(t, b.sink.tokens)
+			orderly(t, b)
+			is.Equal(len(b.engines.at(0).cancelled), 0)
+		})
+	})
+	t.Run("anotherInstance", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, false)
+			b.runner.Grace = 100 * time.Millisecond // shorter than the rest of the answer
+			token := b.leaveAt(t, 40)
+			result := b.second().Resume(context.Background(), token, b.request(false), b.sink)
+			is.Equal(result.Outcome, OutcomeFinished)
+			whole(t, b.sink.tokens)
+			orderly(t, b)
+			is.Equal(len(b.engines.at(0).cancelled), 0)
+			is.Equal(b.engines.starts(), 1)
+		})
+	})
+	t.Run("graceCancels", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, false)
+			b.leaveAt(t, 40)
+			orderly(t, b)
+			is.Equal(b.engines.at(0).cancelled, []string{"a.1"})
+		})
+	})
+	t.Run("afterTheEnd", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, false)
+			first := b.runner.Run(context.Background(), b.request(false), b.sink)
+			token, err := b.runner.Tokens.Verify(first.Resume, "rescue", time.Now())
+			is.NoErr(err)
+			result := b.second().Resume(context.Background(), token, b.request(false), b.sink)
+			is.Equal(result.Outcome, OutcomeFinished)
+			whole(t, b.sink.tokens)
+		})
+	})
+	bodies := []struct {
+		name    string
+		body    string
+		outcome Outcome
+	}{
+		{"engineLostWithBody", `{"seed":1}`, OutcomeFinished},
+		{"engineLostWithoutBody", "", OutcomeInterrupted},
+		{"engineLostOtherBody", `{"seed":2}`, OutcomeInterrupted},
+	}
+	for _, c := range bodies {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(t, 2, true)
+				token := b.leaveAt(t, 40)
+				b.engines.kill(b.engines.at(0))
+				request := b.request(false)
+				request.Body = []byte(c.body)
+				result := b.second().Resume(context.Background(), token, request, b.sink)
+				is.Equal(result.Outcome, c.outcome)
+				is.Equal(result.Delivered, len(b.sink.tokens))
+				if c.outcome == OutcomeFinished {
+					whole(t, b.sink.tokens)
+				}
+				orderly(t, b)
+			})
+		})
+	}
+}
+
+func TestReplayDiffers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, 3, false)
+		b.engines.fault(0, "die", 90)
+		request := b.request(false)
+		request.Repeatable = true // declared, but the engines do not hold it
+		result := b.runner.Run(context.Background(), request, b.sink)
+		is.Equal(result.Outcome, OutcomeInterrupted)
+		is.Equal(result.Delivered, 90)
+		is.Equal(len(b.sink.tokens), 90)
+		is.True(len(b.observer.replays) > 0)
+		for _, verified := range b.observer.replays {
+			is.True(!verified)
+		}
+		orderly(t, b)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	t.Run("allDead", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, false)
+			b.engines.at(0).dead = true
+			b.engines.at(1).refuses = true
+			result := b.runner.Run(context.Background(), b.request(false), b.sink)
+			is.Equal(result.Outcome, OutcomeNotRun)
+			is.Equal(b.engines.starts(), 0)
+			orderly(t, b)
+		})
+	})
+	t.Run("budgetSpent", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, false)
+			for range budgetInitial {
+				_, allowed := b.runner.Budget.Of("verdicts").Reserve(time.Now(), 0)
+				is.True(allowed)
+			}
+			b.engines.fault(0, "die", 0)
+			began := time.Now()
+			result := b.runner.Run(context.Background(), b.request(false), b.sink)
+			is.Equal(result.Outcome, OutcomeUnknown)
+			is.True(result.RetryAt.After(began))
+			is.True(time.Since(began) < time.Second) // the answer comes at once
+			orderly(t, b)
+		})
+	})
+	t.Run("deadline", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, false)
+			request := b.request(false)
+			request.Deadline = time.Now().Add(answerLength / 2 * tokenInterval)
+			result := b.runner.Run(context.Background(), request, b.sink)
+			is.Equal(result.Outcome, OutcomeInterrupted)
+			is.Equal(result.Reason, "deadline")
+			orderly(t, b)
+			is.Equal(b.engines.at(0).cancelled, []string{"a.1"})
+		})
+	})
+	t.Run("wholeCallerLeaves", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, false)
+			ctx, cancel := context.WithTimeout(context.Background(), answerLength/2*tokenInterval)
+			defer cancel()
+			result := b.runner.Run(ctx, b.request(true), b.sink)
+			is.Equal(result.Outcome, OutcomeCancelled)
+			orderly(t, b)
+			is.Equal(b.engines.at(0).cancelled, []string{"a.1"})
+		})
+	})
+}
--- a/protocol/answer/runner.go
+++ b/protocol/answer/runner.go
@@ -71,6 +71,8 @@
 
 // Resume goes on with an answer on behalf of a caller who came back; the request's Body may be empty, which rules a replay out.
 func (r *Runner) Resume(ctx context.Context, token *ResumeToken, request *Request, sink Sink) Result {
+	request.ID = token.Answer
+	request.Entry = token.Entry
 	e := r.newExecution(ctx, request, sink)
 	defer e.close()
 	return e.resume(token)
--- a/protocol/answer/runner_test.go
+++ b/protocol/answer/runner_test.go
@@ -20,6 +20,7 @@
 	router   *fakeRouter
 	observer *fakeObserver
 	runner   *Runner
+	other    *Runner // another instance, if the test has one
 	sink     *fakeSink
 }
 
@@ -63,6 +64,9 @@
 	t.Helper()
 	is := is.New(t)
 	b.runner.Wait()
+	if b.other != nil {
+		b.other.Wait()
+	}
 	for _, move := range b.observer.moves {
 		if !move.Legal {
 			t.Errorf("illegal transition %s to %s", move.From, move.To)
--- a/protocol/answer/silence.go
+++ b/protocol/answer/silence.go
@@ -31,11 +31,16 @@
 		if errors.Is(err, ErrUnknownGeneration) {
 			return errLost
 		}
-		broken++
+		wait := reopenPause
+		if _, lives := errors.AsType[*RefusedError](err); lives {
+			wait = refusedPause
+		} else {
+			broken++
+		}
 		if broken >= maximumBroken {
 			return errBroken
 		}
-		if err := pause(e.ctx, reopenPause); err != nil {
+		if err := pause(e.ctx, wait); err != nil {
 			return e.ended()
 		}
 	}
@@ -57,22 +62,27 @@
 		e.life.move(StateResuming, detailOf(cause))
 	}
 	e.runner.observer().Resumed(e.request.ID, e.request.Entry)
-	ctx, cancel := context.WithTimeout(e.ctx, reopenTimeout)
+	wait := e.patience()
+	ctx, cancel := context.WithTimeout(e.ctx, max(wait, reopenTimeout))
 	defer cancel()
 	stream, err := e.runner.Engines.Resume(ctx, e.place.endpoint, e.place.generation, e.filter.next)
 	if err != nil {
 		return err
 	}
 	e.stream = stream
-	wait := e.pace.between.wait()
-	if e.filter.next == 0 {
-		wait = e.pace.first.wait()
-	}
-	e.deadline = time.Now().Add(wait << (e.fruitless - 1))
+	e.deadline = time.Now().Add(wait)
 	e.settle()
 	return nil
 }
 
+// patience is how long the newest connection may stay without a token; it doubles with each one that brought nothing.
+func (e *execution) patience() time.Duration {
+	if e.filter.next == 0 {
+		return e.pace.first.wait() << (e.fruitless - 1)
+	}
+	return e.pace.between.wait() << (e.fruitless - 1)
+}
+
 // pause waits for the duration or until the context ends.
 func pause(ctx context.Context, wait time.Duration) error {
 	timer := time.NewTimer(wait)
--- a/transport/endpoint/stream.go
+++ b/transport/endpoint/stream.go
@@ -40,15 +40,12 @@
 		return answer.Token{}, err
 	}
 	stop := context.AfterFunc(ctx, s.cancel)
-	event, err, more := s.next()
+	event, err := s.nextData()
 	if !stop() {
 		return answer.Token{}, ctx.Err()
 	}
 	if err != nil {
-		return answer.Token{}, oops.Wrapf(err, "read stream")
-	}
-	if !more {
-		return answer.Token{}, io.ErrUnexpectedEOF
+		return answer.Token{}, err
 	}
 	if event.Data == doneData {
 		s.done = true
@@ -57,6 +54,22 @@
 	return parseChunk(event.Data)
 }
 
+// nextData returns the next event that has data, passing over others such as comments.
+func (s *stream) nextData() (sse.Event, error) {
+	for {
+		event, err, more := s.next()
+		if err != nil {
+			return sse.Event{}, oops.Wrapf(err, "read stream")
+		}
+		if !more {
+			return sse.Event{}, io.ErrUnexpectedEOF
+		}
+		if event.Data != "" {
+			return event, nil
+		}
+	}
+}
+
 // Close ends the connection; the generation goes on.
 func (s *stream) Close() error {
 	s.cancel()
