Load: a balancer that asks instances for their readiness

A planned stop takes an instance out of the platform's balancer, so the load tool has to do the same, or it measures refusals that no caller would get.

--- a/experiment/load/call.go
+++ b/experiment/load/call.go
@@ -10,7 +10,7 @@
 func (c *client) call(ctx context.Context, r *Request, target int, due time.Time) *Result {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	result := &Result{Request: r, Repeat: target != r.Target}
+	result := &Result{Request: r}
 	response, err := c.send(ctx, r, target, "/call/"+r.Mix.Entry+"/"+r.Mix.Path)
 	if err != nil {
 		result.unanswered(err)
--- a/experiment/load/client.go
+++ b/experiment/load/client.go
@@ -19,6 +19,7 @@
 	candidates Candidates
 	recorder   *recorder
 	resumeWait time.Duration
+	balancer   *balancer
 }
 
 func newClient(o *Options, r *recorder) *client {
@@ -30,8 +31,10 @@
 		ReadBufferSize:      2 << 10,
 		WriteBufferSize:     2 << 10,
 	}
+	h := &http.Client{Transport: transport}
 	return &client{
-		http:       &http.Client{Transport: transport},
+		http:       h,
+		balancer:   newBalancer(h, o.Targets),
 		targets:    o.Targets,
 		profile:    o.Profile,
 		candidates: o.Candidates,
--- a/experiment/load/constants.go
+++ b/experiment/load/constants.go
@@ -34,4 +34,10 @@
 
 )
 
+// Times of the balancer's questions to instances.
+const (
+	readyInterval = 200 * time.Millisecond
+	readyTimeout  = time.Second
+)
+
 const progressInterval = 200 * time.Millisecond
--- a/experiment/load/run.go
+++ b/experiment/load/run.go
@@ -58,9 +58,11 @@
 	c := newClient(o, r)
 	defer c.close()
 	started := time.Now()
-	stop := showProgress(o, r, started)
+	stopProgress := showProgress(o, r, started)
+	stopBalancer := c.startBalancer(ctx)
 	drive(ctx, o, c, r, started)
-	stop()
+	stopBalancer()
+	stopProgress()
 	return newReport(o, r, started), r.records, nil
 }
 
@@ -97,12 +99,24 @@
 	}
 }
 
+// startBalancer asks the instances for their readiness until the returned function is called.
+func (c *client) startBalancer(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var asked conc.WaitGroup
+	asked.Go(func() { c.balancer.run(ctx) })
+	return func() {
+		cancel()
+		asked.Wait()
+	}
+}
+
 // carry sends one request, and its repeat to another instance where the plan has one.
 func (c *client) carry(ctx context.Context, r *Request, due time.Time) {
 	defer c.recorder.ended.Add(1)
 	defer c.recorder.open.Add(-1)
 	var repeat conc.WaitGroup
 	defer repeat.Wait()
+	r.Target = c.balancer.pick(r.Target)
 	if r.Other != r.Target {
 		repeat.Go(func() { c.repeat(ctx, r) })
 	}
@@ -115,7 +129,9 @@
 	if !sleepUntil(ctx, due) {
 		return
 	}
-	c.recorder.finished(c.mark(ctx, c.call(ctx, r, r.Other, due)))
+	result := c.mark(ctx, c.call(ctx, r, r.Other, due))
+	result.Repeat = true
+	c.recorder.finished(result)
 }
 
 // mark tells what the end of the run cut off from what failed.
--- a/experiment/load/stream.go
+++ b/experiment/load/stream.go
@@ -58,7 +58,7 @@
 			return
 		case <-time.After(s.client.resumeWait << s.result.Resumes):
 		}
-		target = (target + 1) % len(s.client.targets)
+		target = s.client.balancer.pick((target + 1) % len(s.client.targets))
 		s.result.Resumes++
 		s.connect(ctx, target, s.resume)
 	}
