Demo: stand-ins and instances in one process, a script of faults, an audit and checks

Whether a promise held is known only at the endpoints, so a run compares what callers were told with what the stand-ins counted: runs by key, generations by id, starts while leaving.

--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -40,6 +40,7 @@
 
 func commands() []command {
 	return []command{
+		{"demo", "Run stand-ins and instances in one process and check what must hold", "Starts stand-ins and instances on loopback ports, sends the traffic of both deployments while things fail, and prints a table and the checks that held.", &demoCommand{}},
 		{"load", "Send traffic to instances and check every answer", "Sends open-loop, seeded traffic in the shape of a profile and checks every token of every answer against stand-in engines.", &loadCommand{}},
 	}
 }
--- /dev/null
+++ b/experiment/demo/backend.go
@@ -0,0 +1,95 @@
+package demo
+
+import (
+	"errors"
+	"net/netip"
+
+	"dogwooddyke/standin"
+	"dogwooddyke/state/catalogue"
+)
+
+// faulty is a stand-in that things can go wrong with.
+type faulty interface {
+	Listen(address netip.AddrPort) (netip.AddrPort, error)
+	Fault(fault standin.Fault) error
+	Close() error
+}
+
+// group is the endpoints of one entry.
+type group struct {
+	service   *Service
+	engines   []*standin.Engine
+	services  []*standin.Service
+	addresses []netip.AddrPort
+}
+
+// backends is all endpoints of a layout.
+type backends struct {
+	groups []*group
+}
+
+func loopback() netip.AddrPort {
+	return netip.MustParseAddrPort("127.0.0.1:0")
+}
+
+// startBackends starts the endpoints of a layout on ports that the system picks.
+func startBackends(l *Layout) (*backends, error) {
+	b := &backends{}
+	for i := range l.Services {
+		g := &group{service: &l.Services[i]}
+		b.groups = append(b.groups, g)
+		for n := range g.service.Endpoints {
+			if err := g.start(n); err != nil {
+				return nil, errors.Join(err, b.close())
+			}
+		}
+	}
+	return b, nil
+}
+
+func (g *group) start(number int) error {
+	var endpoint faulty
+	if g.service.Entry.Kind == catalogue.KindEngine {
+		e := standin.NewEngine(g.service.engineConfig(number))
+		g.engines = append(g.engines, e)
+		endpoint = e
+	} else {
+		s := standin.NewService(standin.ServiceConfig{Name: g.service.Entry.Name, Latency: serviceTime})
+		g.services = append(g.services, s)
+		endpoint = s
+	}
+	at, err := endpoint.Listen(loopback())
+	g.addresses = append(g.addresses, at)
+	return err
+}
+
+// endpoint returns one stand-in of the group.
+func (g *group) endpoint(number int) faulty {
+	if g.service.Entry.Kind == catalogue.KindEngine {
+		return g.engines[number]
+	}
+	return g.services[number]
+}
+
+// find returns the endpoints of an entry.
+func (b *backends) find(entry string) (*group, bool) {
+	for _, g := range b.groups {
+		if g.service.Entry.Name == entry {
+			return g, true
+		}
+	}
+	return nil, false
+}
+
+func (b *backends) close() error {
+	var faults []error
+	for _, g := range b.groups {
+		for _, e := range g.engines {
+			faults = append(faults, e.Close())
+		}
+		for _, s := range g.services {
+			faults = append(faults, s.Close())
+		}
+	}
+	return errors.Join(faults...)
+}
--- a/experiment/load/client.go
+++ b/experiment/load/client.go
@@ -49,7 +49,11 @@
 
 // send posts the request's body to a path of a target.
 func (c *client) send(ctx context.Context, r *Request, target int, path string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.targets[target]+path, bytes.NewReader(r.Body()))
+	method, body := http.MethodPost, r.Body()
+	if r.Mix.Kind == KindLookup {
+		method, body = http.MethodGet, nil
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.targets[target]+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
--- a/experiment/load/recorder.go
+++ b/experiment/load/recorder.go
@@ -89,7 +89,7 @@
 	t := r.mixes[result.Request.Mix]
 	t.outcomes[result.Outcome]++
 	t.resumes += result.Resumes
-	t.text.add(result.Text)
+	t.text.Add(result.Text)
 	if result.Repeat {
 		t.repeats++
 	}
--- a/experiment/load/report.go
+++ b/experiment/load/report.go
@@ -63,7 +63,25 @@
 
 // Count returns how many requests ended that way, repeats included.
 func (r *Report) Count(o Outcome) int {
-	for _, c := range r.Outcomes {
+	return countOf(r.Outcomes, o)
+}
+
+// Whole returns how many requests finished, repeats included.
+func (m *MixReport) Whole() int {
+	return countOf(m.Outcomes, OutcomeFinished)
+}
+
+// Accepted returns how many requests were not refused before they ran, repeats included.
+func (m *MixReport) Accepted() int {
+	all := 0
+	for _, c := range m.Outcomes {
+		all += c.Count
+	}
+	return all - countOf(m.Outcomes, OutcomeNotRun) - countOf(m.Outcomes, OutcomeUnreached)
+}
+
+func countOf(counts []Count, o Outcome) int {
+	for _, c := range counts {
 		if c.Name == string(o) {
 			return c.Count
 		}
@@ -96,7 +114,7 @@
 func (t *tally) merge(other *tally) {
 	t.sent += other.sent
 	t.resumes += other.resumes
-	t.text.add(other.text)
+	t.text.Add(other.text)
 	for o, n := range other.outcomes {
 		t.outcomes[o] += n
 	}
--- a/experiment/load/verdict.go
+++ b/experiment/load/verdict.go
@@ -17,7 +17,8 @@
 	return v.Lost + v.Doubled + v.Crossed
 }
 
-func (v *Verdict) add(other Verdict) {
+// Add adds another answer's counts.
+func (v *Verdict) Add(other Verdict) {
 	v.Tokens += other.Tokens
 	v.Lost += other.Lost
 	v.Doubled += other.Doubled
