--- a/experiment/load/client.go
+++ b/experiment/load/client.go
@@ -19,6 +19,7 @@
 	candidates Candidates
 	recorder   *recorder
 	resumeWait time.Duration
+	balancer   *balancer
 }
 
 func newClient(o *Options, r *recorder) *client {
@@ -30,8 +31,10 @@
 		ReadBufferSize:      2 << 10,
 		WriteBufferSize:     2 << 10,
 	}
+	h := &http.Client{Transport: transport}
 	return &client{
-		http:       &http.Client{Transport: transport},
+		http:       h,
+		balancer:   newBalancer(h, o.Targets),
 		targets:    o.Targets,
 		profile:    o.Profile,
 		candidates: o.Candidates,
@@ -46,7 +49,11 @@
 
 // send posts the request's body to a path of a target.
 func (c *client) send(ctx context.Context, r *Request, target int, path string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.targets[target]+path, bytes.NewReader(r.Body()))
+	method, body := http.MethodPost, r.Body()
+	if r.Mix.Kind == KindLookup {
+		method, body = http.MethodGet, nil
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.targets[target]+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
