--- a/standin/log_test.go
+++ b/standin/log_test.go
@@ -74,13 +74,13 @@
 		time.AfterFunc(10*time.Second, func() { appendTo(l, "a") })
 		is.Equal(took(func() { is.Equal(len(readFrom(t, l, "from=1"+until(time.Minute)).Records), 1) }), 10*time.Second)
 	})
-	bubble("dropAnswer", LogConfig{}, func(t *testing.T, is *is.I, l *Log) {
+	bubble("dropAnswer", LogConfig{}, func(_ *testing.T, is *is.I, l *Log) {
 		is.NoErr(l.Fault(Fault{Kind: FaultDropAnswer, Value: 1}))
 		is.True(appendTo(l, "a").cut)
 		is.Equal(len(l.Records("s")), 1) // the effect took place
 		is.True(!appendTo(l, "b").cut)
 	})
-	bubble("lose", LogConfig{}, func(t *testing.T, is *is.I, l *Log) {
+	bubble("lose", LogConfig{}, func(_ *testing.T, is *is.I, l *Log) {
 		is.NoErr(l.Fault(Fault{Kind: FaultLose, Value: 2}))
 		is.True(appendTo(l, "a").cut)
 		is.True(appendTo(l, "b").cut)
@@ -95,13 +95,13 @@
 		time.AfterFunc(time.Second, func() { _ = l.Fault(Fault{Kind: FaultOutage}) })
 		assertNotRun(t, call(l, http.MethodGet, "/streams/s?from=2"+until(time.Minute), ""), http.StatusServiceUnavailable)
 	})
-	bubble("pause", LogConfig{}, func(t *testing.T, is *is.I, l *Log) {
+	bubble("pause", LogConfig{}, func(_ *testing.T, is *is.I, l *Log) {
 		is.NoErr(l.Fault(Fault{Kind: FaultPause, Until: in(time.Minute)}))
 		time.AfterFunc(time.Second, func() { is.Equal(len(l.Records("s")), 0) })
 		is.Equal(took(func() { appendTo(l, "a") }), time.Minute)
 		is.Equal(len(l.Records("s")), 1)
 	})
-	bubble("stall", LogConfig{}, func(t *testing.T, is *is.I, l *Log) {
+	bubble("stall", LogConfig{}, func(_ *testing.T, is *is.I, l *Log) {
 		is.NoErr(l.Fault(Fault{Kind: FaultStall, Until: in(time.Minute)}))
 		seen := make(chan int, 1)
 		time.AfterFunc(time.Second, func() { seen <- len(l.Records("s")) })
@@ -114,12 +114,12 @@
 		is.Equal(len(readFrom(t, l, "from=1").Records), 0)
 		is.Equal(took(func() { is.Equal(len(readFrom(t, l, "from=1"+until(time.Minute)).Records), 1) }), 5*time.Second)
 	})
-	bubble("slow", LogConfig{Latency: 2 * time.Millisecond}, func(t *testing.T, is *is.I, l *Log) {
+	bubble("slow", LogConfig{Latency: 2 * time.Millisecond}, func(_ *testing.T, is *is.I, l *Log) {
 		is.Equal(took(func() { appendTo(l, "a") }), 2*time.Millisecond)
 		is.NoErr(l.Fault(Fault{Kind: FaultSlow, Value: 100, Until: in(time.Minute)}))
 		is.Equal(took(func() { appendTo(l, "a") }), 200*time.Millisecond)
 	})
-	bubble("clear", LogConfig{}, func(t *testing.T, is *is.I, l *Log) {
+	bubble("clear", LogConfig{}, func(_ *testing.T, is *is.I, l *Log) {
 		is.Equal(call(l, http.MethodPost, "/fault", `{"kind":"outage"}`).Code, http.StatusNoContent)
 		is.Equal(appendTo(l, "a").Code, http.StatusServiceUnavailable)
 		is.Equal(call(l, http.MethodDelete, "/fault", "").Code, http.StatusNoContent)
