standin: tests of the faults; a cancelled stream no longer ends as whole

The tests showed that a cancelled generation's stream ended with [DONE], and that the first step after a slow fault was still slow. Both are mended. Measured: go test -race -count=5 ./standin passes.

--- a/standin/start.go
+++ b/standin/start.go
@@ -147,6 +147,7 @@
 	defer e.engineMutex.Unlock()
 	now := time.Now()
 	e.sweep(now)
+	e.tune()
 	if _, known := e.generations[g.model.ID]; known {
 		return errKnownGeneration
 	}
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -89,7 +89,7 @@
 func (e *Engine) progress(g *generation) (ready int, end bool, gone gone) {
 	e.engineMutex.Lock()
 	defer e.engineMutex.Unlock()
-	return g.emitted, !g.ended.IsZero(), g.gone
+	return g.emitted, !g.ended.IsZero() && g.gone == goneNot, g.gone
 }
 
 // await returns when there may be news, or false when the reader has left or the engine closes.
