--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -39,7 +39,9 @@
 }
 
 func commands() []command {
-	return []command{}
+	return []command{
+		{"standin", "Run a stand-in of an endpoint or of the platform", standinLong, &standinCommand{}},
+	}
 }
 
 func main() {
--- a/standin/model/config.go
+++ b/standin/model/config.go
@@ -2,9 +2,14 @@
 
 import (
 	"cmp"
+	"errors"
+	"fmt"
 	"time"
 )
 
+// ErrConfig reports sizes that no engine can have.
+var ErrConfig = errors.New("invalid size")
+
 // Config sizes a model; zero fields take the defaults.
 type Config struct {
 	Slots        int           // sequences in one batch at most
@@ -55,3 +60,41 @@
 	}
 	return time.Duration(float64(duration) / c.Speed)
 }
+
+// Check returns an error that wraps ErrConfig and names the field when the model can't have the sizes.
+func (c Config) Check() error {
+	whole := c.withDefaults()
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{
+		{"slots", float64(whole.Slots)},
+		{"knee", float64(whole.Knee)},
+		{"stepTime", float64(whole.StepTime)},
+		{"capacity", float64(whole.Capacity)},
+		{"memoryKnee", whole.MemoryKnee},
+		{"prefillSpeed", whole.PrefillSpeed},
+		{"prefillChunk", float64(whole.PrefillChunk)},
+		{"speed", whole.Speed},
+		{"waiting", float64(whole.Waiting)},
+	} {
+		if !(f.value > 0) {
+			return fmt.Errorf("%w: %s: must be above 0", ErrConfig, f.name)
+		}
+	}
+	return whole.checkNatural()
+}
+
+// checkNatural checks the fields that may be zero.
+func (c Config) checkNatural() error {
+	if c.SequenceCost < 0 || c.MemoryCost < 0 || c.LoadLag < 0 || c.CacheDelay < 0 {
+		return fmt.Errorf("%w: sequenceCost, memoryCost, loadLag, cacheDelay: must not be negative", ErrConfig)
+	}
+	if c.MemoryKnee > 1 {
+		return fmt.Errorf("%w: memoryKnee: must not be above 1", ErrConfig)
+	}
+	if !(c.CacheGapRate >= 0 && c.CacheGapRate <= 1) {
+		return fmt.Errorf("%w: cacheGapRate: must be within 0 to 1", ErrConfig)
+	}
+	return nil
+}
