A panic in a handler or loop no longer passes silently

Change: handlers for peers answer a panic with an error and count it; an instance's loops are logged, counted and started again; heartbeats now hint the replica at offsets ahead.

--- a/instance/constants.go
+++ b/instance/constants.go
@@ -37,6 +37,7 @@
 	loadInterval    = 500 * time.Millisecond
 	leavingInterval = 500 * time.Millisecond
 	cacheInterval   = 2 * time.Second
+	restartPause    = time.Second
 	pollWorkers     = 16
 	loadTimeout     = 2 * time.Second
 	explainTimeout  = time.Second
--- a/instance/core.go
+++ b/instance/core.go
@@ -115,13 +115,13 @@
 func (i *Instance) Start(ctx context.Context) {
 	ctx, i.stop = context.WithCancel(ctx)
 	i.node.Serve(i.listeners.Peers)
-	i.group.Go(func() { i.loops.Run(ctx) })
-	i.group.Go(func() { i.replica.Run(ctx) })
-	i.group.Go(func() { i.tick(ctx) })
-	i.group.Go(func() { i.exchangeShares(ctx) })
-	i.group.Go(func() { i.pollLoads(ctx) })
-	i.group.Go(func() { i.pollCaches(ctx) })
-	i.group.Go(func() { each(ctx, leavingInterval, i.followLeaving) })
+	i.keep(ctx, "members", i.loops.Run)
+	i.keep(ctx, "catalogue", i.replica.Run)
+	i.keep(ctx, "tick", i.tick)
+	i.keep(ctx, "shares", i.exchangeShares)
+	i.keep(ctx, "loads", i.pollLoads)
+	i.keep(ctx, "caches", i.pollCaches)
+	i.keep(ctx, "leaving", i.watchLeaving)
 	i.group.Go(func() { i.serve(i.callers, i.listeners.Callers) })
 	i.group.Go(func() { i.serve(i.operators, i.listeners.Operators) })
 	i.logger.Info("started", "dataCentre", i.settings.DataCentre, "callers", i.settings.Callers, "operators", i.settings.Operators)
@@ -201,6 +201,7 @@
 		Roster:   roster{platform.NewRoster(i.settings.Roster, client)},
 		Peers:    i.node,
 		Position: i.position,
+		Ahead:    i.replica.Hint,
 		Observer: memberObserver{i.metrics},
 	}
 	i.node.Handle(member.MethodHeartbeat, i.loops.ServeHeartbeat)
--- a/instance/loops.go
+++ b/instance/loops.go
@@ -4,9 +4,26 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
+
 	"dogwooddyke/state/catalogue"
 )
 
+// keep runs a loop until the context ends; one that panics is counted, logged and started again.
+func (i *Instance) keep(ctx context.Context, name string, loop func(context.Context)) {
+	i.group.Go(func() {
+		for ctx.Err() == nil {
+			caught := panics.Try(func() { loop(ctx) })
+			if caught == nil {
+				continue
+			}
+			i.metrics.event("panic."+name, nil)
+			i.logger.Error("loop failed", "loop", name, "cause", caught.String())
+			time.Sleep(restartPause)
+		}
+	})
+}
+
 // tick moves what hangs on time, and puts a changed catalogue in force.
 func (i *Instance) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -74,6 +74,10 @@
 	return next
 }
 
+func (i *Instance) watchLeaving(ctx context.Context) {
+	each(ctx, leavingInterval, i.followLeaving)
+}
+
 // followLeaving stops new work to endpoints that any source says are leaving.
 func (i *Instance) followLeaving(now time.Time) {
 	var leaving []netip.AddrPort
--- a/instance/status.go
+++ b/instance/status.go
@@ -106,6 +106,7 @@
 	m.gauge("peer_bytes_out", "Bytes written to other instances.", func() float64 { return float64(traffic.BytesOut.Load()) })
 	m.gauge("peer_calls_in", "Calls served for other instances.", func() float64 { return float64(traffic.CallsIn.Load()) })
 	m.gauge("peer_calls_out", "Calls made to other instances.", func() float64 { return float64(traffic.CallsOut.Load()) })
+	m.gauge("peer_panics", "Handlers for other instances that failed by a panic.", func() float64 { return float64(traffic.Panics.Load()) })
 	m.gauge("ready", "1 when the instance takes work.", func() float64 {
 		if i.Ready() {
 			return 1
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -39,6 +39,9 @@
 	n.Handle("test.fail", func(context.Context, netip.AddrPort, json.RawMessage) (any, error) {
 		return nil, errors.New("refused on purpose")
 	})
+	n.Handle("test.panic", func(context.Context, netip.AddrPort, json.RawMessage) (any, error) {
+		panic("on purpose")
+	})
 	n.Serve(listener)
 	t.Cleanup(n.Close)
 	return n
@@ -69,6 +72,14 @@
 		is.True(errors.Is(err, ErrRemote))
 		assertEcho(t, a, b)
 	})
+	t.Run("panicIsAnError", func(t *testing.T) {
+		is := is.New(t)
+		a, b := startNode(t, "k"), startNode(t, "k")
+		err := a.Call(t.Context(), b.Address(), "test.panic", nil, nil)
+		is.True(errors.Is(err, ErrRemote))
+		is.Equal(b.Traffic().Panics.Load(), int64(1))
+		assertEcho(t, a, b)
+	})
 	t.Run("unreachable", func(t *testing.T) {
 		is := is.New(t)
 		a, b := startNode(t, "k"), startNode(t, "k")
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/samber/oops"
+	"github.com/sourcegraph/conc/panics"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -115,7 +116,12 @@
 	if request.Params != nil {
 		params = *request.Params
 	}
-	result, err := serve(ctx, params)
+	var result any
+	var err error
+	if caught := panics.Try(func() { result, err = serve(ctx, params) }); caught != nil {
+		g.node.traffic.Panics.Add(1)
+		err = caught.AsError()
+	}
 	if err != nil {
 		replyError(conn, request, codeFailed, err.Error())
 		return
--- a/transport/peer/traffic.go
+++ b/transport/peer/traffic.go
@@ -12,6 +12,7 @@
 	BytesOut atomic.Int64
 	CallsIn  atomic.Int64
 	CallsOut atomic.Int64
+	Panics   atomic.Int64 // of handlers; the caller got an error
 }
 
 // countedConn counts bytes and bounds each write by a deadline, so that a silent peer can't hold a writer for good.
