--- a/coordination/member/beat.go
+++ b/coordination/member/beat.go
@@ -28,7 +28,7 @@
 	defer m.mu.Unlock()
 	news, through := m.pending(to)
 	state := StateLive
-	if m.draining {
+	if _, leaving := m.departures[m.self]; leaving {
 		state = StateLeaving
 	}
 	return Heartbeat{State: state, Life: m.life, Position: position, News: news}, through
@@ -49,7 +49,7 @@
 	defer m.mu.Unlock()
 	if p, ok := m.peers[from]; ok {
 		p.heardAt = now
-		p.life = max(p.life, beat.Life)
+		m.learn(now, News{Kind: NewsAlive, Address: from, Life: beat.Life})
 		p.suspectedAt = time.Time{}
 		if p.removed && p.returnAt.IsZero() {
 			// It learns from this that others have removed it, and refutes.
--- a/coordination/member/constants.go
+++ b/coordination/member/constants.go
@@ -7,7 +7,7 @@
 	MaximumMembers   = 8192  // instances
 	MaximumEndpoints = 16384 // endpoints that a source calls leaving
 	MaximumNews      = 64    // items of news in one heartbeat
-	maximumQueue     = 512   // items of news kept for neighbours
+	maximumQueue     = 512   // items of news kept for neighbours, at least
 )
 
 // Times of the evidence rules.
--- a/coordination/member/evidence.go
+++ b/coordination/member/evidence.go
@@ -54,6 +54,7 @@
 	}
 	m.departures[address] = now
 	if !known {
+		m.changed = true
 		m.tell(News{Kind: NewsLeaving, Address: address})
 	}
 }
@@ -61,8 +62,12 @@
 // contradict forgets that the address is leaving if that is older than the given age; mu is held.
 func (m *Members) contradict(now time.Time, address netip.AddrPort, age time.Duration) {
 	at, ok := m.departures[address]
-	if ok && address != m.self && now.Sub(at) >= age {
+	if address == m.self && m.draining {
+		return
+	}
+	if ok && now.Sub(at) >= age {
 		delete(m.departures, address)
+		m.changed = true
 	}
 }
 
@@ -86,6 +91,7 @@
 		p.removals = 0
 	}
 	p.removed = true
+	m.changed = true
 	p.removals++
 	p.removedAt = now
 }
--- a/coordination/member/list.go
+++ b/coordination/member/list.go
@@ -34,6 +34,7 @@
 			return
 		}
 		m.peers[r.Address] = &peer{row: r, listed: true}
+		m.changed = true
 		m.tell(News{Kind: NewsJoined, Address: r.Address, DataCentre: r.DataCentre})
 		return
 	}
@@ -57,6 +58,7 @@
 			lacking = true
 			if p.absences >= absencesToRemove {
 				p.listed = false
+				m.changed = true
 				m.remove(now, p)
 			}
 		case now.Sub(p.removedAt) > FlapForgetting:
@@ -67,6 +69,7 @@
 	for a, at := range m.departures {
 		if !listed[a] && a != m.self && now.Sub(at) > LeavingMemory {
 			delete(m.departures, a)
+			m.changed = true
 		}
 	}
 	return lacking
--- a/coordination/member/members.go
+++ b/coordination/member/members.go
@@ -29,6 +29,7 @@
 	draining   bool
 	tickedAt   time.Time
 	moves      uint64
+	changed    bool // since readers were last shown the table
 
 	view atomic.Pointer[view]
 	wake chan struct{}
@@ -104,13 +105,17 @@
 	m.show()
 }
 
-// show makes what readers see; mu is held.
+// show makes what readers see, if it changed; mu is held.
 func (m *Members) show() {
+	if !m.changed {
+		return
+	}
+	m.changed = false
 	next := &view{leaving: make(map[netip.AddrPort]bool, len(m.departures))}
 	for a := range m.departures {
 		next.leaving[a] = true
 	}
-	if !m.draining {
+	if !next.leaving[m.self] {
 		next.live = append(next.live, m.self)
 	}
 	for a, p := range m.peers {
--- a/coordination/member/news.go
+++ b/coordination/member/news.go
@@ -33,7 +33,7 @@
 func (m *Members) tell(n News) {
 	m.sequence++
 	m.news = append(m.news, item{sequence: m.sequence, news: n})
-	if len(m.news) > maximumQueue {
+	if len(m.news) == 2*maximumQueue {
 		m.news = append([]item(nil), m.news[len(m.news)-maximumQueue:]...)
 	}
 	m.ring()
--- a/coordination/member/tick.go
+++ b/coordination/member/tick.go
@@ -41,6 +41,7 @@
 	}
 	if p.removed && p.listed && !p.returnAt.IsZero() && !now.Before(p.returnAt) {
 		p.removed = false
+		m.changed = true
 		p.returnAt = time.Time{}
 	}
 }
--- a/state/catalogue/check.go
+++ b/state/catalogue/check.go
@@ -37,7 +37,7 @@
 
 // check refuses snapshots that are not authentic or past a bound.
 func (s *Snapshot) check(rules Rules) error {
-	if !s.Authentic(rules.SnapshotKey) {
+	if !rules.authentic(s) {
 		return fmt.Errorf("%w: seal", ErrForged)
 	}
 	if len(s.Digest) != sha256.Size || s.Revision > s.Covers || s.Horizon > s.Covers {
--- a/state/catalogue/snapshot.go
+++ b/state/catalogue/snapshot.go
@@ -37,12 +37,8 @@
 	Offset uint64 `cbor:"offset"`
 }
 
-// Authenticate sets the HMAC of the key that instances share; with an empty key there is none.
+// Authenticate sets the HMAC of a key that instances share.
 func (s *Snapshot) Authenticate(key []byte) error {
-	s.Seal = nil
-	if len(key) == 0 {
-		return nil
-	}
 	seal, err := s.seal(key)
 	if err != nil {
 		return err
@@ -51,11 +47,8 @@
 	return nil
 }
 
-// Authentic tells whether the snapshot carries the key's HMAC; with an empty key any does.
+// Authentic tells whether the snapshot carries the key's HMAC.
 func (s *Snapshot) Authentic(key []byte) bool {
-	if len(key) == 0 {
-		return true
-	}
 	seal, err := s.seal(key)
 	return err == nil && hmac.Equal(seal, s.Seal)
 }
--- a/state/catalogue/table.go
+++ b/state/catalogue/table.go
@@ -81,10 +81,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.fold.Snapshot()
-	if err := s.Authenticate(t.fold.rules.SnapshotKey); err != nil {
-		return nil, err
+	keys := t.fold.rules.SnapshotKeys
+	if len(keys) == 0 {
+		return s, nil
 	}
-	return s, nil
+	return s, s.Authenticate(keys[0])
 }
 
 func newView(f *Fold) *View {
