Demo: published by the subject's owner, checked by the fold; a share of whole answers is a check

A run in which all was refused held every check, so the share of requests that finished whole is one too. A balancer's second choice was taken for a repeat.

--- a/experiment/demo/check.go
+++ b/experiment/demo/check.go
@@ -28,12 +28,41 @@
 		none("no engine that was leaving got new work", a.LateStarts),
 		{Name: "traffic was sent by every mix", Held: s.sent, Seen: fmt.Sprintf("%d requests", s.total)},
 	}
+	list = append(list, r.whole(traffic)...)
 	if !r.killed {
 		list = append(list, none("no caller was cut off", s.outcomes[load.OutcomeCut]))
 	}
 	return append(list, r.planned()...)
 }
 
+// whole judges how many requests finished: of those accepted by repeatable entries, and of all.
+func (r *runner) whole(traffic []Traffic) []Check {
+	var accepted, finished, sent, all int
+	for _, t := range traffic {
+		for i := range t.Report.Mixes {
+			m := &t.Report.Mixes[i]
+			sent += m.Sent + m.Repeats
+			all += m.Whole()
+			if g, ok := r.fleet.backends.find(m.Entry); ok && g.service.Entry.Repeatable {
+				accepted += m.Accepted()
+				finished += m.Whole()
+			}
+		}
+	}
+	return []Check{
+		least("answers of repeatable entries that finished whole", finished, accepted, leastRepeatable),
+		least("requests of all kinds that finished whole", all, sent, leastAny),
+	}
+}
+
+func least(name string, count, of int, share float64) Check {
+	return Check{
+		Name: fmt.Sprintf("at least %g%% of %s", 100*share, name),
+		Held: of > 0 && float64(count) >= share*float64(of),
+		Seen: fmt.Sprintf("%d of %d", count, of),
+	}
+}
+
 // planned judges the drains and the catalogue changes of the script.
 func (r *runner) planned() []Check {
 	r.mutex.Lock()
--- a/experiment/demo/constants.go
+++ b/experiment/demo/constants.go
@@ -24,10 +24,9 @@
 
 // Shares of accepted requests that must finish whole.
 const (
-	leastWhole = 0.999 // of repeatable entries, with one engine dying
+	leastRepeatable = 0.999 // of streamed and whole answers of repeatable entries
+	leastAny        = 0.9   // of all requests
 )
 
 // maximumOpen bounds the requests in progress of one profile.
 const maximumOpen = 4000
-
-const operatorName = "demo"
--- a/experiment/demo/publish.go
+++ b/experiment/demo/publish.go
@@ -2,36 +2,40 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"strconv"
+	"errors"
+	"fmt"
+	"time"
 
 	"dogwooddyke/experiment/load"
 	"dogwooddyke/state/catalogue"
 	"dogwooddyke/transport/platform"
 )
 
-// publisher appends catalogue changes, each based on the subject's last one.
+// errRefused reports a change that the fold did not accept.
+var errRefused = errors.New("change refused")
+
+// publisher appends catalogue changes and folds the log to see what became of them.
 type publisher struct {
-	log       *platform.Log
-	seen      uint64
-	revisions map[catalogue.Subject]uint64
+	log   *platform.Log
+	table *catalogue.Table
 }
 
 func newPublisher(s *site) *publisher {
 	return &publisher{
-		log:       platform.NewLog("http://"+s.logAt.String(), platform.NewClient()),
-		revisions: make(map[catalogue.Subject]uint64),
+		log:   platform.NewLog("http://"+s.logAt.String(), platform.NewClient()),
+		table: catalogue.NewTable(catalogue.Rules{}),
 	}
 }
 
-// publish appends one change and returns its revision.
-func (p *publisher) publish(ctx context.Context, c catalogue.Change) (uint64, error) {
+// publish appends a change in the name of the subject's owner, based on the current revision, and returns its own.
+func (p *publisher) publish(ctx context.Context, owner string, c catalogue.Change) (uint64, error) {
 	subject, _ := c.Subject()
-	c.Operator = operatorName
-	c.ID = operatorName + "-" + strconv.FormatUint(p.seen, 10)
-	c.Base = p.revisions[subject]
-	c.Seen = p.seen
+	c.Operator, c.Base, c.Seen = owner, p.table.View().RevisionOf(subject), p.table.Offset()
+	id, err := c.DeriveID()
+	if err != nil {
+		return 0, err
+	}
+	c.ID = id
 	data, err := catalogue.Encode(catalogue.Record{Change: &c})
 	if err != nil {
 		return 0, err
@@ -40,9 +44,25 @@
 	if err != nil {
 		return 0, err
 	}
-	p.seen = offset
-	p.revisions[subject] = offset
-	return offset, nil
+	return offset, p.accepted(ctx, offset)
+}
+
+// accepted folds through the offset and returns an error unless the change there was accepted.
+func (p *publisher) accepted(ctx context.Context, offset uint64) error {
+	page, err := p.log.Read(ctx, catalogue.Stream, p.table.Offset()+1, time.Time{})
+	if err != nil {
+		return err
+	}
+	verdicts, err := p.table.ApplyAll(page.Records)
+	if err != nil {
+		return err
+	}
+	for _, v := range verdicts {
+		if v.Offset == offset && v.Refused() {
+			return fmt.Errorf("%w: %s %s: %s", errRefused, v.Subject.Name, v.Outcome, v.Reason)
+		}
+	}
+	return nil
 }
 
 // entry returns the catalogue entry of a group.
@@ -56,6 +76,5 @@
 
 // workspaceOf returns the catalogue's side of a profile's workspace.
 func workspaceOf(w *load.Workspace, owner string) *catalogue.Workspace {
-	hash := sha256.Sum256([]byte(w.Key))
-	return &catalogue.Workspace{Name: w.Name, Owner: owner, KeyHashes: []string{hex.EncodeToString(hash[:])}}
+	return &catalogue.Workspace{Name: w.Name, Owner: owner, KeyHashes: []string{catalogue.HashKey(w.Key)}}
 }
--- a/experiment/demo/script.go
+++ b/experiment/demo/script.go
@@ -122,7 +122,7 @@
 	return Step{at, "catalogue change published", func(ctx context.Context, r *runner) error {
 		e := r.fleet.backends.groups[0].entry()
 		e.Limits.RequestsPerSecond = maximumRate
-		revision, err := r.fleet.publisher.publish(ctx, catalogue.Change{Entry: e})
+		revision, err := r.fleet.publisher.publish(ctx, e.Owner, catalogue.Change{Entry: e})
 		if err != nil {
 			return err
 		}
--- a/experiment/load/plan.go
+++ b/experiment/load/plan.go
@@ -41,7 +41,6 @@
 	r.Mix = pick(p.random, p.profile.Mixes, func(m *Mix) float64 { return m.Share })
 	r.Workspace = pick(p.random, p.profile.Workspaces, func(w *Workspace) float64 { return w.Share })
 	r.Target = p.random.IntN(p.targets)
-	r.Other = r.Target
 	if r.Mix.Generates() {
 		r.Tokens = r.Mix.Tokens.Draw(p.random)
 	}
@@ -55,6 +54,7 @@
 func (p *Plan) call(r *Request) {
 	r.Key = p.key()
 	if p.targets > 1 && p.random.Float64() < r.Mix.Repeat {
+		r.Repeats = true
 		r.Other = (r.Target + 1 + p.random.IntN(p.targets-1)) % p.targets
 	}
 }
--- a/experiment/load/report.go
+++ b/experiment/load/report.go
@@ -33,6 +33,7 @@
 type MixReport struct {
 	Name          string  `json:"name"`
 	Kind          Kind    `json:"kind"`
+	Entry         string  `json:"entry"`
 	Sent          int     `json:"sent"`
 	Repeats       int     `json:"repeats"`
 	Resumes       int     `json:"resumes"`
@@ -125,7 +126,7 @@
 
 func (t *tally) report(m *Mix) MixReport {
 	return MixReport{
-		Name: m.Name, Kind: m.Kind, Sent: t.sent, Repeats: t.repeats, Resumes: t.resumes,
+		Name: m.Name, Kind: m.Kind, Entry: m.Entry, Sent: t.sent, Repeats: t.repeats, Resumes: t.resumes,
 		Outcomes: byOutcome(t.outcomes), Reasons: byCount(t.reasons), Text: t.text,
 		FirstToken: spread(t.firstToken), BetweenTokens: spread(t.between),
 		Stall: spread(t.stall), Total: spread(t.total),
--- a/experiment/load/request.go
+++ b/experiment/load/request.go
@@ -17,7 +17,8 @@
 	Tokens    int // length that the prompt asks for
 	Seed      int64
 	Key       string // Idempotency-Key of a call
-	Other     int    // index of the instance that gets a repeat; equal to Target: none
+	Repeats   bool   // a second instance gets the call as well
+	Other     int    // index of that second instance
 }
 
 // Body returns the JSON to send.
--- a/experiment/load/run.go
+++ b/experiment/load/run.go
@@ -117,7 +117,7 @@
 	var repeat conc.WaitGroup
 	defer repeat.Wait()
 	r.Target = c.balancer.pick(r.Target)
-	if r.Other != r.Target {
+	if r.Repeats {
 		repeat.Go(func() { c.repeat(ctx, r) })
 	}
 	c.recorder.finished(c.mark(ctx, c.do(ctx, r, due)))
