--- a/standin/model/load.go
+++ b/standin/model/load.go
@@ -14,8 +14,8 @@
 
 // history keeps samples of the load, so that it can be reported late.
 type history struct {
-	samples []Load // oldest first
-	opened  time.Time
+	samples []Load    // oldest first
+	opened  time.Time // first time that the newest sample stands for; zero before the first record
 }
 
 // record notes the load, at most loadSamplesPerLag times per lag; later loads within one interval replace each other.
--- a/standin/model/model.go
+++ b/standin/model/model.go
@@ -44,7 +44,7 @@
 func New(config Config, now time.Time) *Model {
 	m := &Model{config: config.withDefaults()}
 	m.cache = newCache(&m.config)
-	m.record(now)
+	m.history.samples = []Load{m.Truth(now)}
 	return m
 }
 
