--- a/standin/log_test.go
+++ b/standin/log_test.go
@@ -119,6 +119,14 @@
 		is.NoErr(l.Fault(Fault{Kind: FaultSlow, Value: 100, Until: in(time.Minute)}))
 		is.Equal(took(func() { appendTo(l, "a") }), 200*time.Millisecond)
 	})
+	bubble("dieKeepsRecords", LogConfig{}, func(_ *testing.T, is *is.I, l *Log) {
+		appendTo(l, "a")
+		is.NoErr(l.Fault(Fault{Kind: FaultDie, Until: in(time.Minute)}))
+		is.True(appendTo(l, "b").cut)
+		time.Sleep(time.Minute)
+		is.Equal(appendTo(l, "c").Code, http.StatusCreated)
+		is.Equal(len(l.Records("s")), 2)
+	})
 	bubble("clear", LogConfig{}, func(_ *testing.T, is *is.I, l *Log) {
 		is.Equal(call(l, http.MethodPost, "/fault", `{"kind":"outage"}`).Code, http.StatusNoContent)
 		is.Equal(appendTo(l, "a").Code, http.StatusServiceUnavailable)
--- a/standin/order.go
+++ b/standin/order.go
@@ -131,7 +131,7 @@
 	}
 	e.order.State = StateLoading
 	load := e.loads
-	e.tasks.Go(func() { e.load(load, asked) })
+	e.background(func() { e.load(load, asked) })
 }
 
 func (e *Engine) load(load uint64, asked Order) {
--- a/standin/perturb.go
+++ b/standin/perturb.go
@@ -35,7 +35,7 @@
 	e.engineMutex.Lock()
 	defer e.engineMutex.Unlock()
 	for _, kind := range perturbations {
-		if g.perturb[kind] == 0 {
+		if _, ok := e.faults.find(kind); !ok || g.perturb[kind] == 0 {
 			continue
 		}
 		if kind == FaultReorder && !hasNext {
--- a/standin/server.go
+++ b/standin/server.go
@@ -90,6 +90,17 @@
 	return nil
 }
 
+// background runs a task that Close waits for, unless the stand-in is closed.
+func (s *server) background(task func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	select {
+	case <-s.closed:
+	default:
+		s.tasks.Go(task)
+	}
+}
+
 // Close cuts all connections and ends the stand-in.
 func (s *server) Close() error {
 	s.closeOnce.Do(func() {
@@ -128,14 +139,22 @@
 
 // die cuts all connections and refuses new ones until the fault is over.
 func (s *server) die() {
+	if s.unlisten() {
+		s.background(s.revive)
+	}
+	s.conns.cut()
+}
+
+// unlisten closes the listener and reports whether there was one to open again.
+func (s *server) unlisten() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.listening != nil && s.address != "" {
-		_ = s.listening.Close()
-		s.listening = nil
-		s.tasks.Go(s.revive)
+	if s.listening == nil || s.address == "" {
+		return false
 	}
-	s.conns.cut()
+	_ = s.listening.Close()
+	s.listening = nil
+	return true
 }
 
 // revive listens on the old address again once the fault is over.
--- a/standin/start.go
+++ b/standin/start.go
@@ -145,6 +145,9 @@
 func (e *Engine) start(g *generation, first *reader) error {
 	e.engineMutex.Lock()
 	defer e.engineMutex.Unlock()
+	if _, dead := e.faults.find(FaultDie); dead {
+		panic(http.ErrAbortHandler)
+	}
 	now := time.Now()
 	e.sweep(now)
 	e.tune()
