Rules keep their fields; former keys stand beside them

Cause: the merged wiring sets Rules.SnapshotKey and no Loops.Ahead. Change: rotation keys are further fields, Ahead may be nil.

--- a/coordination/member/loop.go
+++ b/coordination/member/loop.go
@@ -30,7 +30,7 @@
 	Roster   Roster
 	Peers    Peers
 	Position func() Position     // of this instance's catalogue
-	Ahead    func(offset uint64) // a peer's catalogue is at this offset
+	Ahead    func(offset uint64) // a peer's catalogue is at this offset; may be nil
 	Observer Observer
 }
 
@@ -129,7 +129,9 @@
 
 func (l *Loops) take(from netip.AddrPort, beat Heartbeat) {
 	l.Members.Heard(time.Now(), from, beat)
-	l.Ahead(beat.Position.Offset)
+	if l.Ahead != nil {
+		l.Ahead(beat.Position.Offset)
+	}
 	own := l.Position()
 	if own.Offset == beat.Position.Offset && own.Digest != beat.Position.Digest {
 		l.Observer.PositionsDiffer(from)
--- a/coordination/replica/fleet_test.go
+++ b/coordination/replica/fleet_test.go
@@ -174,7 +174,7 @@
 func (f *fleet) start(i int, withLog bool) *node {
 	n := &node{fleet: f, self: address(i), link: &link{log: f.log}, done: make(chan struct{})}
 	n.link.cut.Store(!withLog)
-	table := catalogue.NewTable(catalogue.Rules{SnapshotKeys: [][]byte{[]byte("key")}})
+	table := catalogue.NewTable(catalogue.Rules{SnapshotKey: []byte("key")})
 	n.Replica = New(Options{Table: table, Log: n.link, Members: n, Peers: n, Observer: silent{}})
 	f.mu.Lock()
 	f.nodes[n.self] = n
--- a/state/catalogue/fold_test.go
+++ b/state/catalogue/fold_test.go
@@ -104,7 +104,7 @@
 }
 
 func newTestFold() *Fold {
-	f := NewFold(Rules{SnapshotKeys: [][]byte{[]byte("key")}})
+	f := NewFold(Rules{SnapshotKey: []byte("key")})
 	f.bound = testBound
 	return f
 }
@@ -169,7 +169,7 @@
 	}
 	t.Run("signatures", func(t *testing.T) {
 		is := is.New(t)
-		f := NewFold(Rules{Operators: map[string][]ed25519.PublicKey{"islaget": {public}}})
+		f := NewFold(Rules{Operators: map[string]ed25519.PublicKey{"islaget": public}})
 		forged := signed(private, 0)
 		forged.Entry.Priority = 3
 		for i, c := range []*Change{signed(other, 0), forged, signed(private, 0)} {
--- a/state/catalogue/table.go
+++ b/state/catalogue/table.go
@@ -81,11 +81,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.fold.Snapshot()
-	keys := t.fold.rules.SnapshotKeys
-	if len(keys) == 0 {
+	if len(t.fold.rules.SnapshotKey) == 0 {
 		return s, nil
 	}
-	return s, s.Authenticate(keys[0])
+	return s, s.Authenticate(t.fold.rules.SnapshotKey)
 }
 
 func newView(f *Fold) *View {
