--- a/standin/connection.go
+++ b/standin/connection.go
@@ -47,8 +47,17 @@
 	}
 }
 
-// cut closes all connections with a reset, silent ones too.
+// cut closes the connections with a reset, which does not reach the peers of silent ones.
 func (c *connections) cut() {
+	for _, conn := range c.list() {
+		if !conn.silent.Load() {
+			conn.cut()
+		}
+	}
+}
+
+// drop closes all connections, silent ones too.
+func (c *connections) drop() {
 	for _, conn := range c.list() {
 		conn.cut()
 	}
--- a/standin/fault_test.go
+++ b/standin/fault_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,10 +63,17 @@
 			return err
 		}
 		is.NoErr(send(time.Second))
+		idle, err := p.dial(t.Context(), "", "")
+		is.NoErr(err)
+		synctest.Wait()
 		is.NoErr(l.Fault(Fault{Kind: FaultSilence}))
 		is.True(send(time.Hour) != nil) // on the old connection, which the client then gives up
 		is.NoErr(send(time.Second))     // on a new one
 		transport.CloseIdleConnections()
+		is.NoErr(l.Fault(Fault{Kind: FaultDie, Until: in(time.Minute)}))
+		is.NoErr(idle.SetReadDeadline(in(time.Hour)))
+		_, err = idle.Read(make([]byte, 1))
+		is.True(errors.Is(err, os.ErrDeadlineExceeded)) // not even a death is heard
 		is.NoErr(l.Close())
 	})
 }
--- a/standin/server.go
+++ b/standin/server.go
@@ -109,7 +109,7 @@
 		s.cancel()
 		s.mutex.Unlock()
 		_ = s.http.Close()
-		s.conns.cut()
+		s.conns.drop()
 		s.tasks.Wait()
 	})
 	return nil
