Drain gives the balancer notice before it refuses; dykectl explain

Cause: in the first whole run of the demo 4 requests of 102 failed as unreachable at the drained instance: it refused and closed before the balancer had looked at /readyz again, and callers treat each refusal as an outage. Change: a notice period, 3 s unless set, in which the instance is not ready but still takes work; the status is in one field. dykectl explain ID asks any instance.

--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -41,6 +41,7 @@
 func commands() []command {
 	return []command{
 		{"demo", "Run stand-ins and instances in one process and check what must hold", "Starts stand-ins and instances on loopback ports, sends the traffic of both deployments while things fail, and prints a table and the checks that held.", &demoCommand{}},
+		{"explain", "Show what the fleet decided for a request, and why", "Asks one instance, which asks the others, for the decisions that are kept of a request.", &explainCommand{}},
 		{"load", "Send traffic to instances and check every answer", "Sends open-loop, seeded traffic in the shape of a profile and checks every token of every answer against stand-in engines.", &loadCommand{}},
 		{"standin", "Run a stand-in of an endpoint or of the platform", standinLong, &standinCommand{}},
 	}
--- a/instance/constants.go
+++ b/instance/constants.go
@@ -7,6 +7,7 @@
 	defaultMaximumBodyBytes = 4 << 20
 	defaultClaimPartitions  = 16
 	defaultClaimWindow      = 24 * time.Hour
+	defaultNotice           = 3 * time.Second
 	defaultGrace            = 20 * time.Second
 	defaultResumeWindow     = 10 * time.Minute
 	defaultSubset           = 16
--- a/instance/core.go
+++ b/instance/core.go
@@ -80,11 +80,20 @@
 	stop  context.CancelFunc
 	group conc.WaitGroup
 
-	mutex    sync.Mutex
-	draining bool
-	view     *catalogue.View // the one that the router works by
+	mutex sync.Mutex
+	state state
+	view  *catalogue.View // the one that the router works by
 }
 
+// state is a stage in an instance's life.
+type state int
+
+const (
+	stateRunning state = iota
+	stateNotice
+	stateDraining
+)
+
 // New wires an instance; nothing runs before Start.
 func New(settings *Settings, listeners Listeners, logger *slog.Logger) (*Instance, error) {
 	i := &Instance{
@@ -127,27 +136,26 @@
 	i.logger.Info("started", "dataCentre", i.settings.DataCentre, "callers", i.settings.Callers, "operators", i.settings.Operators)
 }
 
-// Drain refuses new work and returns when all requests in progress have ended, or with the context.
+// Drain ends the instance's part in the fleet and returns when all requests in progress have ended, or with the context.
+// Until the notice period is over the instance says that it is not ready but still takes work, so that the platform's
+// balancer can turn away first; then new work is refused.
 func (i *Instance) Drain(ctx context.Context) error {
-	i.mutex.Lock()
-	first := !i.draining
-	i.draining = true
-	i.mutex.Unlock()
-	if first {
-		now := time.Now()
+	if i.setState(stateNotice, stateRunning) {
 		i.logger.Info("draining", "inFlight", i.handler.InFlight())
-		i.handler.Drain()
+		i.handler.Unready()
+		now := time.Now()
 		i.members.Drain(now)
-		i.router.SetDraining(true, now)
 		i.shares.HandOver(ctx, now)
+		if err := sleep(ctx, i.settings.Notice); err != nil {
+			return err
+		}
+		i.setState(stateDraining, stateNotice)
+		i.handler.Drain()
+		i.router.SetDraining(true, time.Now())
 	}
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
 	for i.handler.InFlight() > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
+		if err := sleep(ctx, drainPoll); err != nil {
+			return err
 		}
 	}
 	i.runner.Wait()
@@ -155,6 +163,17 @@
 	return nil
 }
 
+// setState moves from one state to the next and tells whether it did.
+func (i *Instance) setState(to, from state) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.state != from {
+		return false
+	}
+	i.state = to
+	return true
+}
+
 // Close ends the instance at once; after Drain it cuts nothing off.
 func (i *Instance) Close() {
 	i.stop()
@@ -166,11 +185,22 @@
 	i.logger.Info("stopped")
 }
 
-// Ready tells whether the instance may take work.
+// Ready tells whether the balancer should send work here.
 func (i *Instance) Ready() bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	return !i.draining && i.view != nil && i.replica.Ready()
+	return i.state == stateRunning && i.able()
+}
+
+// Able tells whether there is a catalogue to serve by; during a drain's notice period the instance is able, but not ready.
+func (i *Instance) Able() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.able()
+}
+
+func (i *Instance) able() bool {
+	return i.view != nil && i.replica.Ready()
 }
 
 func (i *Instance) serve(server *http.Server, listener net.Listener) {
@@ -254,7 +284,7 @@
 		Observer:         i.metrics,
 		MaximumBodyBytes: i.settings.MaximumBodyBytes,
 		MaximumStreams:   i.settings.MaximumStreams,
-	}, i.Ready)
+	}, i.Able)
 	i.callers = caller.NewServer(i.handler)
 	keeper, err := keeperOf(i.settings.CallerFiles)
 	if err != nil || keeper == nil {
--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -131,7 +131,7 @@
 		*l, err = net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 	}
-	settings, err := ParseSettings("test.ini", []byte("[instance]\ndataCentre = lulea-a\n"+
+	settings, err := ParseSettings("test.ini", []byte("[instance]\ndataCentre = lulea-a\nnotice = 50ms\n"+
 		"callers = "+listeners.Callers.Addr().String()+"\noperators = "+listeners.Operators.Addr().String()+
 		"\npeers = "+listeners.Peers.Addr().String()+"\n[peers]\nkey = "+testPeerKey+"\n[answers]\nkey = "+testTokenKey+
 		"\n[platform]\nlog = http://"+f.logAt.String()+"\nroster = http://"+f.rosterAt.String()+"\n"))
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -93,14 +93,19 @@
 
 // each calls the function at jittered intervals until the context ends.
 func each(ctx context.Context, interval time.Duration, do func(now time.Time)) {
-	for {
-		timer := time.NewTimer(interval*3/4 + rand.N(interval/2))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case now := <-timer.C:
-			do(now)
-		}
+	for sleep(ctx, interval*3/4+rand.N(interval/2)) == nil {
+		do(time.Now())
+	}
+}
+
+// sleep waits, or returns the context's error.
+func sleep(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
 	}
 }
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -20,6 +20,8 @@
 	Operators  netip.AddrPort // listener of operators and metrics
 	Peers      netip.AddrPort // listener of other instances, by which the instance is known
 
+	Notice time.Duration // from the first sign of a drain until new work is refused
+
 	MaximumBodyBytes int
 	MaximumStreams   int // requests in progress on this instance
 	Explanations     int // decisions kept for /explain
@@ -90,6 +92,7 @@
 	s.Callers = f.Address("callers")
 	s.Operators = f.Address("operators")
 	s.Peers = f.Address("peers")
+	s.Notice = f.Duration("notice", defaultNotice, 0, 10*time.Minute)
 	for _, a := range []netip.AddrPort{s.Callers, s.Operators, s.Peers} {
 		if a.IsValid() && a.Addr().IsUnspecified() {
 			f.Fault("peers", "%s is no address that others can reach", a)
--- a/instance/status.go
+++ b/instance/status.go
@@ -23,7 +23,7 @@
 		Address:           i.settings.Peers,
 		Callers:           i.settings.Callers,
 		DataCentre:        i.settings.DataCentre,
-		State:             i.state(),
+		State:             i.stateName(),
 		Catalogue:         string(i.replica.State()),
 		CatalogueRevision: view.Revision,
 		CatalogueOffset:   view.Offset,
@@ -39,12 +39,12 @@
 	return s
 }
 
-func (i *Instance) state() string {
+func (i *Instance) stateName() string {
 	i.mutex.Lock()
-	draining := i.draining
+	running := i.state == stateRunning
 	i.mutex.Unlock()
 	switch {
-	case draining:
+	case !running:
 		return "draining"
 	case i.Ready():
 		return "ready"
--- a/transport/caller/handler.go
+++ b/transport/caller/handler.go
@@ -61,13 +61,14 @@
 	config   Config
 	router   *httprouter.Router
 	inFlight atomic.Int64
-	draining atomic.Bool
-	ready    func() bool
+	unready  atomic.Bool // the balancer is to turn away
+	draining atomic.Bool // new work is refused
+	able     func() bool
 }
 
-// NewHandler returns the handler of the callers' listener; ready tells whether the instance may take work.
-func NewHandler(config Config, ready func() bool) *Handler {
-	h := &Handler{config: config, router: httprouter.New(), ready: ready}
+// NewHandler returns the handler of the callers' listener; able tells whether the instance can take work.
+func NewHandler(config Config, able func() bool) *Handler {
+	h := &Handler{config: config, router: httprouter.New(), able: able}
 	h.router.HandlerFunc(http.MethodPost, "/v1/chat/completions", h.generate(true))
 	h.router.HandlerFunc(http.MethodPost, "/v1/completions", h.generate(false))
 	h.router.HandlerFunc(http.MethodGet, "/v1/models", h.models)
@@ -93,6 +94,11 @@
 	h.router.ServeHTTP(w, request)
 }
 
+// Unready tells the balancer to turn away; requests are still taken.
+func (h *Handler) Unready() {
+	h.unready.Store(true)
+}
+
 // Drain refuses new work from now on; what is in progress goes on.
 func (h *Handler) Drain() {
 	h.draining.Store(true)
@@ -117,7 +123,7 @@
 // admit counts the request in, or refuses it when the instance drains, is not ready or is full.
 func (h *Handler) admit() error {
 	now := time.Now()
-	if h.draining.Load() || !h.ready() {
+	if h.draining.Load() || !h.able() {
 		return draining(now.Add(time.Second))
 	}
 	if h.inFlight.Add(1) > int64(h.config.MaximumStreams) {
@@ -190,7 +196,7 @@
 }
 
 func (h *Handler) readiness(w http.ResponseWriter, _ *http.Request) {
-	if h.draining.Load() || !h.ready() {
+	if h.unready.Load() || !h.able() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
