--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"dogwooddyke/standin"
 	"dogwooddyke/state/catalogue"
@@ -38,6 +39,7 @@
 	serviceAt []netip.AddrPort
 	instances []*Instance
 	offset    uint64
+	group     conc.WaitGroup
 }
 
 func newFleet(t *testing.T, engines, services, instances int) *fleet {
@@ -175,6 +177,7 @@
 }
 
 func (f *fleet) close() {
+	f.group.Wait()
 	for _, i := range f.instances {
 		i.Close()
 	}
