--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -39,7 +39,9 @@
 }
 
 func commands() []command {
-	return []command{}
+	return []command{
+		{"bench", "compare policies of routing", "Compares policies of routing on modelled engines in synthetic time.", &benchCommand{}},
+	}
 }
 
 func main() {
--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -1,8 +1,10 @@
 package routing
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"dogwooddyke/state/catalogue"
@@ -55,6 +57,8 @@
 	config   Config
 	pools    map[string]*pool
 	accounts map[netip.AddrPort]*account
+	order    []*account // by address, so that equal runs decide alike
+	entries  []*pool    // by name
 	queue    *queue
 	lengths  *length.Table
 	service  *workspace.Service
@@ -93,6 +97,7 @@
 		p = &pool{}
 		c.pools[entry.Name] = p
 	}
+	defer c.sort()
 	former := p.accounts
 	p.entry, p.accounts = entry, nil
 	for _, e := range subset(c.config.Self, c.config.DataCentre, entry.Endpoints, c.config.Subset) {
@@ -118,9 +123,22 @@
 		delete(c.pools, name)
 		c.drop(p.accounts)
 		p.accounts = nil
+		c.sort()
 	}
 }
 
+func (c *Core) sort() {
+	c.order, c.entries = c.order[:0], c.entries[:0]
+	for _, a := range c.accounts {
+		c.order = append(c.order, a)
+	}
+	for _, p := range c.pools {
+		c.entries = append(c.entries, p)
+	}
+	slices.SortFunc(c.order, func(a, b *account) int { return a.address.Compare(b.address) })
+	slices.SortFunc(c.entries, func(a, b *pool) int { return cmp.Compare(a.entry.Name, b.entry.Name) })
+}
+
 func (c *Core) drop(accounts []*account) {
 	for _, a := range accounts {
 		if a.entries--; a.entries == 0 {
@@ -395,7 +413,7 @@
 
 // Tick does what hangs on time alone; call it a few times a second.
 func (c *Core) Tick(now time.Time) {
-	for _, p := range c.pools {
+	for _, p := range c.entries {
 		p.count(now)
 		c.judgeSpeed(p, now)
 	}
--- a/coordination/routing/flight.go
+++ b/coordination/routing/flight.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -76,3 +77,9 @@
 	}
 	return f.lengths.Survival(emitted, further)
 }
+
+// Endpoint gives the address that the request was admitted to.
+func (f *Flight) Endpoint() netip.AddrPort { return f.decision.Endpoint }
+
+// Decision tells how the request was decided.
+func (f *Flight) Decision() Decision { return f.decision }
--- a/coordination/routing/limits.go
+++ b/coordination/routing/limits.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"dogwooddyke/state/catalogue"
@@ -89,10 +91,17 @@
 
 // LimitDemands calls the function for each limited workspace that is in use.
 func (c *Core) LimitDemands(now time.Time, take func(key LimitKey, limits catalogue.Limits, demand workspace.Demand)) {
+	keys := make([]LimitKey, 0, len(c.limiters))
 	for key, l := range c.limiters {
-		if !l.Limited() {
-			continue
+		if l.Limited() {
+			keys = append(keys, key)
 		}
+	}
+	slices.SortFunc(keys, func(a, b LimitKey) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Entry, b.Entry))
+	})
+	for _, key := range keys {
+		l := c.limiters[key]
 		take(key, l.Limits(), l.Demand(now))
 	}
 }
--- a/coordination/routing/shares.go
+++ b/coordination/routing/shares.go
@@ -17,13 +17,13 @@
 // Demands calls the function for each endpoint that the instance works with.
 func (c *Core) Demands(now time.Time, take func(address netip.AddrPort, demand endpoint.Demand)) {
 	waiting := make(map[*account]waitingDemand, len(c.accounts))
-	for _, p := range c.pools {
+	for _, p := range c.entries {
 		p.spread(waiting)
 	}
-	for address, a := range c.accounts {
+	for _, a := range c.order {
 		a.foresee(now)
 		w := waiting[a]
-		take(address, endpoint.Demand{
+		take(a.address, endpoint.Demand{
 			Running:  a.running(),
 			Waiting:  w.requests,
 			Memory:   int(a.profile.peak(0)) + w.memory,
--- a/coordination/share/steward.go
+++ b/coordination/share/steward.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"dogwooddyke/state/endpoint"
@@ -46,6 +47,7 @@
 		}
 		addresses = append(addresses, address)
 	}
+	slices.SortFunc(addresses, netip.AddrPort.Compare)
 	return addresses
 }
 
