--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -44,6 +44,7 @@
 		{"explain", "Show what the fleet decided for a request, and why", "Asks one instance, which asks the others, for the decisions that are kept of a request.", &explainCommand{}},
 		{"load", "Send traffic to instances and check every answer", "Sends open-loop, seeded traffic in the shape of a profile and checks every token of every answer against stand-in engines.", &loadCommand{}},
 		{"standin", "Run a stand-in of an endpoint or of the platform", standinLong, &standinCommand{}},
+		{"bench", "compare policies of routing", "Compares policies of routing on modelled engines in synthetic time.", &benchCommand{}},
 	}
 }
 
