dykectl publish, get, list, history, check and status

Cause: operators had no way to change the catalogue. Change: a publisher that repeats the same bytes until it reads them back, and the commands over it; entries can be printed as the files that they came from.

--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -42,6 +42,12 @@
 	return []command{
 		{"demo", "Run stand-ins and instances in one process and check what must hold", "Starts stand-ins and instances on loopback ports, sends the traffic of both deployments while things fail, and prints a table and the checks that held.", &demoCommand{}},
 		{"load", "Send traffic to instances and check every answer", "Sends open-loop, seeded traffic in the shape of a profile and checks every token of every answer against stand-in engines.", &loadCommand{}},
+		{"publish", "Publish changes of the catalogue", "Checks the files whole, appends one change for each and waits until it is in force. Exit codes: 0 in force, 2 bad input, 3 conflict, 4 outcome unknown (safe to repeat).", &publishCommand{}},
+		{"get", "Print an entry or workspace", "Prints it as a file that can be published again.", &getCommand{}},
+		{"list", "List entries and workspaces", "Lists the catalogue at the log's head.", &listCommand{}},
+		{"history", "List the last changes", "Lists what became of the last changes, refused ones too.", &historyCommand{}},
+		{"check", "Check files without publishing", "Lists every fault with file, section, field and reason; exit code 2 if there is one.", &checkCommand{}},
+		{"status", "Show instances, leases and endpoints", "Asks the instances' listeners for operators.", &statusCommand{}},
 		{"standin", "Run a stand-in of an endpoint or of the platform", standinLong, &standinCommand{}},
 	}
 }
--- /dev/null
+++ b/coordination/publication/publisher.go
@@ -0,0 +1,201 @@
+package publication
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"reflect"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"dogwooddyke/coordination/replica"
+	"dogwooddyke/state/catalogue"
+	"dogwooddyke/state/record"
+)
+
+// ErrUnknown reports a change that may or may not come into force; the same change may be published again.
+var ErrUnknown = errors.New("outcome unknown")
+
+// RefusedError reports a change that the fold refused, or would refuse.
+type RefusedError struct {
+	Verdict catalogue.Verdict
+}
+
+// Error gives the outcome and the reason.
+func (r *RefusedError) Error() string {
+	return fmt.Sprintf("refused at %d: %s: %s", r.Verdict.Offset, r.Verdict.Outcome, r.Verdict.Reason)
+}
+
+// Wish is what an operator wants the catalogue to say of one subject.
+type Wish struct {
+	Subject   catalogue.Subject
+	Entry     *catalogue.Entry
+	Workspace *catalogue.Workspace // with neither entry nor workspace the subject is to be removed
+	Operator  string
+	Key       ed25519.PrivateKey // nil: the change is not signed
+	ChangeID  string             // empty: derived from the content and the base
+	Base      *uint64            // nil: the current revision
+}
+
+// Accepted tells at which offset the catalogue came to say what was wished.
+type Accepted struct {
+	Change string
+	Offset uint64
+	Before bool // nothing was appended, because it was so already
+}
+
+// Publisher publishes changes; it is not safe for concurrent use.
+type Publisher struct {
+	reader replica.Reader
+}
+
+// New returns a publisher that folds by the rules.
+func New(log record.Log, rules catalogue.Rules) *Publisher {
+	return &Publisher{reader: replica.Reader{Table: catalogue.NewTable(rules), Log: log}}
+}
+
+// Table returns what the publisher has folded so far.
+func (p *Publisher) Table() *catalogue.Table { return p.reader.Table }
+
+// CatchUp reads to the log's head, again and again while the log does not answer.
+func (p *Publisher) CatchUp(ctx context.Context) error {
+	return retry(ctx, func() error { return p.reader.CatchUp(ctx) })
+}
+
+// Publish returns once the change was read back as accepted; the error is a RefusedError or wraps ErrUnknown.
+func (p *Publisher) Publish(ctx context.Context, wish *Wish) (Accepted, error) {
+	if err := p.CatchUp(ctx); err != nil {
+		return Accepted{}, fmt.Errorf("%w: nothing was appended: %w", ErrUnknown, err)
+	}
+	if done, ok := p.already(wish); ok {
+		return done, nil
+	}
+	change, err := p.change(wish)
+	if err != nil {
+		return Accepted{}, err
+	}
+	data, err := catalogue.Encode(catalogue.Record{Change: change})
+	if err != nil {
+		return Accepted{}, err
+	}
+	return p.append(ctx, change, data)
+}
+
+// already finds a change of the wished id, or a catalogue that says what is wished.
+func (p *Publisher) already(wish *Wish) (Accepted, bool) {
+	if offset, ok := p.Table().Accepted(wish.ChangeID); ok {
+		return Accepted{Change: wish.ChangeID, Offset: offset, Before: true}, true
+	}
+	if wish.Base != nil || wish.ChangeID != "" {
+		return Accepted{}, false
+	}
+	view := p.Table().View()
+	done := Accepted{Offset: view.RevisionOf(wish.Subject), Before: true}
+	switch {
+	case wish.Entry != nil:
+		e, ok := view.Entry(wish.Subject.Name)
+		return done, ok && reflect.DeepEqual(e, wish.Entry)
+	case wish.Workspace != nil:
+		w, ok := view.Workspace(wish.Subject.Name)
+		return done, ok && reflect.DeepEqual(w, wish.Workspace)
+	}
+	return done, done.Offset == 0
+}
+
+func (p *Publisher) change(wish *Wish) (*catalogue.Change, error) {
+	view := p.Table().View()
+	c := &catalogue.Change{
+		ID:        wish.ChangeID,
+		Operator:  wish.Operator,
+		Base:      view.RevisionOf(wish.Subject),
+		Seen:      view.Offset,
+		Entry:     wish.Entry,
+		Workspace: wish.Workspace,
+	}
+	if wish.Entry == nil && wish.Workspace == nil {
+		c.Removal = &wish.Subject
+	}
+	if wish.Base != nil {
+		c.Base = *wish.Base
+	}
+	if c.ID == "" {
+		id, err := c.DeriveID()
+		if err != nil {
+			return nil, err
+		}
+		c.ID = id
+	}
+	if wish.Key == nil {
+		return c, nil
+	}
+	return c, c.Sign(wish.Key)
+}
+
+// append repeats the same bytes until they are read back; the fold takes only the first copy.
+func (p *Publisher) append(ctx context.Context, c *catalogue.Change, data []byte) (Accepted, error) {
+	var verdict catalogue.Verdict
+	err := retry(ctx, func() error {
+		limited, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		_, failure := p.reader.Log.Append(limited, catalogue.Stream, data)
+		if err := p.reader.CatchUp(ctx); err != nil {
+			return err
+		}
+		v, ok := p.find(c)
+		if !ok {
+			return errors.Join(errNotThere, failure)
+		}
+		verdict = v
+		return nil
+	})
+	switch {
+	case err != nil:
+		return Accepted{}, fmt.Errorf("%w: change %s: %w", ErrUnknown, c.ID, err)
+	case verdict.Refused():
+		return Accepted{}, &RefusedError{Verdict: verdict}
+	}
+	return Accepted{Change: c.ID, Offset: verdict.Offset}, nil
+}
+
+// find returns what the fold made of the change: accepted once counts more than any refusal of another copy.
+func (p *Publisher) find(c *catalogue.Change) (catalogue.Verdict, bool) {
+	if offset, ok := p.Table().Accepted(c.ID); ok {
+		return catalogue.Verdict{Offset: offset, Change: c.ID, Outcome: catalogue.OutcomeAccepted}, true
+	}
+	for _, v := range p.Table().View().History() {
+		if v.Change == c.ID && v.Offset > c.Seen {
+			return v, true
+		}
+	}
+	return catalogue.Verdict{}, false
+}
+
+// errNotThere reports a change that was not read back yet.
+var errNotThere = errors.New("the change is not in the log")
+
+// retry repeats what may succeed later, until the context ends.
+func retry(ctx context.Context, attempt func() error) error {
+	var last error
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval, policy.MaxInterval = firstRetry, lastRetry
+	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		last = attempt()
+		if errors.Is(last, replica.ErrNoSnapshot) || errors.Is(last, replica.ErrRegressed) {
+			return struct{}{}, backoff.Permanent(last)
+		}
+		return struct{}{}, last
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+	if err != nil && last != nil {
+		return last
+	}
+	return err
+}
+
+// Times of the attempts.
+const (
+	appendTimeout = 5 * time.Second
+	firstRetry    = 100 * time.Millisecond
+	lastRetry     = 2 * time.Second
+)
--- a/coordination/replica/follow.go
+++ b/coordination/replica/follow.go
@@ -151,17 +151,23 @@
 }
 
 func (r *Replica) read(ctx context.Context, from uint64, until time.Time) (record.Page, error) {
-	deadline := time.Now().Add(readTimeout)
-	if until.After(time.Now()) {
-		deadline = until.Add(readTimeout)
-	}
-	limited, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	page, err := r.log.Read(limited, catalogue.Stream, from, until)
+	page, err := r.reader.read(ctx, from, until)
 	r.observer.LogRead(err)
 	return page, err
 }
 
+// recover looks for the state in the log when the next record is not known to be there.
+func (r *Replica) recover(ctx context.Context) error {
+	found, err := r.reader.recover(ctx)
+	if found {
+		r.sawSnapshot(time.Now().Add(-r.interval / 2))
+	}
+	if err == nil && r.State() == StateLost {
+		r.move(StateOutage)
+	}
+	return err
+}
+
 // seed tells whether this instance waits at the log's head.
 func (r *Replica) seed() bool {
 	position, _ := r.place()
--- a/coordination/replica/recover.go
+++ b/coordination/replica/recover.go
@@ -6,29 +6,59 @@
 	"time"
 
 	"dogwooddyke/state/catalogue"
+	"dogwooddyke/state/record"
 )
 
-// recover takes the snapshot in the log that covers most, unless the log still holds the next record.
-func (r *Replica) recover(ctx context.Context) error {
+// Reader brings a table to the log's head once; Replica keeps it there.
+type Reader struct {
+	Table *catalogue.Table
+	Log   record.Log
+}
+
+// CatchUp reads to the log's head; the error wraps ErrNoSnapshot or ErrRegressed if records are lost.
+func (r *Reader) CatchUp(ctx context.Context) error {
+	if r.Table.Offset() == 0 {
+		if _, err := r.recover(ctx); err != nil {
+			return err
+		}
+	}
+	for {
+		from := r.Table.Offset() + 1
+		page, err := r.read(ctx, from, time.Time{})
+		switch {
+		case err != nil:
+			return err
+		case page.Next < from:
+			return ErrRegressed
+		case page.First > from:
+			if _, err := r.recover(ctx); err != nil {
+				return err
+			}
+			continue
+		case len(page.Records) == 0:
+			return nil
+		}
+		if _, err := r.Table.ApplyAll(page.Records); err != nil {
+			return err
+		}
+	}
+}
+
+// recover takes the snapshot in the log that covers most, unless the table is newer, and tells whether there is one.
+func (r *Reader) recover(ctx context.Context) (bool, error) {
 	scan, err := r.scan(ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if scan.best != nil {
-		r.sawSnapshot(time.Now().Add(-r.interval / 2))
-	}
-	if scan.best != nil && scan.best.Covers > r.table.Offset() {
-		if err := r.table.Restore(scan.best); err != nil && !errors.Is(err, catalogue.ErrOlder) {
-			return err
+		if err := r.Table.Restore(scan.best); err != nil && !errors.Is(err, catalogue.ErrOlder) {
+			return true, err
 		}
 	}
-	if r.table.Offset()+1 < scan.first {
-		return ErrNoSnapshot
-	}
-	if r.State() == StateLost {
-		r.move(StateOutage)
+	if r.Table.Offset()+1 < scan.first {
+		return scan.best != nil, ErrNoSnapshot
 	}
-	return nil
+	return scan.best != nil, nil
 }
 
 // scanned is what one pass over the retained records found.
@@ -38,7 +68,7 @@
 }
 
 // scan reads all retained records and keeps the snapshot that covers most and passes the rules.
-func (r *Replica) scan(ctx context.Context) (scanned, error) {
+func (r *Reader) scan(ctx context.Context) (scanned, error) {
 	found := scanned{}
 	from := uint64(1)
 	for {
@@ -48,16 +78,7 @@
 		}
 		found.first = page.First
 		for _, x := range page.Records {
-			record, err := catalogue.Decode(x.Data)
-			if err != nil || record.Snapshot == nil || record.Snapshot.Covers >= x.Offset {
-				continue
-			}
-			if found.best != nil && found.best.Covers >= record.Snapshot.Covers {
-				continue
-			}
-			if r.table.Check(record.Snapshot) == nil {
-				found.best = record.Snapshot
-			}
+			found.best = r.better(found.best, x)
 		}
 		switch {
 		case len(page.Records) > 0:
@@ -69,3 +90,28 @@
 		}
 	}
 }
+
+// better returns the snapshot that covers more: the best so far, or the record's if it is one that passes the rules.
+func (r *Reader) better(best *catalogue.Snapshot, x record.Record) *catalogue.Snapshot {
+	decoded, err := catalogue.Decode(x.Data)
+	if err != nil || decoded.Snapshot == nil || decoded.Snapshot.Covers >= x.Offset {
+		return best
+	}
+	if best != nil && best.Covers >= decoded.Snapshot.Covers {
+		return best
+	}
+	if r.Table.Check(decoded.Snapshot) != nil {
+		return best
+	}
+	return decoded.Snapshot
+}
+
+func (r *Reader) read(ctx context.Context, from uint64, until time.Time) (record.Page, error) {
+	deadline := time.Now().Add(readTimeout)
+	if until.After(time.Now()) {
+		deadline = until.Add(readTimeout)
+	}
+	limited, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return r.Log.Read(limited, catalogue.Stream, from, until)
+}
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -57,6 +57,7 @@
 type Replica struct {
 	table    *catalogue.Table
 	log      record.Log
+	reader   Reader
 	members  Members
 	peers    Peers
 	observer Observer
@@ -92,6 +93,7 @@
 	r := &Replica{
 		table:    o.Table,
 		log:      o.Log,
+		reader:   Reader{Table: o.Table, Log: o.Log},
 		members:  o.Members,
 		peers:    o.Peers,
 		observer: o.Observer,
--- a/state/catalogue/file_test.go
+++ b/state/catalogue/file_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -71,6 +72,19 @@
 		if err != nil {
 			return
 		}
+		text := ""
+		if file.Entry != nil {
+			text = FormatEntry(file.Entry)
+		} else {
+			text = FormatWorkspace(file.Workspace)
+		}
+		again, err := ParseFile("f.ini", []byte(text))
+		if err != nil {
+			t.Fatalf("own format: %v\n%s", err, text)
+		}
+		if !reflect.DeepEqual(file, again) {
+			t.Fatalf("%v comes back as %v", file, again)
+		}
 		change := &Change{ID: "a", Operator: "b", Entry: file.Entry, Workspace: file.Workspace}
 		if faults := change.validate(); len(faults) > 0 {
 			t.Fatalf("accepted with faults: %v", faults)
--- a/state/catalogue/table.go
+++ b/state/catalogue/table.go
@@ -133,3 +133,11 @@
 	t.mu.Unlock()
 	return s.check(rules)
 }
+
+// Accepted returns the offset at which the change of the id was accepted, if that is still remembered.
+func (t *Table) Accepted(id string) (uint64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	offset, ok := t.fold.ids[id]
+	return offset, ok
+}
