--- a/instance/settings.go
+++ b/instance/settings.go
@@ -68,7 +68,7 @@
 // ParseSettings checks the text of a settings file; the error is of type settings.Faults and lists every fault.
 func ParseSettings(name string, data []byte) (*Settings, error) {
 	var faults settings.Faults
-	file := settings.Parse(data, &faults)
+	file := settings.Parse(data, settings.MaximumFileBytes, &faults)
 	sections := settings.Sections(file, &faults, "instance", "callers", "peers", "platform", "answers", "claims", "routing", "catalogue", "logging")
 	s := &Settings{}
 	s.readInstance(sections["instance"])
--- a/state/catalogue/file.go
+++ b/state/catalogue/file.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"gopkg.in/ini.v1"
+
+	"dogwooddyke/state/settings"
 )
 
 // File is the content of one INI file: exactly one of an entry and a workspace.
@@ -26,31 +28,16 @@
 // ParseFile reads an INI file whole; the error is of type Faults and lists every fault.
 func ParseFile(name string, data []byte) (File, error) {
 	file, faults := parseFile(data)
-	for i := range faults {
-		faults[i].File = name
-	}
 	if len(faults) > 0 {
-		return File{}, faults
+		return File{}, faults.In(name)
 	}
 	return file, nil
 }
 
 func parseFile(data []byte) (File, Faults) {
 	var faults Faults
-	if len(data) > MaximumFileBytes {
-		faults.add("file", "", "is larger than %d bytes", MaximumFileBytes)
-		return File{}, faults
-	}
-	source, err := ini.LoadSources(ini.LoadOptions{
-		AllowNonUniqueSections:     true,
-		AllowShadows:               true,
-		AllowDuplicateShadowValues: true,
-		SkipUnrecognizableLines:    false,
-		IgnoreContinuation:         true,
-		SpaceBeforeInlineComment:   true,
-	}, data)
-	if err != nil {
-		faults.add("file", "", "%s", clip(err.Error()))
+	source := settings.Parse(data, MaximumFileBytes, &faults)
+	if len(faults) > 0 {
 		return File{}, faults
 	}
 	return parseSections(source)
@@ -63,9 +50,6 @@
 	for _, s := range source.Sections() {
 		switch name := s.Name(); {
 		case name == ini.DefaultSection:
-			if len(s.Keys()) > 0 {
-				faults.add("file", s.Keys()[0].Name(), "stands before any section")
-			}
 		case name == "entry" && file.Entry == nil:
 			file.Entry = parseEntry(s, &faults)
 		case name == "workspace" && file.Workspace == nil:
@@ -73,18 +57,18 @@
 		case strings.HasPrefix(name, "endpoint "):
 			endpoints = append(endpoints, parseEndpoint(s, &faults))
 		default:
-			faults.add(name, "", "is an unknown section or stands twice")
+			faults.Add(name, "", "is an unknown section or stands twice")
 		}
 	}
 	switch {
 	case (file.Entry == nil) == (file.Workspace == nil):
-		faults.add("file", "", "must have exactly one section [entry] or [workspace]")
+		faults.Add("file", "", "must have exactly one section [entry] or [workspace]")
 	case file.Entry != nil:
 		file.Entry.Endpoints = endpoints
 		faults = append(faults, file.Entry.Validate()...)
 	default:
 		if len(endpoints) > 0 {
-			faults.add("workspace", "", "has no endpoints")
+			faults.Add("workspace", "", "has no endpoints")
 		}
 		faults = append(faults, file.Workspace.Validate()...)
 	}
@@ -92,59 +76,67 @@
 }
 
 func parseEntry(s *ini.Section, faults *Faults) *Entry {
-	f := newFields(s, faults)
+	f := settings.NewFields(s, faults)
 	e := &Entry{
-		Name:          f.text("name"),
-		Owner:         f.text("owner"),
-		Kind:          Kind(f.text("kind")),
-		Class:         f.text("class"),
-		Priority:      f.number("priority"),
-		Workspaces:    f.list("workspaces"),
-		Limits:        f.limits(),
-		Model:         f.text("model"),
-		Version:       f.text("version"),
-		Adapters:      f.list("adapters"),
-		Repeatable:    f.flag("repeatable"),
-		ChecksFence:   f.flag("checksFence"),
-		MinimumReady:  f.number("minimumReady"),
-		KeyRule:       KeyRule(f.text("keyRule")),
-		QueueTimeout:  f.duration("queueTimeout"),
-		AnswerTimeout: f.duration("answerTimeout"),
-		MaximumTokens: f.number("maximumTokens"),
+		Name:          f.Text("name"),
+		Owner:         f.Text("owner"),
+		Kind:          Kind(f.Text("kind")),
+		Class:         f.Text("class"),
+		Priority:      f.Integer("priority"),
+		Workspaces:    f.List("workspaces"),
+		Limits:        readLimits(f),
+		Model:         f.Text("model"),
+		Version:       f.Text("version"),
+		Adapters:      f.List("adapters"),
+		Repeatable:    f.Flag("repeatable"),
+		ChecksFence:   f.Flag("checksFence"),
+		MinimumReady:  f.Integer("minimumReady"),
+		KeyRule:       KeyRule(f.Text("keyRule")),
+		QueueTimeout:  f.Interval("queueTimeout"),
+		AnswerTimeout: f.Interval("answerTimeout"),
+		MaximumTokens: f.Integer("maximumTokens"),
 	}
-	f.done()
+	f.Done()
 	return e
 }
 
 func parseEndpoint(s *ini.Section, faults *Faults) Endpoint {
-	f := newFields(s, faults)
+	f := settings.NewFields(s, faults)
 	text := strings.TrimSpace(strings.TrimPrefix(s.Name(), "endpoint "))
 	address, err := netip.ParseAddrPort(text)
 	if err != nil {
-		faults.add(s.Name(), "address", "%q is not an IP number and port", clip(text))
+		faults.Add(s.Name(), "address", "%q is not an IP number and port", settings.Clip(text))
 	}
 	p := Endpoint{
 		Address:    address,
-		DataCentre: f.text("dataCentre"),
-		Role:       f.text("role"),
-		Leaving:    f.flag("leaving"),
+		DataCentre: f.Text("dataCentre"),
+		Role:       f.Text("role"),
+		Leaving:    f.Flag("leaving"),
 	}
-	f.done()
+	f.Done()
 	return p
 }
 
 func parseWorkspace(s *ini.Section, faults *Faults) *Workspace {
-	f := newFields(s, faults)
+	f := settings.NewFields(s, faults)
 	w := &Workspace{
-		Name:      f.text("name"),
-		Owner:     f.text("owner"),
-		KeyHashes: f.list("keyHashes"),
-		Limits:    f.limits(),
+		Name:      f.Text("name"),
+		Owner:     f.Text("owner"),
+		KeyHashes: f.List("keyHashes"),
+		Limits:    readLimits(f),
 	}
-	f.done()
+	f.Done()
 	return w
 }
 
+func readLimits(f *settings.Fields) Limits {
+	return Limits{
+		Concurrency:       f.Integer("concurrency"),
+		RequestsPerSecond: f.Integer("requestsPerSecond"),
+		TokensPerSecond:   f.Integer("tokensPerSecond"),
+	}
+}
+
 // HashKey returns the hash under which the catalogue keeps a workspace's key.
 func HashKey(key string) string {
 	hash := sha256.Sum256([]byte(key))
--- a/state/catalogue/validate.go
+++ b/state/catalogue/validate.go
@@ -26,7 +26,7 @@
 	case KindService:
 		e.validateService(&faults)
 	default:
-		faults.add("entry", "kind", "%q is neither engine nor service", e.Kind)
+		faults.Add("entry", "kind", "%q is neither engine nor service", e.Kind)
 	}
 	return faults
 }
@@ -37,10 +37,10 @@
 	checkNames(faults, "adapters", e.Adapters, MaximumAdapters)
 	checkRange(faults, "entry", "minimumReady", e.MinimumReady, MaximumEndpoints)
 	if e.MinimumReady > len(e.Endpoints) {
-		faults.add("entry", "minimumReady", "%d is more than the %d endpoints", e.MinimumReady, len(e.Endpoints))
+		faults.Add("entry", "minimumReady", "%d is more than the %d endpoints", e.MinimumReady, len(e.Endpoints))
 	}
 	if e.KeyRule != "" {
-		faults.add("entry", "keyRule", "is for services only")
+		faults.Add("entry", "keyRule", "is for services only")
 	}
 }
 
@@ -48,7 +48,7 @@
 	switch e.KeyRule {
 	case KeyRuleIdempotent, KeyRuleOptional, KeyRuleRequired:
 	default:
-		faults.add("entry", "keyRule", "%q is none of idempotent, optional, required", e.KeyRule)
+		faults.Add("entry", "keyRule", "%q is none of idempotent, optional, required", e.KeyRule)
 	}
 	forbidden := []struct {
 		field string
@@ -64,7 +64,7 @@
 	}
 	for _, f := range forbidden {
 		if f.set {
-			faults.add("entry", f.field, "is for engines only")
+			faults.Add("entry", f.field, "is for engines only")
 		}
 	}
 }
@@ -76,16 +76,16 @@
 	checkName(&faults, "workspace", "owner", w.Owner)
 	checkLimits(&faults, "workspace", w.Limits)
 	if len(w.KeyHashes) == 0 || len(w.KeyHashes) > MaximumKeys {
-		faults.add("workspace", "keyHashes", "%d hashes; 1 to %d are allowed", len(w.KeyHashes), MaximumKeys)
+		faults.Add("workspace", "keyHashes", "%d hashes; 1 to %d are allowed", len(w.KeyHashes), MaximumKeys)
 	}
 	seen := map[string]bool{}
 	for _, h := range w.KeyHashes {
 		raw, err := hex.DecodeString(h)
 		if err != nil || len(raw) != keyHashBytes || hex.EncodeToString(raw) != h {
-			faults.add("workspace", "keyHashes", "%q is not a SHA-256 hash in 64 lower-case hex digits", clip(h))
+			faults.Add("workspace", "keyHashes", "%q is not a SHA-256 hash in 64 lower-case hex digits", clip(h))
 		}
 		if seen[h] {
-			faults.add("workspace", "keyHashes", "%q stands twice", clip(h))
+			faults.Add("workspace", "keyHashes", "%q stands twice", clip(h))
 		}
 		seen[h] = true
 	}
@@ -94,17 +94,17 @@
 
 func checkEndpoints(faults *Faults, endpoints []Endpoint) {
 	if len(endpoints) > MaximumEndpoints {
-		faults.add("entry", "endpoints", "%d endpoints; at most %d are allowed", len(endpoints), MaximumEndpoints)
+		faults.Add("entry", "endpoints", "%d endpoints; at most %d are allowed", len(endpoints), MaximumEndpoints)
 		return
 	}
 	seen := make(map[netip.AddrPort]bool, len(endpoints))
 	for _, p := range endpoints {
 		section := "endpoint " + p.Address.String()
 		if !p.Address.IsValid() || p.Address.Port() == 0 || p.Address.Addr().IsUnspecified() {
-			faults.add(section, "address", "is not an IP number and port")
+			faults.Add(section, "address", "is not an IP number and port")
 		}
 		if seen[p.Address] {
-			faults.add(section, "address", "stands twice")
+			faults.Add(section, "address", "stands twice")
 		}
 		seen[p.Address] = true
 		checkName(faults, section, "dataCentre", p.DataCentre)
@@ -122,26 +122,26 @@
 
 func checkRange(faults *Faults, section, field string, value, maximum int) {
 	if value < 0 || value > maximum {
-		faults.add(section, field, "%d is not from 0 to %d", value, maximum)
+		faults.Add(section, field, "%d is not from 0 to %d", value, maximum)
 	}
 }
 
 func checkTimeout(faults *Faults, field string, timeout time.Duration) {
 	if timeout < 0 || timeout > maximumTimeout {
-		faults.add("entry", field, "%s is not from 0s to %s", timeout, maximumTimeout)
+		faults.Add("entry", field, "%s is not from 0s to %s", timeout, maximumTimeout)
 	}
 }
 
 func checkNames(faults *Faults, field string, names []string, maximum int) {
 	if len(names) > maximum {
-		faults.add("entry", field, "%d names; at most %d are allowed", len(names), maximum)
+		faults.Add("entry", field, "%d names; at most %d are allowed", len(names), maximum)
 		return
 	}
 	seen := make(map[string]bool, len(names))
 	for _, n := range names {
 		checkName(faults, "entry", field, n)
 		if seen[n] {
-			faults.add("entry", field, "%q stands twice", clip(n))
+			faults.Add("entry", field, "%q stands twice", clip(n))
 		}
 		seen[n] = true
 	}
@@ -150,11 +150,11 @@
 // checkName takes names that can stand in a path, a label and a stream's name.
 func checkName(faults *Faults, section, field, name string) {
 	if name == "" {
-		faults.add(section, field, "is missing")
+		faults.Add(section, field, "is missing")
 		return
 	}
 	if len(name) > maximumNameBytes || !plain(name, "-_.") {
-		faults.add(section, field, "%q is not 1 to %d letters, digits, '-', '_' or '.'", clip(name), maximumNameBytes)
+		faults.Add(section, field, "%q is not 1 to %d letters, digits, '-', '_' or '.'", clip(name), maximumNameBytes)
 	}
 }
 
@@ -162,12 +162,12 @@
 func checkText(faults *Faults, field, text string, required bool) {
 	if text == "" {
 		if required {
-			faults.add("entry", field, "is missing")
+			faults.Add("entry", field, "is missing")
 		}
 		return
 	}
 	if len(text) > maximumVersionBytes || !plain(text, "-_./:+@") {
-		faults.add("entry", field, "%q is not 1 to %d letters, digits or any of -_./:+@", clip(text), maximumVersionBytes)
+		faults.Add("entry", field, "%q is not 1 to %d letters, digits or any of -_./:+@", clip(text), maximumVersionBytes)
 	}
 }
 
--- a/state/settings/fault.go
+++ b/state/settings/fault.go
@@ -67,5 +67,5 @@
 	if len(text) <= maximumQuoted {
 		return text
 	}
-	return text[:maximumQuoted] + "..."
+	return strings.ToValidUTF8(text[:maximumQuoted], "") + "..."
 }
--- a/state/settings/fields.go
+++ b/state/settings/fields.go
@@ -64,17 +64,25 @@
 	return choices[0]
 }
 
-// Number returns a whole number within the bounds, or the given one when the field is absent.
-func (f *Fields) Number(field string, absent, least, most int) int {
+// Integer returns a whole number, 0 when the field is absent; whoever uses it checks the bounds.
+func (f *Fields) Integer(field string) int {
 	text := f.Text(field)
 	if text == "" {
-		return absent
+		return 0
 	}
 	number, err := strconv.Atoi(text)
 	if err != nil {
 		f.Fault(field, "%q is not a whole number", Clip(text))
+	}
+	return number
+}
+
+// Number returns a whole number within the bounds, or the given one when the field is absent.
+func (f *Fields) Number(field string, absent, least, most int) int {
+	if f.Text(field) == "" {
 		return absent
 	}
+	number := f.Integer(field)
 	if number < least || number > most {
 		f.Fault(field, "%d is not from %d to %d", number, least, most)
 	}
@@ -94,17 +102,25 @@
 	}
 }
 
-// Duration returns a duration within the bounds, or the given one when the field is absent.
-func (f *Fields) Duration(field string, absent, least, most time.Duration) time.Duration {
+// Interval returns a duration, 0 when the field is absent; whoever uses it checks the bounds.
+func (f *Fields) Interval(field string) time.Duration {
 	text := f.Text(field)
 	if text == "" {
-		return absent
+		return 0
 	}
 	duration, err := time.ParseDuration(text)
 	if err != nil {
 		f.Fault(field, "%q is not a duration such as 30s", Clip(text))
+	}
+	return duration
+}
+
+// Duration returns a duration within the bounds, or the given one when the field is absent.
+func (f *Fields) Duration(field string, absent, least, most time.Duration) time.Duration {
+	if f.Text(field) == "" {
 		return absent
 	}
+	duration := f.Interval(field)
 	if duration < least || duration > most {
 		f.Fault(field, "%s is not from %s to %s", duration, least, most)
 	}
--- a/state/settings/file.go
+++ b/state/settings/file.go
@@ -5,10 +5,10 @@
 )
 
 // Parse reads the INI text without continuation lines or references to other fields; sections and fields that stand
-// twice are kept for the checks to find.
-func Parse(data []byte, faults *Faults) *ini.File {
-	if len(data) > MaximumFileBytes {
-		faults.Add("file", "", "is larger than %d bytes", MaximumFileBytes)
+// twice are kept for the checks to find. The limit is in bytes.
+func Parse(data []byte, limit int, faults *Faults) *ini.File {
+	if len(data) > limit {
+		faults.Add("file", "", "is larger than %d bytes", limit)
 		return ini.Empty()
 	}
 	file, err := ini.LoadSources(ini.LoadOptions{
--- a/state/settings/settings_test.go
+++ b/state/settings/settings_test.go
@@ -13,7 +13,7 @@
 	t.Helper()
 	is := is.New(t)
 	var faults Faults
-	sections := Sections(Parse([]byte(text), &faults), &faults, "one", "two")
+	sections := Sections(Parse([]byte(text), MaximumFileBytes, &faults), &faults, "one", "two")
 	f := sections["one"]
 	f.Number("count", 1, 0, 10)
 	f.Duration("wait", time.Second, 0, time.Minute)
