Overhead: time to the first token and memory, by three ways in one run

What an instance adds can't be seen from its own clock, so the same requests go to engines direct, through a naive proxy and through an instance at once.

--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -42,6 +42,7 @@
 	return []command{
 		{"demo", "Run stand-ins and instances in one process and check what must hold", "Starts stand-ins and instances on loopback ports, sends the traffic of both deployments while things fail, and prints a table and the checks that held.", &demoCommand{}},
 		{"load", "Send traffic to instances and check every answer", "Sends open-loop, seeded traffic in the shape of a profile and checks every token of every answer against stand-in engines.", &loadCommand{}},
+		{"overhead", "Measure what an instance adds to the first token, and its memory", "Sends the same requests to stand-in engines direct, through a naive proxy and through an instance, all in this process, and compares the time to the first token and the memory of open streams.", &overheadCommand{}},
 		{"standin", "Run a stand-in of an endpoint or of the platform", standinLong, &standinCommand{}},
 	}
 }
--- a/experiment/demo/fleet.go
+++ b/experiment/demo/fleet.go
@@ -30,6 +30,7 @@
 
 func (f *fleet) start(ctx context.Context, o *Options) error {
 	var err error
+	f.profiles = append(f.profiles, o.profiles...)
 	for _, name := range o.Profiles {
 		p, err := load.OpenProfile(name)
 		if err != nil {
--- a/experiment/demo/layout.go
+++ b/experiment/demo/layout.go
@@ -19,7 +19,8 @@
 type Service struct {
 	Entry     catalogue.Entry // without endpoints
 	Endpoints int
-	Capacity  int // KV memory of an engine, tokens
+	Capacity  int           // KV memory of an engine, tokens
+	Sizes     *model.Config // of the engines; nil: by capacity and number
 }
 
 // speeds are the engines' factors in turn: back ends that were bought over years.
@@ -66,12 +67,16 @@
 
 // engineConfig sizes one engine of a service.
 func (s *Service) engineConfig(number int) standin.EngineConfig {
+	sizes := model.Config{
+		Capacity: s.Capacity, Speed: speeds[number%len(speeds)], LoadLag: loadLag,
+		CacheDelay: cacheLag, CacheGapRate: cacheGaps, Seed: uint64(number),
+	}
+	if s.Sizes != nil {
+		sizes = *s.Sizes
+	}
 	return standin.EngineConfig{
 		Entry: s.Entry.Name, Model: s.Entry.Model, Version: s.Entry.Version,
 		Repeatable: s.Entry.Repeatable, ChecksFence: s.Entry.ChecksFence,
-		Sizes: model.Config{
-			Capacity: s.Capacity, Speed: speeds[number%len(speeds)], LoadLag: loadLag,
-			CacheDelay: cacheLag, CacheGapRate: cacheGaps, Seed: uint64(number),
-		},
+		Sizes: sizes,
 	}
 }
--- a/experiment/demo/options.go
+++ b/experiment/demo/options.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+
+	"dogwooddyke/experiment/load"
 )
 
 // Bounds of a demo.
@@ -25,6 +27,8 @@
 	Baseline bool // runs a naive proxy before engines of its own, with the same faults
 	Progress io.Writer
 	Logger   *slog.Logger
+
+	profiles []*load.Profile // beside those named
 }
 
 // Check returns every fault of the options.
