--- a/instance/core.go
+++ b/instance/core.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -43,7 +44,7 @@
 //	list   -> coordination/member  -> who is live, who is steward of what
 //	engine -> the endpoint's steward -> share.ask -> each instance's router
 //
-// Lock order: Instance.mutex before any lock of the packages below; none of these calls back up while it holds its own.
+// Lock order: Instance.mutex is taken before nothing else.
 
 // Listeners are the open sockets of one instance.
 type Listeners struct {
@@ -80,9 +81,10 @@
 	stop  context.CancelFunc
 	group conc.WaitGroup
 
+	view atomic.Pointer[catalogue.View] // the one in force, which the router works by; nil until there is one
+
 	mutex sync.Mutex
 	state state
-	view  *catalogue.View // the one that the router works by
 }
 
 // state is a stage in an instance's life.
@@ -189,18 +191,20 @@
 func (i *Instance) Ready() bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	return i.state == stateRunning && i.able()
+	return i.state == stateRunning && i.Able()
 }
 
 // Able tells whether there is a catalogue to serve by; during a drain's notice period the instance is able, but not ready.
 func (i *Instance) Able() bool {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	return i.able()
+	return i.view.Load() != nil && i.replica.Ready()
 }
 
-func (i *Instance) able() bool {
-	return i.view != nil && i.replica.Ready()
+// View returns the catalogue in force.
+func (i *Instance) View() *catalogue.View {
+	if v := i.view.Load(); v != nil {
+		return v
+	}
+	return i.table.View()
 }
 
 func (i *Instance) serve(server *http.Server, listener net.Listener) {
@@ -280,7 +284,7 @@
 	i.handler = caller.NewHandler(caller.Config{
 		Answers:          i.runner,
 		Tokens:           i.signer,
-		Catalogue:        i.table,
+		Catalogue:        i,
 		Observer:         i.metrics,
 		MaximumBodyBytes: i.settings.MaximumBodyBytes,
 		MaximumStreams:   i.settings.MaximumStreams,
--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -152,7 +152,7 @@
 func (f *fleet) awaitReady() {
 	f.await("instances ready", func() bool {
 		for _, i := range f.instances {
-			if !i.Ready() || i.table.Offset() < f.offset || len(i.members.Live()) < len(f.instances) {
+			if !i.Ready() || i.View().Offset < f.offset || len(i.members.Live()) < len(f.instances) {
 				return false
 			}
 		}
--- a/instance/loops.go
+++ b/instance/loops.go
@@ -44,18 +44,16 @@
 	if !i.replica.Ready() {
 		return
 	}
-	view := i.table.View()
-	i.mutex.Lock()
-	former := i.view
-	i.view = view
-	i.mutex.Unlock()
-	i.router.SetInstances(len(i.members.Live()), now)
-	i.shares.SetInstances(len(i.members.Live()))
+	instances := len(i.members.Live())
+	i.router.SetInstances(instances, now)
+	i.shares.SetInstances(instances)
+	former, view := i.view.Load(), i.table.View()
 	if former == view {
 		return
 	}
 	i.followEntries(former, view, now)
 	i.followWorkspaces(former, view, now)
+	i.view.Store(view)
 }
 
 func (i *Instance) followEntries(former, view *catalogue.View, now time.Time) {
--- a/instance/observers.go
+++ b/instance/observers.go
@@ -60,7 +60,7 @@
 func (o *routingObserver) Admitted(entry, workspace string, submitted, now time.Time) {
 	m := o.instance.metrics
 	class := entry
-	if e, ok := o.instance.table.View().Entry(entry); ok {
+	if e, ok := o.instance.View().Entry(entry); ok {
 		class = e.Class
 	}
 	m.queue.WithLabelValues(m.workspaces.of(workspace), m.classes.of(class)).Observe(now.Sub(submitted).Seconds())
--- a/instance/status.go
+++ b/instance/status.go
@@ -18,7 +18,7 @@
 
 // status tells operators how the instance is.
 func (i *Instance) status() operator.Status {
-	view := i.table.View()
+	view := i.View()
 	s := operator.Status{
 		Address:           i.settings.Peers,
 		Callers:           i.settings.Callers,
@@ -98,8 +98,8 @@
 	m := i.metrics
 	traffic := i.node.Traffic()
 	m.gauge("requests_in_flight", "Requests in progress.", func() float64 { return float64(i.handler.InFlight()) })
-	m.gauge("catalogue_offset", "Offset of the last folded record.", func() float64 { return float64(i.table.Offset()) })
-	m.gauge("catalogue_revision", "Offset of the last accepted change.", func() float64 { return float64(i.table.View().Revision) })
+	m.gauge("catalogue_offset", "Offset of the last folded record.", func() float64 { return float64(i.View().Offset) })
+	m.gauge("catalogue_revision", "Offset of the last accepted change.", func() float64 { return float64(i.View().Revision) })
 	m.gauge("members_live", "Live instances.", func() float64 { return float64(len(i.members.Live())) })
 	m.gauge("members_moves", "Times that a member came or went.", func() float64 { return float64(i.members.Moves()) })
 	m.gauge("peer_bytes_in", "Bytes read from other instances.", func() float64 { return float64(traffic.BytesIn.Load()) })
