Leases of entries' orders by position in the log

Cause: nothing decided which instance may order an entry's engines. Change: one lease for each of 32 partitions of entries; the latest take in the log's order holds it, its offset is the fencing number; holders and candidates time it on their own clocks; a log in memory is shared by the tests.

--- /dev/null
+++ b/coordination/lease/leases.go
@@ -0,0 +1,317 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+
+	"dogwooddyke/coordination/member"
+	"dogwooddyke/state/record"
+)
+
+// Members is what leases need of the member table.
+type Members interface {
+	Self() netip.AddrPort
+	Live() []netip.AddrPort
+}
+
+// Entries tells which entries have engines that take orders.
+type Entries interface {
+	Ordered() []string
+}
+
+// Observer counts what leases do; partitions are few.
+type Observer interface {
+	LeaseAppended(kind Kind, err error)
+	LeaseRead(err error)
+	LeaseMoved(partition int, holder netip.AddrPort, fence uint64)
+}
+
+// Leases keeps the leases of the partitions that this instance is a candidate for.
+type Leases struct {
+	log      record.Log
+	members  Members
+	entries  Entries
+	observer Observer
+
+	mu       sync.Mutex // guards all below; taken before nothing else
+	keepers  map[int]*Keeper
+	wanted   map[int][]string // entries of each partition
+	ranks    map[int]int
+	draining bool
+}
+
+// New returns leases that follow nothing.
+func New(log record.Log, members Members, entries Entries, observer Observer) *Leases {
+	return &Leases{
+		log:      log,
+		members:  members,
+		entries:  entries,
+		observer: observer,
+		keepers:  map[int]*Keeper{},
+	}
+}
+
+// PartitionOf returns the partition that an entry's lease is in.
+func PartitionOf(entry string) int {
+	return int(xxhash.Sum64String(entry) % Partitions)
+}
+
+// Stream returns the name of a partition's stream.
+func Stream(partition int) string { return "leases." + strconv.Itoa(partition) }
+
+// Grant returns the right to order the entry's engines, if this instance has it now.
+func (l *Leases) Grant(now time.Time, entry string) (Grant, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k, ok := l.keepers[PartitionOf(entry)]
+	if !ok || l.draining {
+		return Grant{}, false
+	}
+	return k.Holding(now)
+}
+
+// Row is what is known here of one entry's lease.
+type Row struct {
+	Entry  string
+	Holder netip.AddrPort
+	Fence  uint64
+	Until  time.Time // of this instance's own right; zero: it has none
+}
+
+// Rows returns the leases of the partitions that are followed here, by entry.
+func (l *Leases) Rows() []Row {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var rows []Row
+	for partition, k := range l.keepers {
+		fold := k.Fold()
+		if fold.Released || !fold.Holder.IsValid() {
+			continue
+		}
+		for _, e := range l.wanted[partition] {
+			rows = append(rows, Row{Entry: e, Holder: fold.Holder, Fence: fold.Fence, Until: k.until})
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Entry, b.Entry) })
+	return rows
+}
+
+// Share returns the part of a rate over the whole fleet that one partition may use.
+func (l *Leases) Share(rate float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return rate / float64(max(1, len(l.wanted)))
+}
+
+// Drain gives up all leases and returns when they are released, or with the context; orders must have ended.
+func (l *Leases) Drain(ctx context.Context) {
+	l.mu.Lock()
+	l.draining = true
+	l.mu.Unlock()
+	for ctx.Err() == nil && l.holds() {
+		pause(ctx, drainPoll)
+	}
+}
+
+func (l *Leases) holds() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.keepers {
+		if k.Holder() {
+			return true
+		}
+	}
+	return false
+}
+
+// Run follows the streams until the context ends.
+func (l *Leases) Run(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	// The first lists and heartbeats have to come before ranks mean anything.
+	pause(ctx, StartDelay)
+	for ctx.Err() == nil {
+		for _, p := range l.choose() {
+			group.Go(func() { l.follow(ctx, p) })
+		}
+		pause(ctx, chooseEvery)
+	}
+}
+
+// choose notes the ranks and returns the partitions to begin with.
+func (l *Leases) choose() []int {
+	wanted := map[int][]string{}
+	for _, e := range l.entries.Ordered() {
+		p := PartitionOf(e)
+		wanted[p] = append(wanted[p], e)
+	}
+	live := l.members.Live()
+	ranks := map[int]int{}
+	for p := range wanted {
+		ranks[p] = slices.Index(member.Subset(Stream(p), live, Candidates), l.members.Self())
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wanted, l.ranks = wanted, ranks
+	var begin []int
+	for _, p := range slices.Sorted(maps.Keys(ranks)) {
+		if _, following := l.keepers[p]; !following && ranks[p] >= 0 && !l.draining {
+			l.keepers[p] = newKeeper(l.members.Self(), time.Now())
+			begin = append(begin, p)
+		}
+	}
+	return begin
+}
+
+// follow reads one stream and appends to it, until this instance is neither candidate nor holder.
+func (l *Leases) follow(ctx context.Context, partition int) {
+	var from uint64
+	var err error
+	for ctx.Err() == nil && !l.over(partition) {
+		if from == 0 {
+			from, err = l.tail(ctx, partition)
+		} else {
+			from, err = l.read(ctx, partition, from)
+		}
+		if err != nil {
+			pause(ctx, retryInterval)
+			continue
+		}
+		l.act(ctx, partition)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.keepers, partition)
+}
+
+// newKeeper numbers its records so that no former process of the address used the same numbers.
+func newKeeper(self netip.AddrPort, now time.Time) *Keeper {
+	return NewKeeper(self, now, rand.Uint64()>>1)
+}
+
+// over tells whether there is no more reason to follow the partition.
+func (l *Leases) over(partition int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rank, wanted := l.ranks[partition]
+	candidate := wanted && rank >= 0 && !l.draining
+	return !candidate && !l.keepers[partition].Holder()
+}
+
+// tail returns the offset of the last few records, which tell the same as all before.
+func (l *Leases) tail(ctx context.Context, partition int) (uint64, error) {
+	limited, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	page, err := l.log.Read(limited, Stream(partition), math.MaxInt64, time.Time{})
+	l.observer.LeaseRead(err)
+	if err != nil {
+		return 0, err
+	}
+	if page.Next <= page.First+tailRecords {
+		return page.First, nil
+	}
+	return page.Next - tailRecords, nil
+}
+
+// read waits for records until this instance has something to do.
+func (l *Leases) read(ctx context.Context, partition int, from uint64) (uint64, error) {
+	until := l.due(partition)
+	limited, cancel := context.WithDeadline(ctx, until.Add(readTimeout))
+	defer cancel()
+	page, err := l.log.Read(limited, Stream(partition), from, until)
+	l.observer.LeaseRead(err)
+	if err != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.keepers[partition].Blind(time.Now())
+		return from, err
+	}
+	if page.Next < from {
+		return from, fmt.Errorf("%s: head at %d, read to %d", Stream(partition), page.Next, from)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if page.First > from {
+		// A take may be among the lost records: whatever right there was is void.
+		l.keepers[partition] = newKeeper(l.members.Self(), now)
+	}
+	k := l.keepers[partition]
+	before := k.Fold()
+	for _, x := range page.Records {
+		from = x.Offset + 1
+		if r, err := Decode(x.Data); err == nil {
+			k.Observe(now, x.Offset, r)
+		}
+	}
+	if after := k.Fold(); after.Fence != before.Fence {
+		l.observer.LeaseMoved(partition, after.Holder, after.Fence)
+	}
+	return max(from, page.First), nil
+}
+
+func (l *Leases) due(partition int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	due := l.keepers[partition].Due(l.rank(partition))
+	if latest := now.Add(longestWait); due.After(latest) {
+		return latest
+	}
+	if due.Before(now) {
+		return now
+	}
+	return due
+}
+
+// rank returns this instance's place among the partition's candidates; mu is held.
+func (l *Leases) rank(partition int) int {
+	if rank, ok := l.ranks[partition]; ok && !l.draining {
+		return rank
+	}
+	return -1
+}
+
+// act appends what this instance has to say, if anything; what became of it is read back.
+func (l *Leases) act(ctx context.Context, partition int) {
+	l.mu.Lock()
+	_, wanted := l.wanted[partition]
+	r, ok := l.keepers[partition].Next(time.Now(), l.rank(partition), wanted && !l.draining)
+	l.mu.Unlock()
+	if !ok {
+		return
+	}
+	data, err := Encode(r)
+	if err == nil {
+		limited, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		_, err = l.log.Append(limited, Stream(partition), data)
+	}
+	l.observer.LeaseAppended(r.Kind, err)
+	if err != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.keepers[partition].Retry(time.Now().Add(retryInterval))
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/coordination/replica/fleet_test.go
+++ b/coordination/replica/fleet_test.go
@@ -11,90 +11,14 @@
 	"testing"
 	"time"
 
+	"dogwooddyke/coordination/internal/logtest"
 	"dogwooddyke/state/catalogue"
-	"dogwooddyke/state/record"
 )
 
-// fakeLog is a log in memory with retention and lost acknowledgements.
-type fakeLog struct {
-	mu      sync.Mutex
-	records []record.Record
-	first   uint64
-	news    chan struct{}
-	bytes   atomic.Int64
-}
-
-func newFakeLog() *fakeLog { return &fakeLog{first: 1, news: make(chan struct{})} }
-
-func (l *fakeLog) Append(_ context.Context, _ string, data []byte) (uint64, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	offset := uint64(len(l.records) + 1)
-	l.records = append(l.records, record.Record{Offset: offset, Data: data, Time: time.Now()})
-	close(l.news)
-	l.news = make(chan struct{})
-	return offset, nil
-}
-
-func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, deadline time.Time) (record.Page, error) {
-	for {
-		l.mu.Lock()
-		page := record.Page{First: l.first, Next: uint64(len(l.records) + 1)}
-		for i := max(from, l.first); i <= uint64(len(l.records)) && len(page.Records) < 100; i++ {
-			page.Records = append(page.Records, l.records[i-1])
-			l.bytes.Add(int64(len(l.records[i-1].Data)))
-		}
-		news := l.news
-		l.mu.Unlock()
-		if len(page.Records) > 0 || !deadline.After(time.Now()) {
-			return page, nil
-		}
-		timer := time.NewTimer(time.Until(deadline))
-		select {
-		case <-ctx.Done():
-			return record.Page{}, ctx.Err()
-		case <-timer.C:
-		case <-news:
-		}
-		timer.Stop()
-	}
-}
-
-// retain drops all records before the offset.
-func (l *fakeLog) retain(first uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.first = first
-}
-
-// link is one instance's way to the log.
-type link struct {
-	log record.Log
-	cut atomic.Bool
-}
-
-func (l *link) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
-	if l.cut.Load() {
-		return 0, record.ErrUnavailable
-	}
-	return l.log.Append(ctx, stream, data)
-}
-
-func (l *link) Read(ctx context.Context, stream string, from uint64, deadline time.Time) (record.Page, error) {
-	if l.cut.Load() {
-		return record.Page{}, record.ErrUnavailable
-	}
-	page, err := l.log.Read(ctx, stream, from, deadline)
-	if l.cut.Load() {
-		return record.Page{}, record.ErrUnavailable
-	}
-	return page, err
-}
-
 // fleet is a set of replicas that call each other directly.
 type fleet struct {
 	t   *testing.T
-	log *fakeLog
+	log *logtest.Log
 
 	mu    sync.Mutex
 	nodes map[netip.AddrPort]*node
@@ -106,7 +30,7 @@
 	*Replica
 	fleet  *fleet
 	self   netip.AddrPort
-	link   *link
+	link   *logtest.Link
 	cut    atomic.Bool // from peers
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -150,16 +74,15 @@
 
 type silent struct{}
 
-func (silent) LogRead(error)              {}
-func (silent) Folded(catalogue.Verdict)   {}
-func (silent) Pushed(error)               {}
-func (silent) Fetched(error)              {}
-func (silent) SnapshotAppended(error)     {}
-func (silent) StateChanged(State, State)  {}
-func newFleet(t *testing.T, n int) *fleet { return newFleetOn(t, newFakeLog(), n) }
+func (silent) LogRead(error)             {}
+func (silent) Folded(catalogue.Verdict)  {}
+func (silent) Pushed(error)              {}
+func (silent) Fetched(error)             {}
+func (silent) SnapshotAppended(error)    {}
+func (silent) StateChanged(State, State) {}
 
-func newFleetOn(t *testing.T, log *fakeLog, n int) *fleet {
-	f := &fleet{t: t, log: log, nodes: map[netip.AddrPort]*node{}}
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, log: logtest.New(), nodes: map[netip.AddrPort]*node{}}
 	for i := range n {
 		f.start(i, true)
 	}
@@ -172,8 +95,8 @@
 
 // start adds an instance with its own table.
 func (f *fleet) start(i int, withLog bool) *node {
-	n := &node{fleet: f, self: address(i), link: &link{log: f.log}, done: make(chan struct{})}
-	n.link.cut.Store(!withLog)
+	n := &node{fleet: f, self: address(i), link: &logtest.Link{Log: f.log}, done: make(chan struct{})}
+	n.link.Cut(!withLog)
 	table := catalogue.NewTable(catalogue.Rules{SnapshotKey: []byte("key")})
 	n.Replica = New(Options{Table: table, Log: n.link, Members: n, Peers: n, Observer: silent{}})
 	f.mu.Lock()
@@ -234,9 +157,7 @@
 		Name: name, Owner: "islaget", Kind: catalogue.KindService, Class: "c", KeyRule: catalogue.KeyRuleRequired,
 		Endpoints: []catalogue.Endpoint{{Address: address(9), DataCentre: "lulea-a"}},
 	}
-	f.log.mu.Lock()
-	seen := uint64(len(f.log.records))
-	f.log.mu.Unlock()
+	seen := f.log.Head(catalogue.Stream)
 	c := &catalogue.Change{ID: fmt.Sprint(name, "-", seen), Operator: "islaget", Base: base, Seen: seen, Entry: e}
 	return f.append(catalogue.Record{Change: c})
 }
--- a/coordination/replica/replica_test.go
+++ b/coordination/replica/replica_test.go
@@ -99,17 +99,15 @@
 			defer f.stop()
 			time.Sleep(settle)
 			paused := f.all()[3]
-			paused.link.cut.Store(true)
+			paused.link.Cut(true)
 			paused.cut.Store(true)
 			base := uint64(0)
 			for range 20 {
 				base = f.publish("x", base)
 			}
 			time.Sleep(settle)
-			f.log.mu.Lock()
-			f.log.first = uint64(len(f.log.records)) + 1
-			f.log.mu.Unlock()
-			paused.link.cut.Store(false)
+			f.log.Retain(catalogue.Stream, f.log.Head(catalogue.Stream)+1)
+			paused.link.Cut(false)
 			time.Sleep(settle)
 			if paused.Ready() || paused.State() != StateLost {
 				t.Fatalf("past a gap without a snapshot: %s", paused.State())
@@ -131,13 +129,13 @@
 			defer f.stop()
 			time.Sleep(settle)
 			cut := f.all()[3]
-			cut.link.cut.Store(true)
+			cut.link.Cut(true)
 			cut.cut.Store(true)
 			f.publish("x", 0)
 			last := f.publish("y", 0)
 			time.Sleep(settle)
-			f.log.retain(last + 1)
-			cut.link.cut.Store(false)
+			f.log.Retain(catalogue.Stream, last+1)
+			cut.link.Cut(false)
 			cut.cut.Store(false)
 			time.Sleep(settle)
 			f.agree(last)
@@ -161,7 +159,7 @@
 			}
 			f.append(catalogue.Record{Snapshot: fresh})
 			last := f.append(catalogue.Record{Snapshot: stale})
-			f.log.retain(second + 1)
+			f.log.Retain(catalogue.Stream, second+1)
 			starter := f.start(7, true)
 			time.Sleep(settle)
 			f.agree(last)
@@ -177,11 +175,9 @@
 			defer f.stop()
 			last := f.publish("x", 0)
 			time.Sleep(8 * time.Hour)
-			f.log.mu.Lock()
-			appended := uint64(len(f.log.records)) - last
-			f.log.mu.Unlock()
+			appended := f.log.Head(catalogue.Stream) - last
 			is.True(appended >= 7 && appended <= 10)
-			f.log.retain(last + appended)
+			f.log.Retain(catalogue.Stream, last+appended)
 			f.start(9, true)
 			time.Sleep(settle)
 			f.agree(last + appended)
@@ -197,7 +193,7 @@
 			last := f.publish("x", 0)
 			time.Sleep(settle)
 			for _, n := range f.all() {
-				n.link.cut.Store(true)
+				n.link.Cut(true)
 			}
 			starter := f.start(5, false)
 			time.Sleep(settle)
@@ -219,7 +215,7 @@
 			time.Sleep(time.Minute)
 			is.Equal(starter.State(), StateStarting)
 			is.True(!starter.Ready())
-			starter.link.cut.Store(false)
+			starter.link.Cut(false)
 			time.Sleep(settle)
 			f.agree(last)
 		})
@@ -232,7 +228,7 @@
 			base := uint64(0)
 			for i := range 60 {
 				for _, n := range f.all()[:3] {
-					n.link.cut.Store(i < 59)
+					n.link.Cut(i < 59)
 				}
 				base = f.publish("x", base)
 				time.Sleep(time.Second)
@@ -249,10 +245,7 @@
 			f.publish("x", 0)
 			last := f.publish("y", 0)
 			time.Sleep(settle)
-			f.log.mu.Lock()
-			kept := f.log.records
-			f.log.records = nil
-			f.log.mu.Unlock()
+			kept := f.log.Replace(catalogue.Stream, nil)
 			f.publish("z", 0)
 			time.Sleep(time.Minute)
 			for range 3 {
@@ -263,9 +256,7 @@
 				is.Equal(n.State(), StateRegressed)
 				is.Equal(n.table.View().Revision, last)
 			}
-			f.log.mu.Lock()
-			f.log.records = kept
-			f.log.mu.Unlock()
+			f.log.Replace(catalogue.Stream, kept)
 			time.Sleep(time.Minute)
 			for _, n := range f.all() {
 				is.Equal(n.State(), StateFollowing)
