Explanations are sought on many instances at once; whole answers have a histogram of their own

Cause: /explain asked the members one after the other, up to 1,600 of them; answers in one piece filled the histogram of the time between tokens with zeros. Change: 64 at once within 3 s; a call that its caller cancels keeps its connection, since only an overdue answer speaks against it; answer_seconds. Result: tests pass, cancelledCallKeepsTheConnection fails without the change.

--- a/instance/constants.go
+++ b/instance/constants.go
@@ -39,6 +39,7 @@
 	leavingInterval = 500 * time.Millisecond
 	cacheInterval   = 2 * time.Second
 	restartPause    = time.Second
+	explainWorkers  = 64
 	pollWorkers     = 16
 	loadTimeout     = 2 * time.Second
 	explainTimeout  = time.Second
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -24,6 +24,7 @@
 	betweenTokens *prometheus.HistogramVec
 	stall         *prometheus.HistogramVec
 	queue         *prometheus.HistogramVec
+	whole         *prometheus.HistogramVec
 	ended         *prometheus.CounterVec
 	refused       *prometheus.CounterVec
 	transitions   *prometheus.CounterVec
@@ -46,6 +47,7 @@
 	m.betweenTokens = m.histogram("between_tokens_seconds", "Time between two tokens of an answer.")
 	m.stall = m.histogram("stall_seconds", "Time beyond the stall bound that a caller waited for one token.")
 	m.queue = m.histogram("queue_seconds", "Time that a request waited for an endpoint.")
+	m.whole = m.histogram("answer_seconds", "Time from a request's arrival to the end of its whole answer.")
 	m.ended = m.counter("requests_ended_total", "Requests by how they ended.", "workspace", "class", "outcome")
 	m.refused = m.counter("requests_refused_total", "Refusals by reason.", "workspace", "class", "reason")
 	m.transitions = m.counter("answer_transitions_total", "Entries into each state of an answer.", "state")
@@ -87,9 +89,13 @@
 	m.refused.WithLabelValues(m.workspaces.of(workspace), m.classes.of(class), m.reasons.of(reason)).Inc()
 }
 
-// Ended counts a request that has ended.
-func (m *metrics) Ended(workspace, class string, outcome answer.Outcome) {
-	m.ended.WithLabelValues(m.workspaces.of(workspace), m.classes.of(class), string(outcome)).Inc()
+// Ended counts a request that has ended, and observes how long it took if it finished.
+func (m *metrics) Ended(workspace, class string, outcome answer.Outcome, took time.Duration) {
+	w, c := m.workspaces.of(workspace), m.classes.of(class)
+	m.ended.WithLabelValues(w, c, string(outcome)).Inc()
+	if outcome == answer.OutcomeFinished {
+		m.whole.WithLabelValues(w, c).Observe(took.Seconds())
+	}
 }
 
 // Begin returns the histograms of one answer, so that no label is looked up for each token.
--- a/instance/status.go
+++ b/instance/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/samber/oops"
+	"github.com/sourcegraph/conc/pool"
 
 	"dogwooddyke/state/endpoint"
 	"dogwooddyke/state/explanation"
@@ -58,25 +59,39 @@
 	if found, ok := i.ring.Find(id); ok {
 		return found, true
 	}
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	others := pool.NewWithResults[*explanation.Explanation]().WithMaxGoroutines(explainWorkers)
 	for _, a := range i.members.Live() {
 		if a == i.settings.Peers {
 			continue
 		}
-		if found, err := i.askExplanation(ctx, a, id); err == nil {
-			return found, true
+		others.Go(func() *explanation.Explanation {
+			found, err := i.askExplanation(ctx, a, id)
+			if err != nil {
+				return nil
+			}
+			cancel()
+			return found
+		})
+	}
+	for _, found := range others.Wait() {
+		if found != nil {
+			return *found, true
 		}
 	}
 	return explanation.Explanation{}, false
 }
 
-func (i *Instance) askExplanation(ctx context.Context, to netip.AddrPort, id string) (explanation.Explanation, error) {
-	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
-	defer cancel()
-	var found explanation.Explanation
-	err := i.node.Call(ctx, to, methodExplain, struct {
+func (i *Instance) askExplanation(ctx context.Context, to netip.AddrPort, id string) (*explanation.Explanation, error) {
+	asked := struct {
 		ID string `json:"id"`
-	}{id}, &found)
-	return found, err
+	}{id}
+	var found explanation.Explanation
+	if err := i.node.Call(ctx, to, methodExplain, asked, &found); err != nil {
+		return nil, err
+	}
+	return &found, nil
 }
 
 func (i *Instance) serveExplain(_ context.Context, _ netip.AddrPort, params json.RawMessage) (any, error) {
--- a/transport/caller/generate.go
+++ b/transport/caller/generate.go
@@ -105,21 +105,22 @@
 
 // answer runs the request and gives the caller its answer in the form asked for.
 func (h *Handler) answer(w http.ResponseWriter, request *http.Request, body *generationBody, asked *answer.Request, chat bool) {
+	began := time.Now()
 	if body.stream {
 		sink := newStreamSink(w, asked.ID, body.includeUsage)
 		timed := newTimedSink(sink, h.config.Observer.Begin(asked.Workspace, asked.Class))
 		result := h.config.Answers.Run(request.Context(), asked, timed)
+		h.config.Observer.Ended(asked.Workspace, asked.Class, result.Outcome, time.Since(began))
 		h.endStream(w, sink, asked.Workspace, asked.Class, result)
 		return
 	}
 	sink := &wholeSink{chat: chat}
-	timed := newTimedSink(sink, h.config.Observer.Begin(asked.Workspace, asked.Class))
-	result := h.config.Answers.Run(request.Context(), asked, timed)
+	result := h.config.Answers.Run(request.Context(), asked, sink)
+	h.config.Observer.Ended(asked.Workspace, asked.Class, result.Outcome, time.Since(began))
 	h.endWhole(w, sink, asked, result)
 }
 
 func (h *Handler) endStream(w http.ResponseWriter, sink *streamSink, workspace, class string, result answer.Result) {
-	h.config.Observer.Ended(workspace, class, result.Outcome)
 	switch {
 	case result.Outcome == answer.OutcomeCancelled:
 	case result.Outcome == answer.OutcomeFinished:
@@ -133,7 +134,6 @@
 }
 
 func (h *Handler) endWhole(w http.ResponseWriter, sink *wholeSink, asked *answer.Request, result answer.Result) {
-	h.config.Observer.Ended(asked.Workspace, asked.Class, result.Outcome)
 	if result.Outcome == answer.OutcomeCancelled {
 		return
 	}
--- a/transport/caller/handler.go
+++ b/transport/caller/handler.go
@@ -35,7 +35,7 @@
 // Observer learns of each request as it ends.
 type Observer interface {
 	Refused(workspace, class, reason string)
-	Ended(workspace, class string, outcome answer.Outcome)
+	Ended(workspace, class string, outcome answer.Outcome, took time.Duration)
 	Begin(workspace, class string) Timing
 }
 
--- a/transport/caller/resume.go
+++ b/transport/caller/resume.go
@@ -34,8 +34,10 @@
 		h.refuse(w, workspace.Name, "", err)
 		return
 	}
+	began := time.Now()
 	sink := newStreamSink(w, asked.ID, true)
 	result := h.config.Answers.Resume(request.Context(), token, asked, sink)
+	h.config.Observer.Ended(asked.Workspace, asked.Class, result.Outcome, time.Since(began))
 	h.endStream(w, sink, asked.Workspace, asked.Class, result)
 }
 
--- a/transport/peer/connection.go
+++ b/transport/peer/connection.go
@@ -50,6 +50,9 @@
 	if errors.As(err, &answered) {
 		return fmt.Errorf("%w: %s", ErrRemote, answered.Message)
 	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
 	// An answer that is overdue may mean a connection that went silent for good, so the next call makes a new one.
 	c.failed.Store(true)
 	if ctx.Err() == nil {
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -80,6 +80,17 @@
 		is.Equal(b.Traffic().Panics.Load(), int64(1))
 		assertEcho(t, a, b)
 	})
+	t.Run("cancelledCallKeepsTheConnection", func(t *testing.T) {
+		is := is.New(t)
+		a, b := startNode(t, "k"), startNode(t, "k")
+		assertEcho(t, a, b)
+		kept := a.connections[b.Address()]
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		is.True(errors.Is(a.Call(ctx, b.Address(), "test.echo", "x", nil), ErrNoAnswer))
+		assertEcho(t, a, b)
+		is.True(a.connections[b.Address()] == kept)
+	})
 	t.Run("unreachable", func(t *testing.T) {
 		is := is.New(t)
 		a, b := startNode(t, "k"), startNode(t, "k")
