Claims and answers: faults that only a second guard caught are brought about

Cause: on a scratch copy, dropping the abandonment of a failed try and the mark of an answer that goes on elsewhere broke no test. Change: tests for a steward's lost answer, for a notice that comes before the first instance sees its caller leave, and for a late record with the same number as the new steward's last one. Result: both changes on the scratch copy now fail a test. Dropping the check of the writer after a read-back still fails none: the grant itself asks the table again.

--- a/coordination/claim/steward_test.go
+++ b/coordination/claim/steward_test.go
@@ -171,9 +171,20 @@
 		time.Sleep(time.Second)
 		f.look(1)
 		f.expectState(t, 2, "k", StateGranted) // the second steward grants it
+		f.matchSequence(t, "k", 0, 1)
 		group.Wait()
 		is.Equal(f.ran("k"), 1) // the first one's late append was void
 	})
+	inFleet(t, "answerLost", func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.members[1].set(0, true)
+		_, err := f.call(t, 1, "k", 4*time.Second)
+		is.True(errors.Is(err, ErrNoClaim))
+		f.members[1].set(0, false)
+		f.members[1].client.Wait()
+		f.expectState(t, 2, "k", StateGranted) // each try that came to nothing was abandoned
+		is.Equal(f.ran("k"), 1)
+	})
 	inFleet(t, "drain", func(t *testing.T, f *fleet) {
 		is := is.New(t)
 		f.expectState(t, 1, "k", StateGranted)
@@ -186,6 +197,26 @@
 	})
 }
 
+// matchSequence lets the second steward write until a waiting record of the first has the same number as its last one.
+func (f *fleet) matchSequence(t *testing.T, key string, first, second int) {
+	t.Helper()
+	number := partitionOf(NewKey("anglers", "soundings", key), testPartitions)
+	sequence := func(at int) uint64 {
+		p := f.members[at].steward.partitions[number]
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		return p.table.sequence
+	}
+	f.members[second].client.Wait()
+	want := sequence(first) + 1
+	for i := 0; sequence(second) < want; i++ {
+		name := NewKey("anglers", "soundings", numbered("more", i))
+		_, _, err := f.members[second].client.Claim(t.Context(), name, testBody, time.Time{})
+		is.New(t).NoErr(err)
+	}
+	is.New(t).Equal(sequence(second), want)
+}
+
 func TestSettings(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(testSettings.Check())
--- a/protocol/answer/fake_test.go
+++ b/protocol/answer/fake_test.go
@@ -286,10 +286,14 @@
 	tokens  []Token
 	resume  string
 	leaveAt int // zero: stays
+	leaving func()
 }
 
 func (s *fakeSink) Deliver(token Token, resume string) error {
 	if s.leaveAt > 0 && len(s.tokens) >= s.leaveAt {
+		if s.leaving != nil {
+			s.leaving()
+		}
 		return errReset
 	}
 	s.tokens = append(s.tokens, token)
--- a/protocol/answer/resume_test.go
+++ b/protocol/answer/resume_test.go
@@ -84,6 +84,21 @@
 			is.Equal(b.engines.at(0).cancelled, []string{"a.1"})
 		})
 	})
+	t.Run("originStillSends", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, false)
+			b.sink.leaveAt = 40
+			b.sink.leaving = func() { // the notice comes before the first instance sees that the caller left
+				_, err := b.runner.ServeResumed(t.Context(), netip.AddrPort{}, json.RawMessage(`{"id":"a"}`))
+				is.NoErr(err)
+			}
+			result := b.runner.Run(context.Background(), b.request(false), b.sink)
+			is.Equal(result.Outcome, OutcomeCancelled)
+			orderly(t, b)
+			is.Equal(len(b.engines.at(0).cancelled), 0)
+		})
+	})
 	t.Run("afterTheEnd", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
