Calls of plain services, with and without keys

Cause: an action may run once at most, and its caller must be told what is true of it. Change: protocol/call decides the outcome in one table from how far the call came. Actions go out on a fresh connection and are dispatched again only when no byte left or the service said that it did not start; a caller who leaves does not end a run. Responses up to 16 KiB are kept for repeats of the key; a repeat of a larger one is told that it ran (interrupted). On a scratch copy with pooled connections for actions the new test fails with two runs: net/http itself sends a request with an Idempotency-Key again when a reused connection breaks.

--- a/transport/endpoint/engine.go
+++ b/transport/endpoint/engine.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -100,15 +99,9 @@
 	if method == http.MethodGet && response.StatusCode == http.StatusNotFound {
 		return answer.ErrUnknownGeneration
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maximumErrorBytes))
-	if err != nil {
-		body = nil
-	}
-	return &answer.RefusedError{
-		Status:     response.StatusCode,
-		Body:       body,
-		NotStarted: response.Header.Get(headerOutcome) == outcomeNotRun,
-	}
+	refused := refusal(response)
+	refused.NotStarted = response.Header.Get(headerOutcome) == outcomeNotRun
+	return refused
 }
 
 func address(endpoint netip.AddrPort, path string) string {
--- /dev/null
+++ b/transport/endpoint/service.go
@@ -0,0 +1,44 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+
+	"dogwooddyke/protocol/answer"
+	"dogwooddyke/protocol/call"
+)
+
+// Services dispatches calls to plain services over HTTP; it implements call.Services.
+type Services struct {
+	clients *Clients
+}
+
+// NewServices returns services that are reached through the clients.
+func NewServices(clients *Clients) *Services { return &Services{clients: clients} }
+
+// Do dispatches once; a call that may not be repeated gets a fresh connection, on which net/http sends it once.
+func (s *Services) Do(ctx context.Context, endpoint netip.AddrPort, asked *call.Request, repeatable bool) (*call.Response, error) {
+	left := &departure{}
+	request, err := http.NewRequestWithContext(left.trace(ctx), asked.Method, address(endpoint, asked.Path), bytes.NewReader(asked.Body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", answer.ErrNotStarted, err)
+	}
+	request.Header = call.RequestHeader(asked.Header)
+	client := s.clients.fresh
+	if repeatable {
+		client = s.clients.pooled
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, dispatchError(left, err)
+	}
+	if response.Header.Get(headerOutcome) == outcomeNotRun {
+		refused := refusal(response)
+		refused.NotStarted = true
+		return nil, refused
+	}
+	return &call.Response{Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
+}
