Orders: desired state, rolling changes and repair

Cause: nothing brought engines to the state that the catalogue names. Change: a plan from one look at all engines, and a runner that sends only with more lease left than an order can take, waits out a former holder for engines that ignore fencing numbers, and stays within the minimum and the weight store's rate.

--- /dev/null
+++ b/protocol/order/order_test.go
@@ -0,0 +1,234 @@
+package order
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"dogwooddyke/state/catalogue"
+)
+
+const forLong = 24 * time.Hour
+
+func inTime(t *testing.T, name string, body func(t *testing.T, is *is.I)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { body(t, is.New(t)) })
+	})
+}
+
+// bothKinds runs the body against engines that check fencing numbers and engines that ignore them.
+func bothKinds(t *testing.T, name string, body func(t *testing.T, is *is.I, checks bool)) {
+	for _, checks := range []bool{true, false} {
+		inTime(t, fmt.Sprintf("%s/checks=%t", name, checks), func(t *testing.T, is *is.I) { body(t, is, checks) })
+	}
+}
+
+func TestRunner(t *testing.T) {
+	bothKinds(t, "rollingChangeUnderFaults", func(t *testing.T, _ *is.I, checks bool) {
+		for seed := range uint64(8) {
+			rollUnderFaults(t, seed, checks)
+		}
+	})
+	bothKinds(t, "lapsedHolderThatWakesSendsNothing", func(t *testing.T, is *is.I, checks bool) {
+		s := newSite(3, 0, checks)
+		h := newHolder(t, s, 100)
+		defer h.stop()
+		h.hold(10, 15*time.Second)
+		time.Sleep(16 * time.Second)
+		before := h.orders()
+		s.at(0).crash()
+		h.publish("2")
+		time.Sleep(time.Minute)
+		is.Equal(h.orders(), before)
+		is.True(!s.all("2"))
+	})
+	bothKinds(t, "orderOfLapsedHolderLandsLate", func(t *testing.T, is *is.I, checks bool) {
+		s := newSite(4, 1, checks)
+		former, next := newHolder(t, s, 100), newHolder(t, s, 100)
+		defer former.stop()
+		defer next.stop()
+		former.publish("2")
+		s.at(0).set(func() { s.at(0).stall = 3 * time.Minute })
+		former.hold(10, 15*time.Second)
+		time.Sleep(20 * time.Second)
+		s.at(0).set(func() { s.at(0).stall = 0 })
+		next.publish("3")
+		next.hold(20, forLong)
+		time.Sleep(2 * time.Minute)
+		is.True(s.all("3"))
+		loads := s.at(0).loaded()
+		time.Sleep(2 * time.Minute)
+		is.True(s.all("3"))
+		// An engine that ignores the number did load the old order's weights, and was repaired.
+		is.Equal(s.at(0).loaded() > loads, !checks)
+	})
+	bothKinds(t, "twoHoldersCross", func(t *testing.T, is *is.I, checks bool) {
+		s := newSite(4, 0, checks)
+		former, next := newHolder(t, s, 100), newHolder(t, s, 100)
+		defer former.stop()
+		defer next.stop()
+		former.publish("2")
+		next.publish("3")
+		former.hold(10, time.Minute)
+		next.hold(20, forLong)
+		time.Sleep(3 * time.Minute)
+		is.True(s.all("3"))
+	})
+	inTime(t, "weightStoreAtItsLimit", func(t *testing.T, is *is.I) {
+		const perSecond = 0.1
+		s := newSite(9, 0, true)
+		for i := range 9 {
+			s.at(i).crash()
+		}
+		h := newHolder(t, s, perSecond)
+		defer h.stop()
+		h.hold(10, forLong)
+		time.Sleep(2 * time.Minute)
+		is.True(s.all("1"))
+		var pulls []time.Time
+		for i := range 9 {
+			pulls = append(pulls, s.at(i).pulls...)
+		}
+		slices.SortFunc(pulls, time.Time.Compare)
+		is.Equal(len(pulls), 9)
+		is.True(pulls[8].Sub(pulls[0]) >= 80*time.Second)
+	})
+	inTime(t, "emptyEngineIsLoadedAgain", func(t *testing.T, is *is.I) {
+		s := newSite(9, 9, false)
+		h := newHolder(t, s, 100)
+		defer h.stop()
+		h.hold(10, forLong)
+		time.Sleep(time.Minute)
+		s.at(4).crash()
+		time.Sleep(SteadyMinimum + loadTime + 2*time.Second)
+		is.True(s.all("1"))
+	})
+	inTime(t, "minimumHoldsTheChange", func(t *testing.T, is *is.I) {
+		s := newSite(4, 4, true)
+		h := newHolder(t, s, 100)
+		defer h.stop()
+		h.hold(10, forLong)
+		h.publish("2")
+		time.Sleep(10 * time.Minute)
+		is.True(s.all("1"))
+		is.Equal(h.Plans()["isoraklet"].Held, 4)
+	})
+}
+
+// rollUnderFaults changes the version while engines crash, die and take orders late, and the lease moves; orders alone must
+// never leave fewer than the minimum serving.
+func rollUnderFaults(t *testing.T, seed uint64, checks bool) {
+	t.Helper()
+	const engines, minimum = 9, 6
+	random := rand.New(rand.NewPCG(seed, 7))
+	s := newSite(engines, minimum, checks)
+	holders := []*holder{newHolder(t, s, 1), newHolder(t, s, 1)}
+	for _, h := range holders {
+		defer h.stop()
+		h.publish("2")
+	}
+	holders[0].hold(10, time.Minute)
+	for step := range 6000 {
+		if step == 700 {
+			holders[1].hold(20, forLong)
+		}
+		if step < 3000 && random.IntN(150) == 0 {
+			disturb(s.at(random.IntN(engines)), random)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if ready, faulty := s.serving(); ready+faulty < minimum {
+			t.Fatalf("seed %d step %d: %d serve and %d are faulty; the minimum is %d", seed, step, ready, faulty, minimum)
+		}
+	}
+	if !s.all("2") {
+		t.Fatalf("seed %d: not all engines have version 2", seed)
+	}
+}
+
+func disturb(e *engine, random *rand.Rand) {
+	switch random.IntN(3) {
+	case 0:
+		e.crash()
+	case 1:
+		e.set(func() { e.dead = true })
+		time.AfterFunc(20*time.Second, func() { e.set(func() { e.dead = false }) })
+	case 2:
+		e.set(func() { e.stall = time.Duration(5+random.IntN(40)) * time.Second })
+		time.AfterFunc(10*time.Second, func() { e.set(func() { e.stall = 0 }) })
+	}
+}
+
+func TestMake(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := &catalogue.Entry{
+			Name: "x", Model: "m", Version: "2",
+			MinimumReady: rapid.IntRange(0, 6).Draw(t, "minimum"), ChecksFence: rapid.Bool().Draw(t, "checks"),
+		}
+		var seen []Seen
+		states := []EngineState{EngineReady, EngineReady, EngineLoading, EngineEmpty, EngineLeaving}
+		for i := range rapid.IntRange(0, 8).Draw(t, "engines") {
+			seen = append(seen, Seen{
+				Endpoint: catalogue.Endpoint{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)},
+				Answered: rapid.Bool().Draw(t, "answered"),
+				Leaving:  rapid.IntRange(0, 4).Draw(t, "leaving") == 0,
+				Awaited:  rapid.IntRange(0, 3).Draw(t, "awaited") == 0,
+				Report: Report{
+					Order: Order{
+						Entry: "x", Model: "m", Version: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "version"),
+						Fence: rapid.Uint64Range(4, 6).Draw(t, "fence"),
+					},
+					State: rapid.SampledFrom(states).Draw(t, "state"),
+				},
+			})
+		}
+		pulls := rapid.IntRange(0, 4).Draw(t, "pulls")
+		left := pulls
+		plan := Make(e, seen, 5, func(_ netip.AddrPort, pulls bool) bool {
+			if pulls {
+				left--
+			}
+			return !pulls || left >= 0
+		})
+		checkPlan(t, e, seen, plan, pulls)
+	})
+}
+
+// checkPlan checks that a plan's orders go only where they may and leave the minimum serving, if it served before.
+func checkPlan(t *rapid.T, e *catalogue.Entry, seen []Seen, plan Plan, pulls int) {
+	pulled := map[netip.AddrPort]bool{}
+	for _, s := range plan.Steps {
+		if s.Order.Fence != 5 {
+			t.Fatalf("order with fence %d", s.Order.Fence)
+		}
+		if s.Pulls {
+			pulled[s.Endpoint] = true
+		}
+	}
+	if len(pulled) > pulls {
+		t.Fatalf("%d pulls; %d are allowed", len(pulled), pulls)
+	}
+	before, after := 0, 0
+	for _, s := range seen {
+		stopped := pulled[s.Endpoint.Address]
+		if stopped && (!s.Answered || s.Leaving || s.Report.Fence > 5) {
+			t.Fatalf("order for %+v", s)
+		}
+		serves := s.Answered && !s.Leaving && s.Report.State == EngineReady && (!s.Awaited || s.Report.Version == "2")
+		if serves {
+			before++
+		}
+		if serves && !stopped {
+			after++
+		}
+	}
+	if after < before && after < e.MinimumReady {
+		t.Fatalf("%d serve, %d after the orders; the minimum is %d", before, after, e.MinimumReady)
+	}
+}
