--- a/instance/core.go
+++ b/instance/core.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -43,7 +44,7 @@
 //	list   -> coordination/member  -> who is live, who is steward of what
 //	engine -> the endpoint's steward -> share.ask -> each instance's router
 //
-// Lock order: Instance.mutex before any lock of the packages below; none of these calls back up while it holds its own.
+// Lock order: Instance.mutex is taken before nothing else.
 
 // Listeners are the open sockets of one instance.
 type Listeners struct {
@@ -80,11 +81,21 @@
 	stop  context.CancelFunc
 	group conc.WaitGroup
 
-	mutex    sync.Mutex
-	draining bool
-	view     *catalogue.View // the one that the router works by
+	view atomic.Pointer[catalogue.View] // the one in force, which the router works by; nil until there is one
+
+	mutex sync.Mutex
+	state state
 }
 
+// state is a stage in an instance's life.
+type state int
+
+const (
+	stateRunning state = iota
+	stateNotice
+	stateDraining
+)
+
 // New wires an instance; nothing runs before Start.
 func New(settings *Settings, listeners Listeners, logger *slog.Logger) (*Instance, error) {
 	i := &Instance{
@@ -127,27 +138,26 @@
 	i.logger.Info("started", "dataCentre", i.settings.DataCentre, "callers", i.settings.Callers, "operators", i.settings.Operators)
 }
 
-// Drain refuses new work and returns when all requests in progress have ended, or with the context.
+// Drain ends the instance's part in the fleet and returns when all requests in progress have ended, or with the context.
+// Until the notice period is over the instance says that it is not ready but still takes work, so that the platform's
+// balancer can turn away first; then new work is refused.
 func (i *Instance) Drain(ctx context.Context) error {
-	i.mutex.Lock()
-	first := !i.draining
-	i.draining = true
-	i.mutex.Unlock()
-	if first {
-		now := time.Now()
+	if i.setState(stateNotice, stateRunning) {
 		i.logger.Info("draining", "inFlight", i.handler.InFlight())
-		i.handler.Drain()
+		i.handler.Unready()
+		now := time.Now()
 		i.members.Drain(now)
-		i.router.SetDraining(true, now)
 		i.shares.HandOver(ctx, now)
+		if err := sleep(ctx, i.settings.Notice); err != nil {
+			return err
+		}
+		i.setState(stateDraining, stateNotice)
+		i.handler.Drain()
+		i.router.SetDraining(true, time.Now())
 	}
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
 	for i.handler.InFlight() > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
+		if err := sleep(ctx, drainPoll); err != nil {
+			return err
 		}
 	}
 	i.runner.Wait()
@@ -155,6 +165,17 @@
 	return nil
 }
 
+// setState moves from one state to the next and tells whether it did.
+func (i *Instance) setState(to, from state) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.state != from {
+		return false
+	}
+	i.state = to
+	return true
+}
+
 // Close ends the instance at once; after Drain it cuts nothing off.
 func (i *Instance) Close() {
 	i.stop()
@@ -166,11 +187,24 @@
 	i.logger.Info("stopped")
 }
 
-// Ready tells whether the instance may take work.
+// Ready tells whether the balancer should send work here.
 func (i *Instance) Ready() bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	return !i.draining && i.view != nil && i.replica.Ready()
+	return i.state == stateRunning && i.Able()
+}
+
+// Able tells whether there is a catalogue to serve by; during a drain's notice period the instance is able, but not ready.
+func (i *Instance) Able() bool {
+	return i.view.Load() != nil && i.replica.Ready()
+}
+
+// View returns the catalogue in force.
+func (i *Instance) View() *catalogue.View {
+	if v := i.view.Load(); v != nil {
+		return v
+	}
+	return i.table.View()
 }
 
 func (i *Instance) serve(server *http.Server, listener net.Listener) {
@@ -250,11 +284,11 @@
 	i.handler = caller.NewHandler(caller.Config{
 		Answers:          i.runner,
 		Tokens:           i.signer,
-		Catalogue:        i.table,
+		Catalogue:        i,
 		Observer:         i.metrics,
 		MaximumBodyBytes: i.settings.MaximumBodyBytes,
 		MaximumStreams:   i.settings.MaximumStreams,
-	}, i.Ready)
+	}, i.Able)
 	i.callers = caller.NewServer(i.handler)
 	keeper, err := keeperOf(i.settings.CallerFiles)
 	if err != nil || keeper == nil {
--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"dogwooddyke/standin"
 	"dogwooddyke/state/catalogue"
@@ -38,6 +39,7 @@
 	serviceAt []netip.AddrPort
 	instances []*Instance
 	offset    uint64
+	group     conc.WaitGroup
 }
 
 func newFleet(t *testing.T, engines, services, instances int) *fleet {
@@ -131,7 +133,7 @@
 		*l, err = net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 	}
-	settings, err := ParseSettings("test.ini", []byte("[instance]\ndataCentre = lulea-a\n"+
+	settings, err := ParseSettings("test.ini", []byte("[instance]\ndataCentre = lulea-a\nnotice = 50ms\n"+
 		"callers = "+listeners.Callers.Addr().String()+"\noperators = "+listeners.Operators.Addr().String()+
 		"\npeers = "+listeners.Peers.Addr().String()+"\n[peers]\nkey = "+testPeerKey+"\n[answers]\nkey = "+testTokenKey+
 		"\n[platform]\nlog = http://"+f.logAt.String()+"\nroster = http://"+f.rosterAt.String()+"\n"))
@@ -150,7 +152,7 @@
 func (f *fleet) awaitReady() {
 	f.await("instances ready", func() bool {
 		for _, i := range f.instances {
-			if !i.Ready() || i.table.Offset() < f.offset || len(i.members.Live()) < len(f.instances) {
+			if !i.Ready() || i.View().Offset < f.offset || len(i.members.Live()) < len(f.instances) {
 				return false
 			}
 		}
@@ -175,6 +177,7 @@
 }
 
 func (f *fleet) close() {
+	f.group.Wait()
 	for _, i := range f.instances {
 		i.Close()
 	}
