--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -44,7 +44,15 @@
 		{"demo", "Run stand-ins and instances in one process and check what must hold", "Starts stand-ins and instances on loopback ports, sends the traffic of both deployments while things fail, and prints a table and the checks that held.", &demoCommand{}},
 		{"explain", "Show what the fleet decided for a request, and why", "Asks one instance, which asks the others, for the decisions that are kept of a request.", &explainCommand{}},
 		{"load", "Send traffic to instances and check every answer", "Sends open-loop, seeded traffic in the shape of a profile and checks every token of every answer against stand-in engines.", &loadCommand{}},
+		{"publish", "Publish changes of the catalogue", "Checks the files whole, appends one change for each and waits until it is in force. Exit codes: 0 in force, 2 bad input, 3 conflict, 4 outcome unknown (safe to repeat).", &publishCommand{}},
+		{"get", "Print an entry or workspace", "Prints it as a file that can be published again.", &getCommand{}},
+		{"list", "List entries and workspaces", "Lists the catalogue at the log's head.", &listCommand{}},
+		{"history", "List the last changes", "Lists what became of the last changes, refused ones too.", &historyCommand{}},
+		{"check", "Check files without publishing", "Lists every fault with file, section, field and reason; exit code 2 if there is one.", &checkCommand{}},
+		{"status", "Show instances, leases and endpoints", "Asks the instances' listeners for operators.", &statusCommand{}},
+		{"overhead", "Measure what an instance adds to the first token, and its memory", "Sends the same requests to stand-in engines direct, through a naive proxy and through an instance, all in this process, and compares the time to the first token and the memory of open streams.", &overheadCommand{}},
 		{"standin", "Run a stand-in of an endpoint or of the platform", standinLong, &standinCommand{}},
+		{"bench", "compare policies of routing", "Compares policies of routing on modelled engines in synthetic time.", &benchCommand{}},
 	}
 }
 
--- /dev/null
+++ b/coordination/publication/publisher_test.go
@@ -0,0 +1,108 @@
+package publication
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dogwooddyke/coordination/internal/logtest"
+	"dogwooddyke/state/catalogue"
+)
+
+func workspace(owner string, concurrency int) *Wish {
+	w := &catalogue.Workspace{
+		Name: "rescue", Owner: owner, KeyHashes: []string{catalogue.HashKey("k")},
+		Limits: catalogue.Limits{Concurrency: concurrency},
+	}
+	subject := catalogue.Subject{Kind: catalogue.SubjectWorkspace, Name: "rescue"}
+	return &Wish{Subject: subject, Workspace: w, Operator: "islaget"}
+}
+
+// inTime runs the body in a bubble with a context of a minute.
+func inTime(t *testing.T, name string, body func(ctx context.Context, is *is.I, log *logtest.Link)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			body(ctx, is.New(t), &logtest.Link{Log: logtest.New()})
+		})
+	})
+}
+
+func TestPublish(t *testing.T) {
+	inTime(t, "acknowledgementLostAfterEffect", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		log.LoseAcknowledgements(1)
+		done, err := New(log, catalogue.Rules{}).Publish(ctx, workspace("islaget", 1))
+		is.NoErr(err)
+		is.Equal(done.Offset, uint64(1))
+		is.Equal(log.Log.(*logtest.Log).Head(catalogue.Stream), uint64(1))
+	})
+	inTime(t, "appendLost", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		log.DropAppends(3)
+		done, err := New(log, catalogue.Rules{}).Publish(ctx, workspace("islaget", 1))
+		is.NoErr(err)
+		is.Equal(done.Offset, uint64(1))
+	})
+	inTime(t, "lostAppendThatLandsLate", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		log.DropAppends(1)
+		p := New(log, catalogue.Rules{})
+		_, err := p.Publish(ctx, workspace("islaget", 1))
+		is.NoErr(err)
+		page, err := log.Read(ctx, catalogue.Stream, 1, time.Time{})
+		is.NoErr(err)
+		_, err = log.Append(ctx, catalogue.Stream, page.Records[0].Data)
+		is.NoErr(err)
+		done, err := p.Publish(ctx, workspace("islaget", 2))
+		is.NoErr(err)
+		is.Equal(done.Offset, uint64(3))
+		is.Equal(p.Table().View().History()[1].Offset, uint64(3))
+	})
+	inTime(t, "outageEndsInUnknown", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		log.Cut(true)
+		_, err := New(log, catalogue.Rules{}).Publish(ctx, workspace("islaget", 1))
+		is.True(errors.Is(err, ErrUnknown))
+	})
+	inTime(t, "outageThatPasses", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		log.Cut(true)
+		time.AfterFunc(30*time.Second, func() { log.Cut(false) })
+		_, err := New(log, catalogue.Rules{}).Publish(ctx, workspace("islaget", 1))
+		is.NoErr(err)
+	})
+	inTime(t, "racingOperators", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		log.BeforeAppend(func() {
+			_, err := New(log, catalogue.Rules{}).Publish(ctx, workspace("islaget", 7))
+			is.NoErr(err)
+		})
+		_, err := New(log, catalogue.Rules{}).Publish(ctx, workspace("islaget", 1))
+		refused, ok := errors.AsType[*RefusedError](err)
+		is.True(ok)
+		is.Equal(refused.Verdict.Outcome, catalogue.OutcomeConflict)
+	})
+	inTime(t, "sameAgainIsInForce", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		for range 3 {
+			done, err := New(log, catalogue.Rules{}).Publish(ctx, workspace("islaget", 1))
+			is.NoErr(err)
+			is.Equal(done.Offset, uint64(1))
+		}
+		is.Equal(log.Log.(*logtest.Log).Head(catalogue.Stream), uint64(1))
+	})
+	inTime(t, "sameChangeIDAfterLaterChanges", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		first := workspace("islaget", 1)
+		first.ChangeID = "first"
+		for _, w := range []*Wish{first, workspace("islaget", 2), first} {
+			_, err := New(log, catalogue.Rules{}).Publish(ctx, w)
+			is.NoErr(err)
+		}
+		is.Equal(log.Log.(*logtest.Log).Head(catalogue.Stream), uint64(2))
+	})
+	inTime(t, "notTheOwner", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		_, err := New(log, catalogue.Rules{}).Publish(ctx, workspace("gyeongsan", 1))
+		refused, ok := errors.AsType[*RefusedError](err)
+		is.True(ok)
+		is.Equal(refused.Verdict.Outcome, catalogue.OutcomeNotOwner)
+	})
+}
