An instance starts with an empty catalogue in force, in place of none

Cause: nil stood for 'no catalogue yet' and was asked for in five places. Change: an empty view is in force until the first one that is followed.

--- a/instance/core.go
+++ b/instance/core.go
@@ -81,7 +81,8 @@
 	stop  context.CancelFunc
 	group conc.WaitGroup
 
-	view atomic.Pointer[catalogue.View] // the one in force, which the router works by; nil until there is one
+	empty *catalogue.View                // in force until there is another
+	view  atomic.Pointer[catalogue.View] // the one in force, which the router works by
 
 	mutex sync.Mutex
 	state state
@@ -196,16 +197,11 @@
 
 // Able tells whether there is a catalogue to serve by; during a drain's notice period the instance is able, but not ready.
 func (i *Instance) Able() bool {
-	return i.view.Load() != nil && i.replica.Ready()
+	return i.View() != i.empty && i.replica.Ready()
 }
 
 // View returns the catalogue in force.
-func (i *Instance) View() *catalogue.View {
-	if v := i.view.Load(); v != nil {
-		return v
-	}
-	return i.table.View()
-}
+func (i *Instance) View() *catalogue.View { return i.view.Load() }
 
 func (i *Instance) serve(server *http.Server, listener net.Listener) {
 	var err error
@@ -222,6 +218,8 @@
 func (i *Instance) wireCatalogue() {
 	client := platform.NewClient()
 	i.table = catalogue.NewTable(catalogue.Rules{Operators: i.settings.OperatorKeys, SnapshotKey: i.settings.PeerKeys[0]})
+	i.empty = i.table.View()
+	i.view.Store(i.empty)
 	i.members = member.New(i.settings.Peers, i.table)
 	i.replica = replica.New(replica.Options{
 		Table:    i.table,
--- a/instance/loops.go
+++ b/instance/loops.go
@@ -58,13 +58,10 @@
 
 func (i *Instance) followEntries(former, view *catalogue.View, now time.Time) {
 	for _, e := range view.Entries() {
-		if former == nil || revisionOf(former, catalogue.SubjectEntry, e.Name) != revisionOf(view, catalogue.SubjectEntry, e.Name) {
+		if revisionOf(former, catalogue.SubjectEntry, e.Name) != revisionOf(view, catalogue.SubjectEntry, e.Name) {
 			i.router.SetEntry(e, now)
 		}
 	}
-	if former == nil {
-		return
-	}
 	for _, e := range former.Entries() {
 		if _, ok := view.Entry(e.Name); !ok {
 			i.router.RemoveEntry(e.Name, now)
@@ -74,13 +71,10 @@
 
 func (i *Instance) followWorkspaces(former, view *catalogue.View, now time.Time) {
 	for _, w := range view.AllWorkspaces() {
-		if former == nil || revisionOf(former, catalogue.SubjectWorkspace, w.Name) != revisionOf(view, catalogue.SubjectWorkspace, w.Name) {
+		if revisionOf(former, catalogue.SubjectWorkspace, w.Name) != revisionOf(view, catalogue.SubjectWorkspace, w.Name) {
 			i.router.SetWorkspace(w, now)
 		}
 	}
-	if former == nil {
-		return
-	}
 	for _, w := range former.AllWorkspaces() {
 		if _, ok := view.Workspace(w.Name); !ok {
 			i.router.RemoveWorkspace(w.Name, now)
