--- a/experiment/control/watch.go
+++ b/experiment/control/watch.go
@@ -34,7 +34,7 @@
 	for {
 		view := i.View()
 		now := time.Now()
-		if view != nil && view != last {
+		if view.Offset > 0 && view != last {
 			last = view
 			w.take(now, view)
 		}
