dykectl control: convergence and cost of the agreeing parts

Cause: nothing showed that changes are in force everywhere in time, nor what control costs. Change: the agreeing parts of instances over stand-ins, with instances killed and replaced, or at several sizes with the bytes of each kind and the processor time.

--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -48,6 +48,7 @@
 		{"list", "List entries and workspaces", "Lists the catalogue at the log's head.", &listCommand{}},
 		{"history", "List the last changes", "Lists what became of the last changes, refused ones too.", &historyCommand{}},
 		{"check", "Check files without publishing", "Lists every fault with file, section, field and reason; exit code 2 if there is one.", &checkCommand{}},
+		{"control", "Measure what instances spend on agreeing", "Runs the agreeing parts of instances over stand-ins of the platform: whether changes are in force everywhere in time, or what control costs.", &controlCommand{}},
 		{"status", "Show instances, leases and endpoints", "Asks the instances' listeners for operators.", &statusCommand{}},
 		{"overhead", "Measure what an instance adds to the first token, and its memory", "Sends the same requests to stand-in engines direct, through a naive proxy and through an instance, all in this process, and compares the time to the first token and the memory of open streams.", &overheadCommand{}},
 		{"standin", "Run a stand-in of an endpoint or of the platform", standinLong, &standinCommand{}},
