Plain services, idempotency keys, leases and orders wired into the instance

Cause: protocol/call, coordination/claim, coordination/lease and protocol/order stood without callers. Change: /call/{entry}/{path}; claims' steward and client, leases and orders start and end with the instance; wiring has a file of its own. A drain ends with orders stopped, results handed on, shares and leases given back. Result: one key at three instances at once runs once; a lost result stays unknown; a refused run frees its key; with the log out the call is told notRun and did not run.

--- a/coordination/routing/constants.go
+++ b/coordination/routing/constants.go
@@ -24,6 +24,7 @@
 	rateSeconds           = 8.0  // time constant of the observed rate of starts
 	rateModelSeconds      = 2.0  // weight of the modelled rate against it
 	ejectFraction         = 0.34 // of the endpoints of an entry at most
+	shareRenewal          = 3 * time.Second // in which an instance without a share is given one
 	minimumRetry          = 500 * time.Millisecond
 	judgePeriod           = 500 * time.Millisecond // between searches for slow endpoints
 	loadStale             = 15 * time.Second       // age at which a load report is not used any more
--- a/coordination/routing/estimate.go
+++ b/coordination/routing/estimate.go
@@ -50,7 +50,8 @@
 	model := c.modelRate(f, now)
 	rate := (p.starts + model*rateModelSeconds) / (p.waited + rateModelSeconds)
 	if rate <= 0 {
-		return time.Hour
+		// Others hold all of the shares; the stewards even them out as soon as they learn of the demand.
+		return shareRenewal
 	}
 	return time.Duration(float64(ahead+1) / rate * float64(time.Second))
 }
--- a/instance/constants.go
+++ b/instance/constants.go
@@ -6,6 +6,8 @@
 const (
 	defaultMaximumBodyBytes = 4 << 20
 	defaultClaimPartitions  = 16
+	defaultClaimAppends     = 200
+	defaultPullsPerMinute   = 60
 	defaultClaimWindow      = 24 * time.Hour
 	defaultNotice           = 3 * time.Second
 	defaultGrace            = 20 * time.Second
@@ -33,6 +35,7 @@
 // Intervals and timeouts of an instance's loops.
 const (
 	tickInterval    = 50 * time.Millisecond
+	leaseTimeout    = 10 * time.Second // of releasing leases at the end of a drain
 	drainPoll       = 20 * time.Millisecond
 	shareInterval   = 75 * time.Millisecond // between two looks at whether a share has to be asked for
 	loadInterval    = 500 * time.Millisecond
--- a/instance/core.go
+++ b/instance/core.go
@@ -14,17 +14,20 @@
 	"github.com/samber/oops"
 	"github.com/sourcegraph/conc"
 
+	"dogwooddyke/coordination/claim"
+	"dogwooddyke/coordination/lease"
 	"dogwooddyke/coordination/member"
 	"dogwooddyke/coordination/replica"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/coordination/share"
 	"dogwooddyke/protocol/answer"
+	"dogwooddyke/protocol/call"
+	"dogwooddyke/protocol/order"
 	"dogwooddyke/state/catalogue"
 	"dogwooddyke/state/explanation"
 	"dogwooddyke/transport/caller"
 	"dogwooddyke/transport/certificate"
 	"dogwooddyke/transport/endpoint"
-	"dogwooddyke/transport/operator"
 	"dogwooddyke/transport/peer"
 	"dogwooddyke/transport/platform"
 )
@@ -43,6 +46,8 @@
 //	log    -> coordination/replica -> state/catalogue -> the router's entries (a change in force)
 //	list   -> coordination/member  -> who is live, who is steward of what
 //	engine -> the endpoint's steward -> share.ask -> each instance's router
+//	log    -> coordination/lease   -> protocol/order   -> the engines of an entry, by its leaseholder
+//	log    -> coordination/claim   -> protocol/call    -> a plain service, at most once for a key
 //
 // Lock order: Instance.mutex is taken before nothing else.
 
@@ -68,6 +73,12 @@
 	shares  *share.Exchange
 	loads   *endpoint.Loads
 	runner  *answer.Runner
+	log     *platform.Log
+	claims  *claim.Client
+	steward *claim.Steward
+	calls   *call.Runner
+	leases  *lease.Leases
+	orders  *order.Runner
 	signer  *answer.Signer
 	clients *endpoint.Clients
 	node    *peer.Node
@@ -78,8 +89,9 @@
 	operators *http.Server
 	listeners Listeners
 
-	stop  context.CancelFunc
-	group conc.WaitGroup
+	stop       context.CancelFunc
+	stopOrders context.CancelFunc
+	group      conc.WaitGroup
 
 	empty *catalogue.View                // in force until there is another
 	view  atomic.Pointer[catalogue.View] // the one in force, which the router works by
@@ -112,9 +124,13 @@
 	}
 	i.wireCatalogue()
 	i.wireRouting()
+	i.wireOrders()
 	if err := i.wireAnswers(); err != nil {
 		return nil, err
 	}
+	if err := i.wireCalls(); err != nil {
+		return nil, err
+	}
 	if err := i.wireCallers(); err != nil {
 		return nil, err
 	}
@@ -134,6 +150,10 @@
 	i.keep(ctx, "loads", i.pollLoads)
 	i.keep(ctx, "caches", i.pollCaches)
 	i.keep(ctx, "leaving", i.watchLeaving)
+	i.keep(ctx, "leases", i.leases.Run)
+	orders, stopOrders := context.WithCancel(ctx)
+	i.stopOrders = stopOrders
+	i.keep(orders, "orders", i.orders.Run)
 	i.group.Go(func() { i.serve(i.callers, i.listeners.Callers) })
 	i.group.Go(func() { i.serve(i.operators, i.listeners.Operators) })
 	i.logger.Info("started", "dataCentre", i.settings.DataCentre, "callers", i.settings.Callers, "operators", i.settings.Operators)
@@ -161,9 +181,20 @@
 			return err
 		}
 	}
+	i.handOn(ctx)
+	return ctx.Err()
+}
+
+// handOn ends what this instance does for others; nothing of its own callers is in progress any more.
+func (i *Instance) handOn(ctx context.Context) {
+	i.stopOrders()
 	i.runner.Wait()
+	i.claims.Wait()
+	i.steward.Drain(ctx)
 	i.shares.Leave(ctx, time.Now())
-	return nil
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	i.leases.Drain(ctx)
 }
 
 // setState moves from one state to the next and tells whether it did.
@@ -184,6 +215,9 @@
 	_ = i.operators.Close()
 	i.node.Close()
 	i.clients.Close()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	i.steward.Drain(ended)
 	i.group.Wait()
 	i.logger.Info("stopped")
 }
@@ -215,113 +249,6 @@
 	}
 }
 
-func (i *Instance) wireCatalogue() {
-	client := platform.NewClient()
-	i.table = catalogue.NewTable(catalogue.Rules{Operators: i.settings.OperatorKeys, SnapshotKey: i.settings.PeerKeys[0]})
-	i.empty = i.table.View()
-	i.view.Store(i.empty)
-	i.members = member.New(i.settings.Peers, i.table)
-	i.replica = replica.New(replica.Options{
-		Table:    i.table,
-		Log:      platform.NewLog(i.settings.Log, client),
-		Members:  i.members,
-		Peers:    i.node,
-		Observer: &replicaObserver{instance: i},
-	})
-	i.loops = &member.Loops{
-		Members:  i.members,
-		Roster:   roster{platform.NewRoster(i.settings.Roster, client)},
-		Peers:    i.node,
-		Position: i.position,
-		Ahead:    i.replica.Hint,
-		Observer: memberObserver{i.metrics},
-	}
-	i.node.Handle(member.MethodHeartbeat, i.loops.ServeHeartbeat)
-	i.node.Handle(replica.MethodPush, i.replica.ServePush)
-	i.node.Handle(replica.MethodFetch, i.replica.ServeFetch)
-}
-
-func (i *Instance) wireRouting() {
-	i.router = routing.New(routing.Config{
-		Self:       i.settings.Peers,
-		DataCentre: i.settings.DataCentre,
-		Subset:     i.settings.Subset,
-		Observer:   &routingObserver{instance: i},
-	})
-	i.shares = share.NewExchange(i.node, i.members, i.router)
-	i.loads = endpoint.NewLoads(i.clients)
-	i.node.Handle(share.Method, i.shares.Serve)
-}
-
-func (i *Instance) wireAnswers() error {
-	var previous []byte
-	if len(i.settings.TokenKeys) > 1 {
-		previous = i.settings.TokenKeys[1]
-	}
-	signer, err := answer.NewSigner(i.settings.TokenKeys[0], previous)
-	if err != nil {
-		return err
-	}
-	i.signer = signer
-	i.runner = &answer.Runner{
-		Engines:   endpoint.NewEngines(i.clients),
-		Router:    &slots{instance: i},
-		Budget:    &answer.Budgets{},
-		Tokens:    signer,
-		Observer:  &answerObserver{metrics: i.metrics, ring: i.ring},
-		Peers:     i.node,
-		Self:      i.settings.Peers,
-		Grace:     i.settings.Grace,
-		TokenLife: i.settings.ResumeWindow,
-	}
-	i.node.Handle(answer.MethodResumed, i.runner.ServeResumed)
-	return nil
-}
-
-func (i *Instance) wireCallers() error {
-	i.handler = caller.NewHandler(caller.Config{
-		Answers:          i.runner,
-		Tokens:           i.signer,
-		Catalogue:        i,
-		Observer:         i.metrics,
-		MaximumBodyBytes: i.settings.MaximumBodyBytes,
-		MaximumStreams:   i.settings.MaximumStreams,
-	}, i.Able)
-	i.callers = caller.NewServer(i.handler)
-	keeper, err := keeperOf(i.settings.CallerFiles)
-	if err != nil || keeper == nil {
-		return err
-	}
-	i.keepers = append(i.keepers, keeper)
-	i.callers.TLSConfig = keeper.Server("h2", "http/1.1")
-	return nil
-}
-
-func (i *Instance) wirePeers() error {
-	config := peer.Config{Address: i.settings.Peers, Keys: i.settings.PeerKeys}
-	keeper, err := keeperOf(i.settings.PeerFiles)
-	if err != nil {
-		return err
-	}
-	if keeper != nil {
-		i.keepers = append(i.keepers, keeper)
-		config.ServerTLS = keeper.Server()
-		config.ClientTLS = keeper.Client()
-	}
-	i.node = peer.NewNode(config)
-	i.node.Handle(methodExplain, i.serveExplain)
-	return nil
-}
-
-func (i *Instance) wireOperators() {
-	i.operators = operator.NewServer(operator.Config{
-		Registry: i.metrics.registry,
-		Ready:    i.Ready,
-		Status:   i.status,
-		Explain:  i.explain,
-	})
-}
-
 // position says how far this instance's catalogue is.
 func (i *Instance) position() member.Position {
 	v := i.table.View()
--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -106,6 +106,7 @@
 		e.Model, e.Version, e.Repeatable = "ice", "1", true
 	} else {
 		e.KeyRule = catalogue.KeyRuleOptional
+		e.QueueTimeout = 2 * time.Second
 	}
 	for _, a := range addresses {
 		e.Endpoints = append(e.Endpoints, catalogue.Endpoint{Address: a, DataCentre: "lulea-a"})
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -34,6 +34,7 @@
 	dropped       *prometheus.CounterVec
 	events        *prometheus.CounterVec
 	preemptions   prometheus.Counter
+	commit        prometheus.Histogram
 }
 
 func newMetrics() *metrics {
@@ -61,7 +62,10 @@
 	m.resumes = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "resumes_total", Help: "New connections to a generation in progress.",
 	})
-	m.registry.MustRegister(m.resumes, m.preemptions, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.commit = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "claim_commit_seconds", Help: "Time to append one group of claims.", Buckets: secondsBuckets,
+	})
+	m.registry.MustRegister(m.commit, m.resumes, m.preemptions, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
--- a/instance/observers.go
+++ b/instance/observers.go
@@ -5,9 +5,13 @@
 	"strconv"
 	"time"
 
+	"dogwooddyke/coordination/claim"
+	"dogwooddyke/coordination/lease"
 	"dogwooddyke/coordination/replica"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/protocol/answer"
+	"dogwooddyke/protocol/call"
+	"dogwooddyke/protocol/order"
 	"dogwooddyke/state/catalogue"
 	"dogwooddyke/state/explanation"
 )
@@ -130,3 +134,124 @@
 	}
 	m.events.WithLabelValues(name).Inc()
 }
+
+// callObserver counts calls of plain services.
+type callObserver struct {
+	metrics *metrics
+	ring    *explanation.Ring
+}
+
+// Called takes the end of a call.
+func (o callObserver) Called(request *call.Request, result call.Result) {
+	detail := string(result.Outcome)
+	if result.Reason != call.ReasonNone {
+		detail += ": " + string(result.Reason)
+	}
+	if result.Repeated {
+		o.metrics.event("keyRepeated", nil)
+		detail += ", as the earlier call with the key"
+	}
+	o.ring.Add(request.ID, request.Entry, explanation.Step{At: time.Now(), Kind: "called", Detail: detail})
+}
+
+// Redispatched takes a second dispatch.
+func (o callObserver) Redispatched(request *call.Request, mayHaveRun bool) {
+	cause := "notStarted"
+	if mayHaveRun {
+		cause = "mayHaveRun"
+	}
+	o.metrics.retries.WithLabelValues("call." + cause).Inc()
+	o.ring.Add(request.ID, request.Entry, explanation.Step{At: time.Now(), Kind: "retry", Detail: cause})
+}
+
+// claimObserver counts what stewards of idempotency keys do.
+type claimObserver struct {
+	instance *Instance
+}
+
+// Answered counts the answers to questions about keys.
+func (o claimObserver) Answered(state claim.State) {
+	o.instance.metrics.event("claim."+string(state), nil)
+}
+
+// Committed counts records and what is in them.
+func (o claimObserver) Committed(claims, results int, took time.Duration) {
+	m := o.instance.metrics
+	m.event("claimRecord", nil)
+	m.events.WithLabelValues("claimCommitted").Add(float64(claims))
+	m.events.WithLabelValues("resultCommitted").Add(float64(results))
+	m.commit.Observe(took.Seconds())
+}
+
+// TakenOver logs the start of a stewardship.
+func (o claimObserver) TakenOver(partition, records int, took time.Duration) {
+	o.instance.metrics.event("claimTakeover", nil)
+	o.instance.logger.Info("steward of keys", "partition", partition, "records", records, "took", took)
+}
+
+// Deposed logs the end of a stewardship by another one.
+func (o claimObserver) Deposed(partition int) {
+	o.instance.metrics.event("claimDeposed", nil)
+	o.instance.logger.Info("no more steward of keys", "partition", partition)
+}
+
+// Voided counts a record that did not count.
+func (o claimObserver) Voided(int) { o.instance.metrics.event("claimVoid", nil) }
+
+// Dropped counts a result that was not handed on.
+func (o claimObserver) Dropped() { o.instance.metrics.event("resultDropped", nil) }
+
+// leaseObserver counts what leases do.
+type leaseObserver struct {
+	instance *Instance
+}
+
+// LeaseAppended counts a record.
+func (o leaseObserver) LeaseAppended(kind lease.Kind, err error) {
+	o.instance.metrics.event("lease."+string(kind), err)
+}
+
+// LeaseRead counts a read.
+func (o leaseObserver) LeaseRead(err error) { o.instance.metrics.event("leaseRead", err) }
+
+// LeaseMoved logs a new leaseholder.
+func (o leaseObserver) LeaseMoved(partition int, holder netip.AddrPort, fence uint64) {
+	o.instance.logger.Info("lease", "partition", partition, "holder", holder, "fence", fence)
+}
+
+// orderObserver counts orders.
+type orderObserver struct {
+	metrics *metrics
+}
+
+// OrderSent counts an order.
+func (o orderObserver) OrderSent(_ string, pulls bool, err error) {
+	name := "order"
+	if pulls {
+		name = "orderPull"
+	}
+	o.metrics.event(name, err)
+}
+
+// Planned counts looks at an entry's engines.
+func (o orderObserver) Planned(_ string, plan order.Plan) {
+	o.metrics.event("orderPlan", nil)
+	o.metrics.events.WithLabelValues("orderHeld").Add(float64(plan.Held))
+	o.metrics.events.WithLabelValues("engineFenced").Add(float64(plan.Fenced))
+}
+
+// ordered names the entries whose engines take orders.
+type ordered struct {
+	instance *Instance
+}
+
+// Ordered returns the names of the engine entries in force.
+func (o ordered) Ordered() []string {
+	var names []string
+	for _, e := range o.instance.View().Entries() {
+		if e.Kind == catalogue.KindEngine {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -31,16 +31,18 @@
 	PeerKeys    [][]byte // the first one proves, each one is accepted
 	TokenKeys   [][]byte // the first one signs resume tokens, each one is accepted
 
-	Log         string
-	Roster      string
-	WeightStore string
+	Log    string
+	Roster string
 
 	Grace        time.Duration // how long a generation goes on after its caller has left
 	ResumeWindow time.Duration // how long a resume token is valid
 
 	ClaimPartitions int
+	ClaimAppends    int           // records of claims per second, of the whole fleet
 	ClaimWindow     time.Duration // how long an idempotency key is honoured
 
+	PullsPerSecond float64 // of the weight store, by the whole fleet
+
 	Subset int // endpoints of an entry that this instance works with
 
 	OperatorKeys map[string]ed25519.PublicKey // by operator; none: changes need no signature
@@ -117,9 +119,8 @@
 	defer f.Done()
 	s.Log = f.URL("log")
 	s.Roster = f.URL("roster")
-	if f.Text("weightStore") != "" {
-		s.WeightStore = f.URL("weightStore")
-	}
+	pulls := f.Number("pullsPerMinute", defaultPullsPerMinute, 1, 100_000)
+	s.PullsPerSecond = float64(pulls) / 60
 }
 
 func (s *Settings) readAnswers(f *settings.Fields) {
@@ -133,6 +134,7 @@
 func (s *Settings) readClaims(f *settings.Fields) {
 	defer f.Done()
 	s.ClaimPartitions = f.Number("partitions", defaultClaimPartitions, 1, 4096)
+	s.ClaimAppends = f.Number("appendsPerSecond", defaultClaimAppends, 1, 100_000)
 	s.ClaimWindow = f.Duration("window", defaultClaimWindow, time.Minute, 30*24*time.Hour)
 }
 
--- a/instance/status.go
+++ b/instance/status.go
@@ -32,6 +32,9 @@
 		InFlight:          i.handler.InFlight(),
 		Members:           i.members.Live(),
 	}
+	for _, r := range i.leases.Rows() {
+		s.Leases = append(s.Leases, operator.LeaseStatus{Entry: r.Entry, Holder: r.Holder, Fence: r.Fence, Until: r.Until})
+	}
 	i.router.Demands(time.Now(), func(address netip.AddrPort, demand endpoint.Demand) {
 		s.Endpoints = append(s.Endpoints, operator.EndpointStatus{
 			Address: address, Running: demand.Running, Waiting: demand.Waiting, Knee: demand.Knee,
--- a/instance/stream_test.go
+++ b/instance/stream_test.go
@@ -36,6 +36,9 @@
 func (f *fleet) do(request *http.Request, is *is.I) *http.Response {
 	response, err := http.DefaultClient.Do(request)
 	is.NoErr(err)
+	if response.StatusCode != http.StatusOK {
+		f.t.Logf("%s %s: %s, %s, %s", request.Method, request.URL, response.Status, response.Header.Get("Outcome"), response.Header.Get("Retry-After"))
+	}
 	f.t.Cleanup(func() { _ = response.Body.Close() })
 	return response
 }
--- a/transport/endpoint/constants.go
+++ b/transport/endpoint/constants.go
@@ -24,6 +24,7 @@
 const (
 	headerGeneration = "Generation-Id"
 	headerPriority   = "Priority"
+	headerRequest    = "Request-Id"
 	headerOutcome    = "Outcome"
 	outcomeNotRun    = "notRun"
 	generationsPath  = "/generations/"
--- a/transport/endpoint/service.go
+++ b/transport/endpoint/service.go
@@ -27,6 +27,7 @@
 		return nil, fmt.Errorf("%w: %w", answer.ErrNotStarted, err)
 	}
 	request.Header = call.RequestHeader(asked.Header)
+	request.Header.Set(headerRequest, asked.ID)
 	client := s.clients.fresh
 	if repeatable {
 		client = s.clients.pooled
