Claims: reads that lag behind the log

Cause: a log whose reads lag made a steward append its record again and again until the first copy could be read, and a page with a gap would have been folded as if it had none. Records are smaller, so that a page of them stays within what the log's client reads.

--- a/coordination/claim/constants.go
+++ b/coordination/claim/constants.go
@@ -4,15 +4,15 @@
 
 // Limits of one partition.
 const (
-	maximumClaims      = 1 << 20 // keys remembered
-	maximumGroupClaims = 4096    // claims in one record
-	maximumGroupBytes  = 1 << 20 // results in one record
-	maximumPending     = 16384   // claims that wait for a record
-	maximumResults     = 16384   // results that wait for a record
-	maximumWaiting     = 4096    // repeats that wait for a result
-	maximumCachedBytes = 4 << 20 // results kept in memory; older ones are read back from the log
-	maximumCached      = 65536   // number of them
-	maximumStateBytes  = 16      // of a state's name in messages
+	maximumClaims      = 1 << 20   // keys remembered
+	maximumGroupClaims = 1024      // claims in one record
+	maximumGroupBytes  = 128 << 10 // results in one record
+	maximumPending     = 16384     // claims that wait for a record
+	maximumResults     = 16384     // results that wait for a record
+	maximumWaiting     = 4096      // repeats that wait for a result
+	maximumCachedBytes = 4 << 20   // results kept in memory; older ones are read back from the log
+	maximumCached      = 65536     // number of them
+	maximumStateBytes  = 16        // of a state's name in messages
 	streamPrefix       = "claims."
 )
 
--- a/coordination/claim/fake_test.go
+++ b/coordination/claim/fake_test.go
@@ -20,6 +20,7 @@
 	testPartitions = 2
 	logLatency     = 2 * time.Millisecond
 	peerLatency    = time.Millisecond
+	pageRecords    = 3
 )
 
 var (
@@ -34,6 +35,7 @@
 	streams map[string][]record.Record
 	first   uint64 // oldest offset kept
 	outage  bool
+	lag     time.Duration // age from which records are read
 	appends int
 }
 
@@ -51,6 +53,12 @@
 	l.outage = outage
 }
 
+func (l *fakeLog) setLag(lag time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.lag = lag
+}
+
 func (l *fakeLog) add(stream string, data []byte) uint64 {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -115,9 +123,14 @@
 	defer v.log.mutex.Unlock()
 	all := v.log.streams[stream]
 	from = max(from, v.log.first)
-	page := record.Page{First: v.log.first, Next: max(from, uint64(len(all)+1))}
-	if from <= uint64(len(all)) {
-		page.Records = append(page.Records, all[from-1:]...)
+	page := record.Page{First: v.log.first, Next: from}
+	for page.Next <= uint64(len(all)) && len(page.Records) < pageRecords {
+		r := all[page.Next-1]
+		if time.Since(r.Time) < v.log.lag {
+			break
+		}
+		page.Records = append(page.Records, r)
+		page.Next++
 	}
 	return page, nil
 }
--- a/coordination/claim/faults_test.go
+++ b/coordination/claim/faults_test.go
@@ -23,7 +23,8 @@
 	"look",      // the member holds the other to be the steward
 	"cut",       // answers of others to the member are lost from now on
 	"outage",    // the log refuses
-	"restored",  // the log takes appends again
+	"lag",       // records can be read only some time after they were appended
+	"restored",  // the log takes appends again, and reads are current
 	"abandoned", // the member claims the key and gives it up before the dispatch
 	"call", "call", "call", "call", "call",
 }
@@ -46,6 +47,9 @@
 		m.set(e.other, true)
 	case "outage", "restored":
 		f.log.setOutage(e.kind == "outage")
+		f.log.setLag(0)
+	case "lag":
+		f.log.setLag(time.Second)
 	case "call":
 		group.Go(func() { _, _ = f.call(t, e.member, numbered("k", e.other), 8*time.Second) })
 	case "abandoned":
@@ -78,6 +82,7 @@
 				f.happen(t, e, &group)
 			}
 			f.log.setOutage(false)
+			f.log.setLag(0)
 			group.Wait()
 			f.look(0)
 			time.Sleep(time.Minute)
