Capacity: slopes of each role through the real packages; CAPACITY and DEVELOPERS pages

A page with typed figures goes stale, so make capacity drives the packages, fits a slope over at least four sizes for each cost, works the roles out and rewrites the tables.

--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -51,6 +51,7 @@
 		{"check", "Check files without publishing", "Lists every fault with file, section, field and reason; exit code 2 if there is one.", &checkCommand{}},
 		{"status", "Show instances, leases and endpoints", "Asks the instances' listeners for operators.", &statusCommand{}},
 		{"overhead", "Measure what an instance adds to the first token, and its memory", "Sends the same requests to stand-in engines direct, through a naive proxy and through an instance, all in this process, and compares the time to the first token and the memory of open streams.", &overheadCommand{}},
+		{"capacity", "Measure what each role costs, and work out the size to design for", "Measures the slopes behind docs/CAPACITY.md afresh and rewrites its tables.", &capacityCommand{}},
 		{"standin", "Run a stand-in of an endpoint or of the platform", standinLong, &standinCommand{}},
 		{"bench", "compare policies of routing", "Compares policies of routing on modelled engines in synthetic time.", &benchCommand{}},
 	}
--- a/experiment/demo/check.go
+++ b/experiment/demo/check.go
@@ -50,7 +50,7 @@
 		}
 	}
 	return []Check{
-		least("answers of repeatable entries that finished whole", finished, accepted, leastRepeatable),
+		least("answers of repeatable entries that finished whole", finished, accepted, r.options.Layout.LeastWhole),
 		least("requests of all kinds that finished whole", all, sent, leastAny),
 	}
 }
--- a/experiment/demo/layout.go
+++ b/experiment/demo/layout.go
@@ -11,8 +11,9 @@
 
 // Layout says which endpoints stand behind how many instances.
 type Layout struct {
-	Instances int
-	Services  []Service
+	Instances  int
+	Services   []Service
+	LeastWhole float64 // share of accepted answers of repeatable entries that must finish whole
 }
 
 // Service is one entry of the catalogue and the stand-ins behind it.
@@ -28,7 +29,7 @@
 
 // Small is the layout of the demo.
 func Small() Layout {
-	return Layout{Instances: 3, Services: []Service{
+	return Layout{Instances: 3, LeastWhole: leastOfThree, Services: []Service{
 		engines("isoraklet", "islaget", "assessment", 3, true),
 		engines("isportal", "islaget", "verdict", 2, false),
 		plain("soundings", "islaget", "sounding", 2, catalogue.KeyRuleRequired),
@@ -42,7 +43,7 @@
 
 // Today is the layout of one deployment as it is now: 7 instances, 9 engines for long answers and 4 for short ones.
 func Today() Layout {
-	return Layout{Instances: 7, Services: []Service{
+	return Layout{Instances: 7, LeastWhole: leastOfNine, Services: []Service{
 		engines("isoraklet", "islaget", "assessment", 9, true),
 		engines("isportal", "islaget", "verdict", 4, false),
 		plain("soundings", "islaget", "sounding", 2, catalogue.KeyRuleRequired),
