Audit: generations that engines started under no id a caller knows

Refusals carry no answer id, so a refused generation could not be looked for at the engines. What started beyond the answers that callers know may be one of them and counts against notRun.

--- a/experiment/demo/audit.go
+++ b/experiment/demo/audit.go
@@ -19,6 +19,7 @@
 	UnlikeReplies  int `json:"unlikeReplies"`  // keys whose repeats got another reply
 	RestartedIDs   int `json:"restartedIDs"`   // engines that started a generation id twice
 	UntracedNotRun int `json:"untracedNotRun"` // generations told not to have run, under no id to look for
+	Unclaimed      int `json:"unclaimed"`      // generations started under no id that a caller was told
 	LateStarts     int `json:"lateStarts"`     // generations started at an engine that was leaving
 	Preemptions    int `json:"preemptions"`
 }
@@ -40,6 +41,7 @@
 		}
 	}
 	a.Keys = len(ledgers)
+	a.suspect(b, traffic)
 	for key, l := range ledgers {
 		a.check(b, key, l)
 	}
@@ -71,6 +73,42 @@
 	}
 }
 
+// suspect counts what engines started under no id that callers know; where requests were refused without an id, those may be theirs.
+func (a *Audit) suspect(b *backends, traffic []Traffic) {
+	started, traced, nameless := 0, 0, 0
+	for _, g := range b.groups {
+		for _, e := range g.engines {
+			started += e.Counters().Started
+		}
+	}
+	for _, t := range traffic {
+		for i := range t.Records {
+			r := &t.Records[i]
+			traced += starts(b, r)
+			if r.Key == "" && r.Answer == "" && r.Outcome != load.OutcomeNotRun && r.Outcome != load.OutcomeUnreached {
+				nameless++
+			}
+		}
+	}
+	a.Unclaimed = started - traced
+	a.FalseNotRun += min(a.UntracedNotRun, max(0, a.Unclaimed-nameless))
+}
+
+// starts returns how many generations engines started for an answer.
+func starts(b *backends, r *load.Record) int {
+	g, ok := b.find(r.Entry)
+	if !ok || r.Answer == "" {
+		return 0
+	}
+	count := 0
+	for _, e := range g.engines {
+		for attempt := range maximumAttempts {
+			count += e.Starts(r.Answer + "." + strconv.Itoa(attempt))
+		}
+	}
+	return count
+}
+
 // generation looks for the attempts of an answer that was told not to have run.
 func (a *Audit) generation(b *backends, r *load.Record) {
 	g, ok := b.find(r.Entry)
@@ -81,13 +119,8 @@
 		a.UntracedNotRun++
 		return
 	}
-	for _, e := range g.engines {
-		for attempt := range maximumAttempts {
-			if e.Starts(r.Answer+"."+strconv.Itoa(attempt)) > 0 {
-				a.FalseNotRun++
-				return
-			}
-		}
+	if starts(b, r) > 0 {
+		a.FalseNotRun++
 	}
 }
 
--- a/experiment/demo/audit_test.go
+++ b/experiment/demo/audit_test.go
@@ -50,7 +50,7 @@
 	send(t, b, "model", "/v1/chat/completions", "Generation-Id", "ran.1", `{"messages":[{"content":"tokens=1"}]}`)
 	judge := func(records ...load.Record) Audit {
 		a := audit(b, []Traffic{{Records: records}})
-		a.Preemptions = 0
+		a.Preemptions, a.Unclaimed = 0, 0
 		return a
 	}
 	t.Run("clean", func(t *testing.T) {
@@ -82,6 +82,8 @@
 		r := load.Record{Kind: load.KindStream, Entry: "model", Outcome: load.OutcomeNotRun, Answer: "ran"}
 		is.Equal(judge(r), Audit{FalseNotRun: 1})
 		r.Answer = ""
-		is.Equal(judge(r), Audit{UntracedNotRun: 1})
+		is.Equal(judge(r), Audit{UntracedNotRun: 1, FalseNotRun: 1}) // the one that ran may have been its
+		told := load.Record{Kind: load.KindStream, Entry: "model", Outcome: load.OutcomeFinished, Answer: "ran"}
+		is.Equal(judge(r, told), Audit{UntracedNotRun: 1})
 	})
 }
--- a/experiment/demo/report.go
+++ b/experiment/demo/report.go
@@ -44,7 +44,8 @@
 			return err
 		}
 	}
-	fmt.Fprintf(w, "engines: %d preemptions; services: %d keys, %d run twice\n", r.Audit.Preemptions, r.Audit.Keys, r.Audit.DoubledRuns)
+	fmt.Fprintf(w, "engines: %d preemptions; services: %d keys, %d run twice; refused without an id to look for: %d\n",
+		r.Audit.Preemptions, r.Audit.Keys, r.Audit.DoubledRuns, r.Audit.UntracedNotRun)
 	if len(r.Baseline) > 0 {
 		if err := r.compare(w); err != nil {
 			return err
