--- a/coordination/member/members_test.go
+++ b/coordination/member/members_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"sync"
@@ -134,6 +135,22 @@
 			})
 		})
 	})
+	for _, count := range []int{3, 8, 60} {
+		t.Run(fmt.Sprintf("listSaysLeavingTo%d", count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(count)
+				defer w.stop()
+				time.Sleep(time.Minute)
+				engine := netip.MustParseAddrPort("10.9.0.1:9000")
+				for range 5 {
+					w.list(append(slices.Clone(w.rows), Row{Address: engine, Kind: KindEndpoint, State: StateLeaving}))
+					time.Sleep(3 * time.Second)
+					w.everywhere(t, "told of the engine", func(m *Members) bool { return m.Leaving(engine) })
+					engine = netip.AddrPortFrom(engine.Addr().Next(), 9000)
+				}
+			})
+		})
+	}
 	t.Run("listThatLagsTenSeconds", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(8)
--- a/state/catalogue/table.go
+++ b/state/catalogue/table.go
@@ -141,3 +141,14 @@
 	offset, ok := t.fold.ids[id]
 	return offset, ok
 }
+
+// Ordered returns the names of the entries whose engines take orders.
+func (t *Table) Ordered() []string {
+	var names []string
+	for _, e := range t.View().Entries() {
+		if e.Kind == KindEngine {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
