--- a/cmd/dykectl/control.go
+++ b/cmd/dykectl/control.go
@@ -2,83 +2,75 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
-	"dogwooddyke/experiment/capacity"
 	"dogwooddyke/experiment/control"
 )
 
-// errNotHeld reports a run in which a change was late, was reverted or did not reach all.
-var errNotHeld = errors.New("not all changes were in force everywhere in time")
-
-// controlCommand measures what instances spend on agreeing with each other.
+// controlCommand runs the control plane's experiment in this process.
 type controlCommand struct {
-	Traffic   bool    `long:"traffic" description:"measure bytes and processor time at several sizes, in place of convergence"`
-	Sizes     []int   `long:"size" value-name:"N" default:"8" default:"16" default:"32" default:"64" description:"with --traffic: instances"`
-	Instances int     `long:"instances" value-name:"N" default:"8" description:"instances in the run of convergence"`
-	PerSecond float64 `long:"changes" value-name:"N" default:"20" description:"changes published each second"`
-	Seconds   float64 `long:"seconds" value-name:"N" default:"60" description:"length of one run"`
-	KillEvery float64 `long:"killEvery" value-name:"SECONDS" default:"5" description:"time between two killed and replaced instances"`
-	ListLag   float64 `long:"listLag" value-name:"SECONDS" default:"10" description:"lag of the platform's list"`
-	Seed      uint64  `long:"seed" value-name:"N" default:"1" description:"seed of the run"`
-	Out       string  `long:"out" value-name:"DIR" description:"write the result there"`
+	Instances int           `long:"instances" value-name:"N" default:"8" description:"instances that run at any time"`
+	Changes   float64       `long:"changes" value-name:"N" default:"20" description:"catalogue changes/s"`
+	Seconds   float64       `long:"seconds" value-name:"N" default:"60" description:"length of the run"`
+	Seed      uint64        `long:"seed" value-name:"N" default:"1" description:"seed of changes, operators and deaths"`
+	Outage    time.Duration `long:"outage" value-name:"TIME" description:"let the log refuse everything for this long in the middle"`
+	Retention time.Duration `long:"retention" value-name:"TIME" description:"age at which the log drops records; 0: never"`
+	JSON      string        `long:"json" value-name:"FILE" description:"write the report as JSON"`
+	Out       string        `long:"out" value-name:"FILE" description:"write the report as a page"`
+	Verbose   bool          `long:"verbose" description:"show the instances' logs"`
 }
 
-// targetSize is the number of instances that the design is for.
-const targetSize = 1600
-
 // Execute runs the command.
 func (c *controlCommand) Execute(arguments []string) error {
-	if len(arguments) > 0 || c.PerSecond < 0 || c.Seconds <= 0 || c.KillEvery <= 0 || c.Instances < 2 {
-		return &exitError{exitBadInput, errors.New("no arguments, positive times and two instances at least")}
+	if len(arguments) > 0 {
+		return &exitError{exitBadInput, fmt.Errorf("unexpected %q", arguments[0])}
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	if c.Traffic {
-		return c.traffic(ctx)
+	level := slog.LevelError
+	if c.Verbose {
+		level = slog.LevelInfo
+	}
+	options := &control.Options{
+		Instances: c.Instances, Changes: c.Changes, Seconds: c.Seconds, Seed: c.Seed, Outage: c.Outage, Retention: c.Retention,
+		Limit: control.ForceLimit, Progress: progressWriter(), Logger: slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})),
+	}
+	if err := options.Check(); err != nil {
+		return &exitError{exitBadInput, err}
 	}
-	r, err := control.Converge(ctx, control.Course{
-		Instances: c.Instances, PerSecond: c.PerSecond, Span: seconds(c.Seconds),
-		KillEvery: seconds(c.KillEvery), ListLag: seconds(c.ListLag), Seed: c.Seed,
-	})
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := control.Run(ctx, options)
 	if err != nil {
 		return err
 	}
-	if err := c.write("convergence.md", r.String()+"\n"); err != nil {
+	if err := report.Table(os.Stdout); err != nil {
 		return err
 	}
-	if !r.Held() {
-		return &exitError{exitFailed, errNotHeld}
+	if err := writeJSON(c.JSON, report); err != nil {
+		return err
 	}
-	return nil
-}
-
-func (c *controlCommand) traffic(ctx context.Context) error {
-	var slopes []*capacity.Slope
-	for _, p := range control.Probes(c.Sizes, c.PerSecond, seconds(c.Seconds)) {
-		s, err := p.Measure(ctx, c.Seed)
-		if err != nil {
-			return err
-		}
-		slopes = append(slopes, s)
+	if err := c.page(report); err != nil {
+		return err
 	}
-	return c.write(fmt.Sprintf("control-%g.md", c.PerSecond), control.Table(slopes, targetSize))
+	if !report.Held() {
+		return &exitError{exitFailed, errChecks}
+	}
+	return nil
 }
 
-// write prints the result and keeps it with the command that gave it.
-func (c *controlCommand) write(name, text string) error {
-	fmt.Print(text)
+func (c *controlCommand) page(report *control.Report) error {
 	if c.Out == "" {
 		return nil
 	}
-	head := fmt.Sprintf("# dykectl %s\n\n%s, seed %d.\n\n", strings.Join(os.Args[1:], " "), time.Now().UTC().Format(time.DateOnly), c.Seed)
-	return os.WriteFile(filepath.Join(c.Out, name), []byte(head+text), 0o644)
+	page, err := os.Create(c.Out)
+	if err != nil {
+		return err
+	}
+	defer page.Close()
+	return report.Page(page, "dykectl "+strings.Join(os.Args[1:], " "))
 }
-
-func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- a/experiment/control/fleet.go
+++ b/experiment/control/fleet.go
@@ -4,121 +4,81 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/netip"
+	"log/slog"
+	"sync"
 	"time"
-
-	"dogwooddyke/coordination/publication"
-	"dogwooddyke/standin"
-	"dogwooddyke/state/catalogue"
-	"dogwooddyke/transport/platform"
 )
 
-// errNotReady reports nodes that did not come up.
-var errNotReady = errors.New("not all instances became ready")
+// dataCentres are where instances start, in turn.
+var dataCentres = []string{"a", "b"}
 
-// fleet is a number of nodes over the platform's stand-ins.
+// fleet is the instances of a run, those that have ended included.
 type fleet struct {
-	log       *standin.Log
-	roster    *standin.Roster
-	logURL    string
-	listURL   string
-	nodes     []*node
-	publisher *publication.Publisher
+	site   *site
+	key    string
+	logger *slog.Logger
+
+	mutex sync.Mutex // guards nodes; taken before a node's own
+	nodes []*node
 }
 
-// startFleet starts the stand-ins, publishes the entries and starts the nodes.
-func startFleet(ctx context.Context, size int, config standin.RosterConfig) (*fleet, error) {
-	f := &fleet{log: standin.NewLog(standin.LogConfig{}), roster: standin.NewRoster(config)}
-	anywhere := netip.MustParseAddrPort("127.0.0.1:0")
-	at, err := f.log.Listen(anywhere)
-	if err != nil {
-		return nil, err
-	}
-	f.logURL = "http://" + at.String()
-	if at, err = f.roster.Listen(anywhere); err != nil {
-		return nil, err
-	}
-	f.listURL = "http://" + at.String()
-	f.publisher = publication.New(platform.NewLog(f.logURL, platform.NewClient()), catalogue.Rules{SnapshotKey: []byte(peerKey)})
-	for i := range entries {
-		if _, err := f.publish(ctx, i, 0); err != nil {
-			return nil, err
-		}
-	}
-	for range size {
-		if err := f.add(); err != nil {
-			return nil, err
-		}
-	}
-	return f, f.awaitReady(ctx)
+func newFleet(s *site, logger *slog.Logger) *fleet {
+	return &fleet{site: s, key: newKey(), logger: logger}
 }
 
-// add starts a node and puts it on the list with its share of endpoints.
-func (f *fleet) add() error {
-	n, err := f.newNode()
+// add starts one instance.
+func (f *fleet) add(ctx context.Context) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	number := len(f.nodes)
+	n, err := startNode(ctx, f.site, fmt.Sprintf("instance%d", number), dataCentres[number%len(dataCentres)], f.key, f.logger)
 	if err != nil {
 		return err
 	}
 	f.nodes = append(f.nodes, n)
-	for i := range endpointsPerNode {
-		number := len(f.nodes)*endpointsPerNode + i
-		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), 9000)
-		if err := f.roster.Put(standin.Instance{Address: a, Kind: standin.KindEndpoint, DataCentre: "lulea-a", State: standin.InstanceLive}); err != nil {
-			return err
-		}
-	}
-	return f.roster.Put(standin.Instance{Address: n.address, Kind: standin.KindInstance, DataCentre: "lulea-a", State: standin.InstanceLive})
+	return nil
 }
 
-// publish changes the entry of the number and returns the offset of the accepted change.
-func (f *fleet) publish(ctx context.Context, number, limit int) (uint64, error) {
-	e := &catalogue.Entry{
-		Name: fmt.Sprintf("entry%d", number), Owner: "islaget", Kind: catalogue.KindEngine, Class: "assessment",
-		Model: "ice", Version: "1", MaximumTokens: limit,
-	}
-	for i := range 46 {
-		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(number), byte(i)}), 9000)
-		e.Endpoints = append(e.Endpoints, catalogue.Endpoint{Address: a, DataCentre: "lulea-a"})
+// all returns every instance that was started.
+func (f *fleet) all() []*node {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]*node(nil), f.nodes...)
+}
+
+// live returns the instances whose end has not begun.
+func (f *fleet) live() []*node {
+	var live []*node
+	for _, n := range f.all() {
+		if n.endedAt().IsZero() {
+			live = append(live, n)
+		}
 	}
-	subject := catalogue.Subject{Kind: catalogue.SubjectEntry, Name: e.Name}
-	done, err := f.publisher.Publish(ctx, &publication.Wish{Subject: subject, Entry: e, Operator: e.Owner})
-	return done.Offset, err
+	return live
 }
 
-func (f *fleet) awaitReady(ctx context.Context) error {
-	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); {
-		ready := 0
-		for _, n := range f.nodes {
-			if n.replica.Ready() && len(n.members.Live()) >= len(f.nodes) {
-				ready++
-			}
+// await returns when the condition holds at every live instance at once, or with an error after the timeout.
+func (f *fleet) await(ctx context.Context, timeout time.Duration, holds func(*node) bool) error {
+	deadline := time.Now().Add(timeout)
+	for {
+		all := true
+		for _, n := range f.live() {
+			all = all && holds(n)
 		}
-		if ready == len(f.nodes) {
+		if all {
 			return nil
 		}
-		if !pause(ctx, pollInterval) {
-			return ctx.Err()
+		if time.Now().After(deadline) || !pause(ctx, pollPause) {
+			return errNotInTime
 		}
 	}
-	return errNotReady
 }
 
 func (f *fleet) close() {
-	for _, n := range f.nodes {
-		n.close()
+	for _, n := range f.live() {
+		n.kill()
 	}
-	_ = f.log.Close()
-	_ = f.roster.Close()
 }
 
-// pause tells whether the context still runs after the wait.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+// errNotInTime reports instances that did not get where they should in time.
+var errNotInTime = errors.New("not all instances got there in time")
--- a/experiment/control/node.go
+++ b/experiment/control/node.go
@@ -2,193 +2,140 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
 	"net"
-	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
+	"text/template"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
-	"dogwooddyke/coordination/lease"
-	"dogwooddyke/coordination/member"
-	"dogwooddyke/coordination/replica"
-	"dogwooddyke/state/catalogue"
-	"dogwooddyke/transport/peer"
-	"dogwooddyke/transport/platform"
+	"dogwooddyke/instance"
+	"dogwooddyke/standin"
 )
 
-// node is the agreeing part of one instance.
+// node is one instance, its place on the platform's list and what was seen of its catalogue.
 type node struct {
-	address    netip.AddrPort
-	peers      *peer.Node
-	members    *member.Members
-	loops      *member.Loops
-	replica    *replica.Replica
-	leases     *lease.Leases
-	table      *catalogue.Table
-	counters   map[string]*counter
-	transports []*http.Transport
-	cancel     context.CancelFunc
-	group      conc.WaitGroup
-	startedAt  time.Time
+	name      string
+	instance  *instance.Instance
+	settings  *instance.Settings
+	site      *site
+	startedAt time.Time
+	watch     watch
+	watching  conc.WaitGroup
+	stop      context.CancelFunc
+
+	mutex sync.Mutex // guards ended; taken before nothing else
+	ended time.Time  // when its death or drain began; zero: it lives
+}
 
-	mu      sync.Mutex // guards all below; taken before nothing else
-	folded  map[uint64]time.Time
-	readyAt time.Time
-	readyTo uint64 // offset when it first followed the log
-	shown   uint64 // highest revision seen by the run
+var settingsText = template.Must(template.New("settings").Parse(`
+[instance]
+dataCentre = {{.DataCentre}}
+callers = {{.Callers}}
+operators = {{.Operators}}
+peers = {{.Peers}}
+[peers]
+key = {{.Key}}
+[answers]
+key = {{.Key}}
+[platform]
+log = http://{{.Log}}
+roster = http://{{.Roster}}
+`))
+
+func newKey() string {
+	var key [24]byte
+	_, _ = rand.Read(key[:])
+	return hex.EncodeToString(key[:])
 }
 
-// newNode starts the parts of an instance against the platform's services.
-func (f *fleet) newNode() (*node, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// startNode starts an instance on ports that the system picks, lists it and watches it.
+func startNode(ctx context.Context, s *site, name, dataCentre, key string, logger *slog.Logger) (*node, error) {
+	var listeners instance.Listeners
+	for _, to := range []*net.Listener{&listeners.Callers, &listeners.Operators, &listeners.Peers} {
+		opened, err := net.Listen("tcp", loopback().String())
+		if err != nil {
+			return nil, err
+		}
+		*to = opened
+	}
+	var text strings.Builder
+	if err := settingsText.Execute(&text, struct {
+		DataCentre, Key           string
+		Callers, Operators, Peers net.Addr
+		Log, Roster               netip.AddrPort
+	}{dataCentre, key, listeners.Callers.Addr(), listeners.Operators.Addr(), listeners.Peers.Addr(), s.logAt, s.rosterAt}); err != nil {
+		return nil, err
+	}
+	settings, err := instance.ParseSettings(name, []byte(text.String()))
 	if err != nil {
 		return nil, err
 	}
-	n := &node{
-		address:  netip.MustParseAddrPort(listener.Addr().String()),
-		counters: map[string]*counter{},
-		folded:   map[uint64]time.Time{},
-
-		startedAt: time.Now(),
-		table:     catalogue.NewTable(catalogue.Rules{SnapshotKey: []byte(peerKey)}),
+	i, err := instance.New(settings, listeners, logger)
+	if err != nil {
+		return nil, err
 	}
-	n.peers = peer.NewNode(peer.Config{Address: n.address, Keys: [][]byte{[]byte(peerKey)}})
-	n.members = member.New(n.address, n.table)
-	n.replica = replica.New(replica.Options{
-		Table: n.table, Log: platform.NewLog(f.logURL, n.client(kindCatalogue)), Members: n.members, Peers: n.peers, Observer: n,
-	})
-	n.loops = &member.Loops{
-		Members: n.members, Roster: list{platform.NewRoster(f.listURL, n.client(kindList))}, Peers: n.peers,
-		Position: n.position, Ahead: n.replica.Hint, Observer: n,
+	n := &node{name: name, instance: i, settings: settings, site: s, startedAt: time.Now()}
+	if err := n.list(standin.InstanceLive); err != nil {
+		return nil, err
 	}
-	n.leases = lease.New(platform.NewLog(f.logURL, n.client(kindLeases)), n.members, n, n)
-	n.peers.Handle(member.MethodHeartbeat, n.loops.ServeHeartbeat)
-	n.peers.Handle(replica.MethodPush, n.replica.ServePush)
-	n.peers.Handle(replica.MethodFetch, n.replica.ServeFetch)
-	n.peers.Serve(listener)
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
-	n.group.Go(func() { n.loops.Run(ctx) })
-	n.group.Go(func() { n.replica.Run(ctx) })
-	n.group.Go(func() { n.leases.Run(ctx) })
+	i.Start(ctx)
+	ctx, n.stop = context.WithCancel(ctx)
+	n.watching.Go(func() { n.watch.run(ctx, i) })
 	return n, nil
 }
 
-func (n *node) client(kind string) *http.Client {
-	c := &counter{}
-	n.counters[kind] = c
-	client, transport := c.client()
-	n.transports = append(n.transports, transport)
-	return client
-}
-
-// close ends the node at once, as a crash does.
-func (n *node) close() {
-	n.cancel()
-	n.peers.Close()
-	n.group.Wait()
-	for _, t := range n.transports {
-		t.CloseIdleConnections()
-	}
-}
-
-// bytes returns what passed so far of a kind of traffic.
-func (n *node) bytes(kind string) int64 {
-	if kind == kindPeers {
-		// Both ways, as with the platform.
-		return n.peers.Traffic().BytesOut.Load() + n.peers.Traffic().BytesIn.Load()
-	}
-	return n.counters[kind].bytes.Load()
+// list puts the instance on the platform's list.
+func (n *node) list(state standin.InstanceState) error {
+	return n.site.roster.Put(standin.Instance{
+		Address: n.settings.Peers, Kind: standin.KindInstance, DataCentre: n.settings.DataCentre, State: state,
+	})
 }
 
-func (n *node) position() member.Position {
-	v := n.table.View()
-	return member.Position{Offset: v.Offset, Digest: v.Digest}
+// kill ends the instance without notice; the platform still lists it.
+func (n *node) kill() {
+	n.end()
+	n.instance.Close()
 }
 
-// Ordered returns the entries whose engines take orders.
-func (n *node) Ordered() []string {
-	var names []string
-	for _, e := range n.table.View().Entries() {
-		names = append(names, e.Name)
+// drain ends the instance as planned.
+func (n *node) drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	n.end()
+	if err := n.list(standin.InstanceLeaving); err != nil {
+		return err
 	}
-	return names
+	err := n.instance.Drain(ctx)
+	n.instance.Close()
+	n.unlist()
+	return err
 }
 
-// Folded notes when the record was in force here.
-func (n *node) Folded(verdict catalogue.Verdict) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.folded[verdict.Offset] = time.Now()
+func (n *node) unlist() {
+	n.site.roster.Delete(n.settings.Peers)
 }
 
-// StateChanged notes when the node was first at the log's head.
-func (n *node) StateChanged(_, to replica.State) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if to == replica.StateFollowing && n.readyAt.IsZero() {
-		n.readyAt, n.readyTo = time.Now(), n.table.Offset()
+// end stops the watch, once.
+func (n *node) end() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if !n.ended.IsZero() {
+		return
 	}
+	n.ended = time.Now()
+	n.stop()
+	n.watching.Wait()
 }
 
-// inForce returns when the record came into force here; false if it has not.
-func (n *node) inForce(offset uint64) (time.Time, bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.readyAt.IsZero() && offset <= n.readyTo {
-		return n.readyAt, true
-	}
-	at, ok := n.folded[offset]
-	return at, ok
-}
-
-// What else the parts report is not measured here.
-
-// LogRead does nothing.
-func (n *node) LogRead(error) {}
-
-// Pushed does nothing.
-func (n *node) Pushed(error) {}
-
-// Fetched does nothing.
-func (n *node) Fetched(error) {}
-
-// SnapshotAppended does nothing.
-func (n *node) SnapshotAppended(error) {}
-
-// ListRead does nothing.
-func (n *node) ListRead(error) {}
-
-// HeartbeatSent does nothing.
-func (n *node) HeartbeatSent(error) {}
-
-// PositionsDiffer does nothing.
-func (n *node) PositionsDiffer(netip.AddrPort) {}
-
-// LeaseAppended does nothing.
-func (n *node) LeaseAppended(lease.Kind, error) {}
-
-// LeaseRead does nothing.
-func (n *node) LeaseRead(error) {}
-
-// LeaseMoved does nothing.
-func (n *node) LeaseMoved(int, netip.AddrPort, uint64) {}
-
-// list reads the platform's list in the member table's terms.
-type list struct {
-	client *platform.Roster
-}
-
-// Instances returns the list's rows.
-func (l list) Instances(ctx context.Context) ([]member.Row, error) {
-	rows, err := l.client.Instances(ctx)
-	listed := make([]member.Row, 0, len(rows))
-	for _, r := range rows {
-		listed = append(listed, member.Row{
-			Address: r.Address, Kind: member.Kind(r.Kind), DataCentre: r.DataCentre, State: member.State(r.State),
-		})
-	}
-	return listed, err
+// endedAt returns when the instance's death or drain began, or a zero time.
+func (n *node) endedAt() time.Time {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.ended
 }
