Replica: pushes go around dead instances, starts end under constant change, lost records are noticed

Cause: in a trial with a change each 50 ms and reads of 40 ms, a starting instance took 5 s to become ready, for each read brought one more record; a dead inner node of the tree left its subtree to polling; a log's head is not told by its pages, so leases began to read past the end of the stand-in's streams and a log that lost records went unnoticed. Change: a small page is the head; children of dead children are adopted and seeds also push for the root; leases read their streams from the beginning; the last record is compared after an outage and each minute.

--- a/coordination/internal/logtest/log.go
+++ b/coordination/internal/logtest/log.go
@@ -70,10 +70,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.open(name)
-	page := record.Page{First: s.first, Next: uint64(len(s.records) + 1)}
-	if from = max(from, s.first); from < page.Next {
-		rest := s.records[from-1:]
+	page := record.Page{First: s.first, Next: max(from, s.first)}
+	if page.Next <= uint64(len(s.records)) {
+		rest := s.records[page.Next-1:]
 		page.Records = slices.Clone(rest[:min(len(rest), pageRecords)])
+		page.Next += uint64(len(page.Records))
 	}
 	return page, s.news
 }
--- a/coordination/lease/constants.go
+++ b/coordination/lease/constants.go
@@ -29,7 +29,6 @@
 
 // Bounds.
 const (
-	tailRecords   = 64 // records that a new follower reads of a stream
-	maximumSent   = 8  // own records in flight that are remembered
+	maximumSent   = 8 // own records in flight that are remembered
 	maximumRecord = 1024
 )
--- a/coordination/replica/constants.go
+++ b/coordination/replica/constants.go
@@ -14,6 +14,7 @@
 	SnapshotInterval = time.Hour       // between two snapshots in the log
 
 	seedWait       = 20 * time.Second
+	verifyInterval = time.Minute     // between two checks that the log still holds the last record
 	readTimeout    = 5 * time.Second // beyond the wait that was asked for
 	retryInterval  = time.Second     // mean between two attempts while the log does not answer
 	pushTimeout    = 2 * time.Second
@@ -28,8 +29,11 @@
 
 // Bounds.
 const (
+	fullPageRecords    = 16      // a page of fewer records and bytes was all that the log had
+	fullPageBytes      = 1 << 20 // the same in bytes
 	maximumPushRecords = 64
 	maximumPushBytes   = 64 << 10
+	maximumTargets     = 32  // peers that one instance pushes to at most, with those of dead ones
 	maximumRecent      = 256 // records kept for pushing
 	fetchPeers         = 3   // peers that a starter asks at once
 	fetchesAtOnce      = 2   // answers that an instance gives at once
--- a/coordination/replica/fleet_test.go
+++ b/coordination/replica/fleet_test.go
@@ -40,6 +40,9 @@
 
 func (n *node) Self() netip.AddrPort { return n.self }
 
+func (n *node) Seen(time.Time, netip.AddrPort)    {}
+func (n *node) Suspect(time.Time, netip.AddrPort) {}
+
 func (n *node) Live() []netip.AddrPort {
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
--- a/coordination/replica/follow.go
+++ b/coordination/replica/follow.go
@@ -31,10 +31,8 @@
 			return 0, err
 		}
 	}
-	if r.State() == StateRegressed {
-		if err := r.compare(ctx); err != nil {
-			return 0, err
-		}
+	if err := r.verify(ctx, time.Now()); err != nil {
+		return 0, err
 	}
 	seed := r.seed()
 	var until time.Time
@@ -46,9 +44,6 @@
 	if err != nil {
 		return 0, err
 	}
-	if page.Next < from {
-		return 0, ErrRegressed
-	}
 	if page.First > from {
 		r.move(StateLost)
 		return 0, r.recover(ctx)
@@ -56,7 +51,7 @@
 	if err := r.fold(page.Records); err != nil {
 		return 0, err
 	}
-	if len(page.Records) > 0 {
+	if !atHead(page) {
 		return 0, nil
 	}
 	r.syncedAt.Store(time.Now().UnixNano())
@@ -105,17 +100,24 @@
 	return true
 }
 
-// compare lets a replica go on after the log went back only if the log still holds the last record that was folded here.
-func (r *Replica) compare(ctx context.Context) error {
+// verify checks after an outage, and now and then, that the log still holds the last record that was folded here; a
+// replica that found otherwise goes on only once it does.
+func (r *Replica) verify(ctx context.Context, now time.Time) error {
+	if r.State() == StateFollowing && now.Before(r.verifyAt) {
+		return nil
+	}
+	r.verifyAt = now.Add(verifyInterval)
 	last, ok := r.recent.last()
 	if !ok {
-		return ErrRegressed
+		return nil
 	}
 	page, err := r.read(ctx, last.Offset, time.Time{})
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	if len(page.Records) == 0 || page.Records[0].Offset != last.Offset || !bytes.Equal(page.Records[0].Data, last.Data) {
+	case page.First > last.Offset && r.State() != StateRegressed:
+		return nil
+	case len(page.Records) == 0 || page.Records[0].Offset != last.Offset || !bytes.Equal(page.Records[0].Data, last.Data):
 		return ErrRegressed
 	}
 	return nil
@@ -170,7 +172,7 @@
 
 // seed tells whether this instance waits at the log's head.
 func (r *Replica) seed() bool {
-	position, _ := r.place()
+	_, position := r.place()
 	return position < Seeds
 }
 
--- a/coordination/replica/push.go
+++ b/coordination/replica/push.go
@@ -28,25 +28,60 @@
 	Records []pushed `json:"records,omitempty"`
 }
 
-// pusher sends new records to the children, each at its own pace.
+// pusher sends new records to the targets, each at its own pace.
 type pusher struct {
 	wake chan struct{}
 
-	mu   sync.Mutex // guards sent and busy; taken before nothing else
-	sent map[netip.AddrPort]uint64
-	busy map[netip.AddrPort]bool
+	mu      sync.Mutex // guards targets; taken before nothing else
+	targets map[netip.AddrPort]target
 }
 
-// place returns this instance's position in the tree and its children.
-func (r *Replica) place() (int, []netip.AddrPort) {
+// target is what is known of one peer that records are pushed to.
+type target struct {
+	sent   uint64 // offset through which it has the records; 0: not known
+	busy   bool
+	failed bool // the last push did not reach it
+}
+
+// place returns the order of the tree and this instance's position in it.
+func (r *Replica) place() ([]netip.AddrPort, int) {
 	ranked := member.Ranked(catalogue.Stream, r.members.Live())
 	position := slices.Index(ranked, r.members.Self())
 	if position < 0 {
-		return len(ranked), nil
+		position = len(ranked)
+	}
+	return ranked, position
+}
+
+// chosen returns the peers to push to: the children; for each seed also those of the root, which may be dead; and in
+// place of each child that was not reached its own children as well.
+func (r *Replica) chosen() []netip.AddrPort {
+	ranked, position := r.place()
+	queue := children(position)
+	if position < Seeds {
+		queue = append(queue, children(0)...)
+	}
+	var chosen []netip.AddrPort
+	for i := 0; i < len(queue) && len(chosen) < maximumTargets; i++ {
+		p := queue[i]
+		if p >= len(ranked) || p == position || slices.Contains(chosen, ranked[p]) {
+			continue
+		}
+		chosen = append(chosen, ranked[p])
+		if r.pusher.of(ranked[p]).failed {
+			queue = append(queue, children(p)...)
+		}
+	}
+	return chosen
+}
+
+// children returns the positions below the given one.
+func children(position int) []int {
+	below := make([]int, 0, Fanout)
+	for i := range Fanout {
+		below = append(below, Fanout*position+1+i)
 	}
-	first := min(Fanout*position+1, len(ranked))
-	last := min(first+Fanout, len(ranked))
-	return position, ranked[first:last]
+	return below
 }
 
 func (r *Replica) push(ctx context.Context) {
@@ -58,66 +93,69 @@
 			return
 		case <-r.pusher.wake:
 		}
-		_, children := r.place()
-		for _, c := range r.pusher.idle(children, r.table.Offset()) {
+		for _, c := range r.pusher.idle(r.chosen(), r.table.Offset()) {
 			group.Go(func() { r.pushTo(ctx, c) })
 		}
 	}
 }
 
-// idle marks the children that lack records and are not being sent any, and forgets those that are no children any more.
-func (p *pusher) idle(children []netip.AddrPort, offset uint64) []netip.AddrPort {
+// idle marks the targets that lack records and are not being sent any, and forgets those that are no targets any more.
+func (p *pusher) idle(chosen []netip.AddrPort, offset uint64) []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	sent := make(map[netip.AddrPort]uint64, len(children))
-	busy := make(map[netip.AddrPort]bool, len(children))
+	kept := make(map[netip.AddrPort]target, len(chosen))
 	var out []netip.AddrPort
-	for _, c := range children {
-		sent[c], busy[c] = p.sent[c], p.busy[c]
-		if !busy[c] && sent[c] < offset {
-			busy[c] = true
+	for _, c := range chosen {
+		t := p.targets[c]
+		if !t.busy && t.sent < offset {
+			t.busy = true
 			out = append(out, c)
 		}
+		kept[c] = t
 	}
-	p.sent, p.busy = sent, busy
+	p.targets = kept
 	return out
 }
 
-// from returns the offset through which the child has the records, or the given one if that is not known.
-func (p *pusher) from(child netip.AddrPort, unknown uint64) uint64 {
+func (p *pusher) of(peer netip.AddrPort) target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.sent[child] == 0 {
-		return unknown
-	}
-	return p.sent[child]
+	return p.targets[peer]
 }
 
-func (p *pusher) done(child netip.AddrPort, offset uint64) {
+func (p *pusher) done(peer netip.AddrPort, offset uint64, failed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.busy[child]; ok {
-		p.busy[child] = false
-		p.sent[child] = max(p.sent[child], offset)
+	if t, ok := p.targets[peer]; ok {
+		p.targets[peer] = target{sent: max(t.sent, offset), failed: failed}
 	}
 }
 
-// pushTo sends one batch, and another if the answer shows that the child is further behind.
-func (r *Replica) pushTo(ctx context.Context, child netip.AddrPort) {
+// pushTo sends one batch, and another if the answer shows that the peer is further behind.
+func (r *Replica) pushTo(ctx context.Context, peer netip.AddrPort) {
 	limited, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	head := r.table.Offset()
-	from := r.pusher.from(child, head-1)
-	reached, err := r.pushAfter(limited, child, from)
+	from := r.pusher.of(peer).sent
+	if from == 0 {
+		from = head - 1
+	}
+	reached, err := r.pushAfter(limited, peer, from)
 	if err == nil && reached < from {
-		reached, err = r.pushAfter(limited, child, reached)
+		reached, err = r.pushAfter(limited, peer, reached)
 	}
 	if err != nil || reached <= from {
-		// The child polls the log; only later records are pushed to it again.
+		// The peer polls the log; only later records are pushed to it again.
 		reached = head
 	}
-	r.pusher.done(child, reached)
-	if reached < r.table.Offset() {
+	r.pusher.done(peer, reached, err != nil)
+	switch {
+	case err == nil:
+		r.members.Seen(time.Now(), peer)
+	case ctx.Err() == nil:
+		r.members.Suspect(time.Now(), peer)
+	}
+	if err != nil || reached < r.table.Offset() {
 		signal(r.pusher.wake)
 	}
 }
--- a/coordination/replica/recover.go
+++ b/coordination/replica/recover.go
@@ -15,7 +15,7 @@
 	Log   record.Log
 }
 
-// CatchUp reads to the log's head; the error wraps ErrNoSnapshot or ErrRegressed if records are lost.
+// CatchUp reads to the log's head; the error wraps ErrNoSnapshot if records are lost.
 func (r *Reader) CatchUp(ctx context.Context) error {
 	if r.Table.Offset() == 0 {
 		if _, err := r.recover(ctx); err != nil {
@@ -25,23 +25,32 @@
 	for {
 		from := r.Table.Offset() + 1
 		page, err := r.read(ctx, from, time.Time{})
-		switch {
-		case err != nil:
+		if err != nil {
 			return err
-		case page.Next < from:
-			return ErrRegressed
-		case page.First > from:
+		}
+		if page.First > from {
 			if _, err := r.recover(ctx); err != nil {
 				return err
 			}
 			continue
-		case len(page.Records) == 0:
-			return nil
 		}
 		if _, err := r.Table.ApplyAll(page.Records); err != nil {
 			return err
 		}
+		if atHead(page) {
+			return nil
+		}
+	}
+}
+
+// atHead tells that the log had no more records when it gave the page: without this a reader would never catch up with
+// records that are appended as fast as it reads.
+func atHead(page record.Page) bool {
+	size := 0
+	for _, x := range page.Records {
+		size += len(x.Data)
 	}
+	return len(page.Records) < fullPageRecords && size < fullPageBytes
 }
 
 // recover takes the snapshot in the log that covers most, unless the table is newer, and tells whether there is one.
@@ -80,14 +89,10 @@
 		for _, x := range page.Records {
 			found.best = r.better(found.best, x)
 		}
-		switch {
-		case len(page.Records) > 0:
-			from = page.Records[len(page.Records)-1].Offset + 1
-		case page.First > from:
-			from = page.First
-		default:
+		if atHead(page) {
 			return found, nil
 		}
+		from = page.Records[len(page.Records)-1].Offset + 1
 	}
 }
 
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -17,8 +17,8 @@
 // ErrNoSnapshot reports a gap in the log that no snapshot in it closes.
 var ErrNoSnapshot = errors.New("no snapshot covers the catalogue's lost records")
 
-// ErrRegressed reports a log whose head lies before records that were read from it.
-var ErrRegressed = errors.New("the log's head went back")
+// ErrRegressed reports a log that no longer holds the last record that was read from it, though it is retained.
+var ErrRegressed = errors.New("the log lost records")
 
 // State says where the catalogue's records come from at the moment.
 type State string
@@ -36,6 +36,8 @@
 type Members interface {
 	Self() netip.AddrPort
 	Live() []netip.AddrPort
+	Seen(now time.Time, address netip.AddrPort)
+	Suspect(now time.Time, address netip.AddrPort)
 }
 
 // Peers calls other instances.
@@ -69,6 +71,7 @@
 	recent   recent
 	pusher   pusher
 	ahead    atomic.Uint64 // highest offset that a peer told of
+	verifyAt time.Time     // of the following loop alone
 	interval time.Duration // between two snapshots
 
 	folding        sync.Mutex // held while records are folded and kept; taken before mu
