Control traffic counted by method and by kind of request

Cause: only the sum of peers' bytes was known, and nothing of what control costs over HTTP. Change: transport/peer counts calls and JSON bytes by method where they are served (the result is encoded once, as before); transport/traffic counts the connections to the log, the list and for endpoints' reports by request; endpoints' reports have a client of their own, so that they are told from callers' traffic and keep their connections between polls (idle time-out 10 s; polls of caches came every 2 s on connections that were closed after 2 s).

--- a/experiment/control/check.go
+++ b/experiment/control/check.go
@@ -76,7 +76,7 @@
 	last, known := r.history.at(r.history.head())
 	for _, n := range live {
 		view := n.instance.View()
-		if !known || view == nil || view.Revision != last.revision || view.Digest != last.digest {
+		if !known || view.Revision != last.revision || view.Digest != last.digest {
 			return false
 		}
 	}
--- a/experiment/control/run.go
+++ b/experiment/control/run.go
@@ -60,7 +60,7 @@
 	head := r.history.head()
 	settled := r.fleet.await(ctx, r.options.Limit, func(n *node) bool {
 		view := n.instance.View()
-		return view != nil && view.Offset >= head
+		return view.Offset >= head
 	})
 	live := r.fleet.live()
 	for _, n := range live {
--- a/experiment/control/watch.go
+++ b/experiment/control/watch.go
@@ -30,11 +30,13 @@
 func (w *watch) run(ctx context.Context, i *instance.Instance) {
 	ticker := time.NewTicker(samplePeriod)
 	defer ticker.Stop()
+	able := false
 	var last *catalogue.View
 	for {
+		able = able || i.Able()
 		view := i.View()
 		now := time.Now()
-		if view != nil && view != last {
+		if able && view != last {
 			last = view
 			w.take(now, view)
 		}
--- a/instance/core.go
+++ b/instance/core.go
@@ -27,6 +27,7 @@
 	"dogwooddyke/transport/operator"
 	"dogwooddyke/transport/peer"
 	"dogwooddyke/transport/platform"
+	"dogwooddyke/transport/traffic"
 )
 
 // How a request flows:
@@ -70,6 +71,7 @@
 	runner  *answer.Runner
 	signer  *answer.Signer
 	clients *endpoint.Clients
+	meter   *traffic.Meter // of control over HTTP
 	node    *peer.Node
 	handler *caller.Handler
 
@@ -104,8 +106,9 @@
 		metrics:   newMetrics(),
 		ring:      explanation.NewRing(settings.Explanations),
 		listeners: listeners,
-		clients:   endpoint.NewClients(),
+		meter:     newMeter(),
 	}
+	i.clients = endpoint.NewMeteredClients(i.meter)
 	if err := i.wirePeers(); err != nil {
 		return nil, err
 	}
@@ -220,7 +223,7 @@
 }
 
 func (i *Instance) wireCatalogue() {
-	client := platform.NewClient()
+	client := platform.NewMeteredClient(i.meter)
 	i.table = catalogue.NewTable(catalogue.Rules{Operators: i.settings.OperatorKeys, SnapshotKey: i.settings.PeerKeys[0]})
 	i.members = member.New(i.settings.Peers, i.table)
 	i.replica = replica.New(replica.Options{
--- a/transport/endpoint/connection.go
+++ b/transport/endpoint/connection.go
@@ -6,23 +6,44 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"dogwooddyke/transport/traffic"
 )
 
 // Clients holds the connections to endpoints: pooled ones for requests that may be repeated, and a fresh one for each that may not.
 type Clients struct {
-	pooled *http.Client
-	fresh  *http.Client
+	pooled  *http.Client
+	fresh   *http.Client
+	reports *http.Client // for what endpoints say of themselves
 }
 
 // NewClients returns clients without any open connection.
-func NewClients() *Clients {
-	return &Clients{pooled: newClient(false), fresh: newClient(true)}
+func NewClients() *Clients { return NewMeteredClients(nil) }
+
+// NewMeteredClients returns such clients; the meter counts the connections that carry endpoints' reports on themselves.
+func NewMeteredClients(meter *traffic.Meter) *Clients {
+	return &Clients{pooled: newClient(false), fresh: newClient(true), reports: newReportClient(meter)}
 }
 
 // Close closes the idle connections.
 func (c *Clients) Close() {
 	c.pooled.CloseIdleConnections()
 	c.fresh.CloseIdleConnections()
+	c.reports.CloseIdleConnections()
+}
+
+func newReportClient(meter *traffic.Meter) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:            meter.Wrap(dialer.DialContext),
+			DisableCompression:     true,
+			IdleConnTimeout:        reportIdleTimeout,
+			MaxIdleConnsPerHost:    1,
+			MaxResponseHeaderBytes: maximumHeaderBytes,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 func newClient(fresh bool) *http.Client {
--- a/transport/endpoint/constants.go
+++ b/transport/endpoint/constants.go
@@ -13,7 +13,8 @@
 const (
 	dialTimeout         = 2 * time.Second
 	keepAliveInterval   = 5 * time.Second
-	idleTimeout         = 2 * time.Second // a pooled connection that was idle for longer is closed
+	idleTimeout         = 2 * time.Second  // a pooled connection that was idle for longer is closed
+	reportIdleTimeout   = 10 * time.Second // beyond the intervals at which reports are read
 	idlePerEndpoint     = 8
 	maximumHeaderBytes  = 64 << 10
 	streamBufferBytes   = 16 << 10
--- a/transport/endpoint/load.go
+++ b/transport/endpoint/load.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return oops.In("endpoint").Wrap(err)
 	}
-	response, err := l.clients.pooled.Do(request)
+	response, err := l.clients.reports.Do(request)
 	if err != nil {
 		return oops.In("endpoint").Wrap(err)
 	}
--- a/transport/peer/node.go
+++ b/transport/peer/node.go
@@ -40,12 +40,12 @@
 //
 // Lock order: mutex before a connection's own mutex.
 type Node struct {
-	config   Config
-	keys     atomic.Pointer[[][]byte]
-	traffic  Traffic
-	handlers map[string]Handler
-	slots    chan struct{} // one for each call being served
-	group    conc.WaitGroup
+	config  Config
+	keys    atomic.Pointer[[][]byte]
+	traffic Traffic
+	methods map[string]*method
+	slots   chan struct{} // one for each call being served
+	group   conc.WaitGroup
 
 	mutex       sync.Mutex
 	closed      bool
@@ -59,7 +59,7 @@
 func NewNode(config Config) *Node {
 	n := &Node{
 		config:      config,
-		handlers:    make(map[string]Handler),
+		methods:     make(map[string]*method),
 		slots:       make(chan struct{}, maximumHandlers),
 		connections: make(map[netip.AddrPort]*connection),
 		accepted:    make(map[net.Conn]struct{}),
@@ -75,8 +75,8 @@
 }
 
 // Handle registers the handler of a method; it must be called before Serve.
-func (n *Node) Handle(method string, handler Handler) {
-	n.handlers[method] = handler
+func (n *Node) Handle(name string, handler Handler) {
+	n.methods[name] = &method{handler: handler}
 }
 
 // Traffic gives the node's counters.
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -94,7 +94,7 @@
 		replyError(conn, request, codeUnauthenticated, "not authenticated")
 		return
 	}
-	handler, ok := g.node.handlers[request.Method]
+	served, ok := g.node.methods[request.Method]
 	if !ok {
 		replyError(conn, request, jsonrpc2.CodeMethodNotFound, "unknown method "+request.Method)
 		return
@@ -104,11 +104,27 @@
 	g.node.group.Go(func() {
 		defer func() { <-g.node.slots }()
 		g.answer(conn, request, func(ctx context.Context, params json.RawMessage) (any, error) {
-			return handler(ctx, from, params)
+			return served.serve(ctx, from, params)
 		})
 	})
 }
 
+// serve runs the handler and counts what goes in and out; the result is encoded here, once.
+func (m *method) serve(ctx context.Context, from netip.AddrPort, params json.RawMessage) (any, error) {
+	m.calls.Add(1)
+	m.paramBytes.Add(int64(len(params)))
+	result, err := m.handler(ctx, from, params)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(result)
+	if err != nil {
+		return nil, err
+	}
+	m.resultBytes.Add(int64(len(data)))
+	return json.RawMessage(data), nil
+}
+
 func (g *guest) answer(conn *jsonrpc2.Conn, request *jsonrpc2.Request, serve func(context.Context, json.RawMessage) (any, error)) {
 	ctx, cancel := context.WithTimeout(context.Background(), handlerTimeout)
 	defer cancel()
@@ -126,7 +142,7 @@
 		replyError(conn, request, codeFailed, err.Error())
 		return
 	}
-	_ = conn.Reply(ctx, request.ID, result)
+	reply(ctx, conn, request, result)
 }
 
 func (g *guest) greet(_ context.Context, params json.RawMessage) (any, error) {
@@ -166,6 +182,15 @@
 	return g.address
 }
 
+// reply sends a result; what is encoded already is not encoded again.
+func reply(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, result any) {
+	if data, ok := result.(json.RawMessage); ok {
+		_ = conn.SendResponse(ctx, &jsonrpc2.Response{ID: request.ID, Result: &data})
+		return
+	}
+	_ = conn.Reply(ctx, request.ID, result)
+}
+
 func replyError(conn *jsonrpc2.Conn, request *jsonrpc2.Request, code int64, message string) {
 	if request.Notif {
 		return
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"dogwooddyke/transport/traffic"
 )
 
 // Timeouts of connections to the platform.
@@ -14,10 +16,13 @@
 )
 
 // NewClient returns an HTTP client for the platform's services with bounded pools and timeouts.
-func NewClient() *http.Client {
+func NewClient() *http.Client { return NewMeteredClient(nil) }
+
+// NewMeteredClient returns such a client whose connections the meter counts.
+func NewMeteredClient(meter *traffic.Meter) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
 	transport := &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           meter.Wrap(dialer.DialContext),
 		MaxIdleConnsPerHost:   16,
 		IdleConnTimeout:       idleTimeout,
 		ResponseHeaderTimeout: responseTimeout,
