--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -41,6 +41,7 @@
 func commands() []command {
 	return []command{
 		{"control", "Measure how catalogue changes take hold while instances come and go", "Starts stand-ins and instances on loopback ports, publishes racing changes while instances are killed, drained and replaced, and checks that each accepted change takes hold everywhere in time and stays.", &controlCommand{}},
+		{"cost", "Measure what control costs each instance at several sizes", "Starts fleets of several sizes before stand-ins in another process and measures control traffic by kind, processor time and memory of each instance.", &costCommand{}},
 		{"demo", "Run stand-ins and instances in one process and check what must hold", "Starts stand-ins and instances on loopback ports, sends the traffic of both deployments while things fail, and prints a table and the checks that held.", &demoCommand{}},
 		{"explain", "Show what the fleet decided for a request, and why", "Asks one instance, which asks the others, for the decisions that are kept of a request.", &explainCommand{}},
 		{"load", "Send traffic to instances and check every answer", "Sends open-loop, seeded traffic in the shape of a profile and checks every token of every answer against stand-in engines.", &loadCommand{}},
--- a/experiment/control/constants.go
+++ b/experiment/control/constants.go
@@ -35,6 +35,26 @@
 	acknowledgements = 10                     // answers of the log that get lost
 )
 
+// Sizes of what is measured for its cost.
+const (
+	endpointsPerEntry = 16 // as many as an instance works with
+	windowCount       = 5
+	maximumRate       = 1000 // requests/s to each instance
+	maximumOpen       = 512  // requests in progress
+	meanTokens        = 50   // of an answer
+	startPause        = 20 * time.Millisecond
+	settlePause       = 12 * time.Second // until new members have been taken in everywhere
+)
+
+// What control may spend on each instance, and the size at which it has to hold.
+const (
+	budgetBytes     = 6000 // bytes/s
+	budgetProcessor = 0.013
+	budgetMemory    = 128e6
+	designInstances = 1600
+	designEndpoints = 33 * endpointsPerEntry // 33 models, and their subset of endpoints each
+)
+
 // Times of the script and of the checks.
 const (
 	readyTimeout   = 30 * time.Second
--- a/experiment/control/history.go
+++ b/experiment/control/history.go
@@ -31,7 +31,7 @@
 
 func newHistory(s *site) *history {
 	return &history{
-		log:   platform.NewLog("http://"+s.logAt.String(), platform.NewClient()),
+		log:   platform.NewLog("http://"+s.Log.String(), platform.NewClient()),
 		table: catalogue.NewTable(catalogue.Rules{}),
 	}
 }
--- a/experiment/control/node.go
+++ b/experiment/control/node.go
@@ -69,7 +69,7 @@
 		DataCentre, Key           string
 		Callers, Operators, Peers net.Addr
 		Log, Roster               netip.AddrPort
-	}{dataCentre, key, listeners.Callers.Addr(), listeners.Operators.Addr(), listeners.Peers.Addr(), s.logAt, s.rosterAt}); err != nil {
+	}{dataCentre, key, listeners.Callers.Addr(), listeners.Operators.Addr(), listeners.Peers.Addr(), s.Log, s.Roster}); err != nil {
 		return nil, err
 	}
 	settings, err := instance.ParseSettings(name, []byte(text.String()))
@@ -92,7 +92,7 @@
 
 // list puts the instance on the platform's list.
 func (n *node) list(state standin.InstanceState) error {
-	return n.site.roster.Put(standin.Instance{
+	return n.site.list.Put(standin.Instance{
 		Address: n.settings.Peers, Kind: standin.KindInstance, DataCentre: n.settings.DataCentre, State: state,
 	})
 }
@@ -118,7 +118,7 @@
 }
 
 func (n *node) unlist() {
-	n.site.roster.Delete(n.settings.Peers)
+	n.site.list.Delete(n.settings.Peers)
 }
 
 // end stops the watch, once.
@@ -129,6 +129,11 @@
 		return
 	}
 	n.ended = time.Now()
+	n.endWatch()
+}
+
+// endWatch ends the watch; the instance goes on.
+func (n *node) endWatch() {
 	n.stop()
 	n.watching.Wait()
 }
--- a/experiment/control/run.go
+++ b/experiment/control/run.go
@@ -31,7 +31,7 @@
 	if err := o.Check(); err != nil {
 		return nil, err
 	}
-	s, err := startSite(o)
+	s, err := startSite(entryCount*enginesPerEntry, o.Retention)
 	if err != nil {
 		return nil, err
 	}
--- a/experiment/control/session.go
+++ b/experiment/control/session.go
@@ -32,8 +32,8 @@
 
 func newSession(s *site) *session {
 	return &session{
-		log:     platform.NewLog("http://"+s.logAt.String(), platform.NewClient()),
-		engines: s.enginesAt,
+		log:     platform.NewLog("http://"+s.Log.String(), platform.NewClient()),
+		engines: s.Engines,
 		table:   catalogue.NewTable(catalogue.Rules{}),
 	}
 }
--- a/experiment/control/site.go
+++ b/experiment/control/site.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"errors"
 	"net/netip"
 	"time"
@@ -9,34 +10,39 @@
 	"dogwooddyke/standin/model"
 )
 
-// site is the stand-ins of the platform and the engines, all in this process.
+// list is the platform's own side of its list of instances.
+type list interface {
+	Put(row standin.Instance) error
+	Delete(address netip.AddrPort)
+}
+
+// site is where the platform and the engines are; the stand-ins are nil when they run in another process.
 type site struct {
+	Addresses
+	list    list
 	log     *standin.Log
 	roster  *standin.Roster
 	engines []*standin.Engine
-
-	logAt     netip.AddrPort
-	rosterAt  netip.AddrPort
-	enginesAt []netip.AddrPort
 }
 
 func loopback() netip.AddrPort {
 	return netip.MustParseAddrPort("127.0.0.1:0")
 }
 
-func startSite(o *Options) (*site, error) {
+// startSite starts the stand-ins in this process.
+func startSite(engines int, retention time.Duration) (*site, error) {
 	s := &site{
-		log:    standin.NewLog(standin.LogConfig{Rate: logRate, Latency: logLatency, Retention: o.Retention}),
+		log:    standin.NewLog(standin.LogConfig{Rate: logRate, Latency: logLatency, Retention: retention}),
 		roster: standin.NewRoster(standin.RosterConfig{Lag: rosterLag}),
 	}
-	var err error
-	if s.logAt, err = s.log.Listen(loopback()); err != nil {
+	s.list = s.roster
+	var logFault, rosterFault error
+	s.Log, logFault = s.log.Listen(loopback())
+	s.Roster, rosterFault = s.roster.Listen(loopback())
+	if err := cmp.Or(logFault, rosterFault); err != nil {
 		return nil, errors.Join(err, s.close())
 	}
-	if s.rosterAt, err = s.roster.Listen(loopback()); err != nil {
-		return nil, errors.Join(err, s.close())
-	}
-	for n := range entryCount * enginesPerEntry {
+	for n := range engines {
 		if err := s.addEngine(n); err != nil {
 			return nil, errors.Join(err, s.close())
 		}
@@ -45,13 +51,10 @@
 }
 
 func (s *site) addEngine(number int) error {
-	e := standin.NewEngine(standin.EngineConfig{
-		Entry: entryName(number / enginesPerEntry), Model: "model", Version: "1", ChecksFence: true,
-		Sizes: model.Config{Seed: uint64(number)},
-	})
+	e := standin.NewEngine(standin.EngineConfig{Model: "model", Version: "1", ChecksFence: true, Sizes: model.Config{Seed: uint64(number)}})
 	s.engines = append(s.engines, e)
 	at, err := e.Listen(loopback())
-	s.enginesAt = append(s.enginesAt, at)
+	s.Engines = append(s.Engines, at)
 	return err
 }
 
@@ -60,13 +63,19 @@
 	return s.log.Fault(standin.Fault{Kind: standin.FaultOutage, Until: time.Now().Add(span)})
 }
 
-// loseAnswers makes the log take the next append without an answer.
+// loseAnswer makes the log take the next append without an answer.
 func (s *site) loseAnswer() error {
 	return s.log.Fault(standin.Fault{Kind: standin.FaultDropAnswer, Value: 1})
 }
 
 func (s *site) close() error {
-	faults := []error{s.log.Close(), s.roster.Close()}
+	var faults []error
+	if s.log != nil {
+		faults = append(faults, s.log.Close())
+	}
+	if s.roster != nil {
+		faults = append(faults, s.roster.Close())
+	}
 	for _, e := range s.engines {
 		faults = append(faults, e.Close())
 	}
--- a/experiment/control/subject.go
+++ b/experiment/control/subject.go
@@ -35,7 +35,7 @@
 			all[n] = catalogue.Subject{Kind: catalogue.SubjectEntry, Name: entryName(n)}
 			continue
 		}
-		all[n] = catalogue.Subject{Kind: catalogue.SubjectWorkspace, Name: fmt.Sprintf("workspace%d", n-entryCount)}
+		all[n] = catalogue.Subject{Kind: catalogue.SubjectWorkspace, Name: workspaceName(n - entryCount)}
 	}
 	return all
 }
@@ -44,23 +44,36 @@
 
 func entryName(number int) string { return fmt.Sprintf("entry%d", number) }
 
+func workspaceName(number int) string { return fmt.Sprintf("workspace%d", number) }
+
+func workspaceKey(name string) string { return "key of " + name }
+
 // content returns a change that sets the subject to something new.
 func content(number int, random *rand.Rand, engines []netip.AddrPort) catalogue.Change {
 	subject := subjectOf(number)
-	limits := catalogue.Limits{Concurrency: 1 + random.IntN(10_000)}
+	concurrency := 1 + random.IntN(10_000)
 	if subject.Kind == catalogue.SubjectWorkspace {
-		hash := sha256.Sum256([]byte("key of " + subject.Name))
-		return catalogue.Change{Workspace: &catalogue.Workspace{
-			Name: subject.Name, Owner: owner, KeyHashes: []string{hex.EncodeToString(hash[:])}, Limits: limits,
-		}}
+		return workspaceChange(subject.Name, concurrency)
 	}
+	return entryChange(number, engines[number*enginesPerEntry:(number+1)*enginesPerEntry], concurrency)
+}
+
+func workspaceChange(name string, concurrency int) catalogue.Change {
+	hash := sha256.Sum256([]byte(workspaceKey(name)))
+	return catalogue.Change{Workspace: &catalogue.Workspace{
+		Name: name, Owner: owner, KeyHashes: []string{hex.EncodeToString(hash[:])},
+		Limits: catalogue.Limits{Concurrency: concurrency},
+	}}
+}
+
+func entryChange(number int, engines []netip.AddrPort, concurrency int) catalogue.Change {
 	e := &catalogue.Entry{
-		Name: subject.Name, Owner: owner, Kind: catalogue.KindEngine, Class: "assessment", Limits: limits,
-		Model: "model", Version: "1", ChecksFence: true,
-		QueueTimeout: 5 * time.Second, AnswerTimeout: time.Minute,
+		Name: entryName(number), Owner: owner, Kind: catalogue.KindEngine, Class: "assessment",
+		Limits: catalogue.Limits{Concurrency: concurrency},
+		Model:  "model", Version: "1", ChecksFence: true, QueueTimeout: 5 * time.Second, AnswerTimeout: time.Minute,
 	}
-	for n := range enginesPerEntry {
-		e.Endpoints = append(e.Endpoints, catalogue.Endpoint{Address: engines[number*enginesPerEntry+n], DataCentre: "a"})
+	for n, a := range engines {
+		e.Endpoints = append(e.Endpoints, catalogue.Endpoint{Address: a, DataCentre: dataCentres[n%len(dataCentres)]})
 	}
 	return catalogue.Change{Entry: e}
 }
