--- a/coordination/share/message.go
+++ b/coordination/share/message.go
@@ -10,53 +10,53 @@
 
 // Request asks one steward for shares of several endpoints and limits.
 type Request struct {
-	Instance  netip.AddrPort `json:"instance"` // that asks
-	Leaving   bool           `json:"leaving,omitempty"`
-	Endpoints []EndpointAsk  `json:"endpoints,omitempty"`
-	Limits    []LimitAsk     `json:"limits,omitempty"`
-	Handover  []EndpointHeld `json:"handover,omitempty"` // shares that a leaving steward granted
+	Instance  netip.AddrPort `cbor:"1,keyasint,omitzero"` // that asks
+	Leaving   bool           `cbor:"2,keyasint,omitzero"`
+	Endpoints []EndpointAsk  `cbor:"3,keyasint,omitzero"`
+	Limits    []LimitAsk     `cbor:"4,keyasint,omitzero"`
+	Handover  []EndpointHeld `cbor:"5,keyasint,omitzero"` // shares that a leaving steward granted
 }
 
 // EndpointAsk asks for a share of one endpoint.
 type EndpointAsk struct {
-	Endpoint netip.AddrPort  `json:"endpoint"`
-	Demand   endpoint.Demand `json:"demand"`
-	Held     endpoint.Share  `json:"held"` // of an earlier grant, from whichever steward
+	Endpoint netip.AddrPort  `cbor:"1,keyasint,omitzero"`
+	Demand   endpoint.Demand `cbor:"2,keyasint,omitzero"`
+	Held     endpoint.Share  `cbor:"3,keyasint,omitzero"` // of an earlier grant, from whichever steward
 }
 
 // EndpointHeld tells which share of an endpoint an instance was granted.
 type EndpointHeld struct {
-	Endpoint netip.AddrPort  `json:"endpoint"`
-	Instance netip.AddrPort  `json:"instance"`
-	Demand   endpoint.Demand `json:"demand"`
-	Share    endpoint.Share  `json:"share"`
+	Endpoint netip.AddrPort  `cbor:"1,keyasint,omitzero"`
+	Instance netip.AddrPort  `cbor:"2,keyasint,omitzero"`
+	Demand   endpoint.Demand `cbor:"3,keyasint,omitzero"`
+	Share    endpoint.Share  `cbor:"4,keyasint,omitzero"`
 }
 
 // LimitAsk asks for a share of a workspace's limits, over all entries or on one.
 type LimitAsk struct {
-	Workspace string           `json:"workspace"`
-	Entry     string           `json:"entry,omitempty"`
-	Limits    catalogue.Limits `json:"limits"`
-	Demand    workspace.Demand `json:"demand"`
-	Held      workspace.Share  `json:"held"`
+	Workspace string           `cbor:"1,keyasint,omitzero"`
+	Entry     string           `cbor:"2,keyasint,omitzero"`
+	Limits    catalogue.Limits `cbor:"3,keyasint,omitzero"`
+	Demand    workspace.Demand `cbor:"4,keyasint,omitzero"`
+	Held      workspace.Share  `cbor:"5,keyasint,omitzero"`
 }
 
 // Reply grants shares, in the order of the request.
 type Reply struct {
-	Endpoints []EndpointGrant `json:"endpoints,omitempty"`
-	Limits    []LimitGrant    `json:"limits,omitempty"`
+	Endpoints []EndpointGrant `cbor:"1,keyasint,omitzero"`
+	Limits    []LimitGrant    `cbor:"2,keyasint,omitzero"`
 }
 
 // EndpointGrant grants a share of an endpoint and tells its load as the steward last polled it.
 type EndpointGrant struct {
-	Endpoint netip.AddrPort `json:"endpoint"`
-	Share    endpoint.Share `json:"share"`
-	Load     *endpoint.Load `json:"load,omitempty"`
+	Endpoint netip.AddrPort `cbor:"1,keyasint,omitzero"`
+	Share    endpoint.Share `cbor:"2,keyasint,omitzero"`
+	Load     *endpoint.Load `cbor:"3,keyasint,omitzero"`
 }
 
 // LimitGrant grants a share of a workspace's limits.
 type LimitGrant struct {
-	Workspace string          `json:"workspace"`
-	Entry     string          `json:"entry,omitempty"`
-	Share     workspace.Share `json:"share"`
+	Workspace string          `cbor:"1,keyasint,omitzero"`
+	Entry     string          `cbor:"2,keyasint,omitzero"`
+	Share     workspace.Share `cbor:"3,keyasint,omitzero"`
 }
--- a/state/endpoint/share.go
+++ b/state/endpoint/share.go
@@ -4,17 +4,17 @@
 
 // Share is the part of an endpoint that one instance may use until a time.
 type Share struct {
-	Slots  int       `json:"slots"`  // generations in progress
-	Memory int       `json:"memory"` // tokens in the engine's memory
-	Spread float64   `json:"spread"` // factor on the margin for spread, less than 1 where others' spread evens it out
-	Until  time.Time `json:"until"`
+	Slots  int       `cbor:"1,keyasint,omitzero" json:"slots"`  // generations in progress
+	Memory int       `cbor:"2,keyasint,omitzero" json:"memory"` // tokens in the engine's memory
+	Spread float64   `cbor:"3,keyasint,omitzero" json:"spread"` // factor on the margin for spread, less than 1 where others' spread evens it out
+	Until  time.Time `cbor:"4,keyasint,omitzero" json:"until"`
 }
 
 // Demand is what an instance tells an endpoint's steward about its use of the endpoint.
 type Demand struct {
-	Running  int     `json:"running"`  // its generations in progress there
-	Waiting  int     `json:"waiting"`  // its queued requests that the endpoint could serve, as its part
-	Memory   int     `json:"memory"`   // tokens that it expects to need for both
-	Variance float64 `json:"variance"` // of the memory of those in progress, in squared tokens
-	Knee     int     `json:"knee"`     // the batch that it learnt to be the most for the target interval
+	Running  int     `cbor:"1,keyasint,omitzero" json:"running"`  // its generations in progress there
+	Waiting  int     `cbor:"2,keyasint,omitzero" json:"waiting"`  // its queued requests that the endpoint could serve, as its part
+	Memory   int     `cbor:"3,keyasint,omitzero" json:"memory"`   // tokens that it expects to need for both
+	Variance float64 `cbor:"4,keyasint,omitzero" json:"variance"` // of the memory of those in progress, in squared tokens
+	Knee     int     `cbor:"5,keyasint,omitzero" json:"knee"`     // the batch that it learnt to be the most for the target interval
 }
--- a/state/workspace/limiter.go
+++ b/state/workspace/limiter.go
@@ -8,18 +8,18 @@
 
 // Share is the part of a workspace's limits that one instance may use until a time.
 type Share struct {
-	Concurrency int       `json:"concurrency"`
-	Requests    float64   `json:"requests"` // per second
-	Tokens      float64   `json:"tokens"`   // per second
-	Until       time.Time `json:"until"`
+	Concurrency int       `cbor:"1,keyasint,omitzero" json:"concurrency"`
+	Requests    float64   `cbor:"2,keyasint,omitzero" json:"requests"` // per second
+	Tokens      float64   `cbor:"3,keyasint,omitzero" json:"tokens"`   // per second
+	Until       time.Time `cbor:"4,keyasint,omitzero" json:"until"`
 }
 
 // Demand is what an instance tells the steward of a workspace's limits about its use of them.
 type Demand struct {
-	Running  int     `json:"running"`
-	Waiting  int     `json:"waiting"`
-	Requests float64 `json:"requests"` // asked for per second
-	Tokens   float64 `json:"tokens"`   // used per second
+	Running  int     `cbor:"1,keyasint,omitzero" json:"running"`
+	Waiting  int     `cbor:"2,keyasint,omitzero" json:"waiting"`
+	Requests float64 `cbor:"3,keyasint,omitzero" json:"requests"` // asked for per second
+	Tokens   float64 `cbor:"4,keyasint,omitzero" json:"tokens"`   // used per second
 }
 
 // Limiter holds one workspace to its limits at one instance.
