--- a/instance/core.go
+++ b/instance/core.go
@@ -30,6 +30,7 @@
 	"dogwooddyke/transport/endpoint"
 	"dogwooddyke/transport/peer"
 	"dogwooddyke/transport/platform"
+	"dogwooddyke/transport/traffic"
 )
 
 // How a request flows:
@@ -81,6 +82,7 @@
 	orders  *order.Runner
 	signer  *answer.Signer
 	clients *endpoint.Clients
+	meter   *traffic.Meter // of control over HTTP
 	node    *peer.Node
 	handler *caller.Handler
 
@@ -117,8 +119,9 @@
 		metrics:   newMetrics(),
 		ring:      explanation.NewRing(settings.Explanations),
 		listeners: listeners,
-		clients:   endpoint.NewClients(),
+		meter:     newMeter(),
 	}
+	i.clients = endpoint.NewMeteredClients(i.meter)
 	if err := i.wirePeers(); err != nil {
 		return nil, err
 	}
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -19,7 +19,7 @@
 )
 
 func (i *Instance) wireCatalogue() {
-	client := platform.NewClient()
+	client := platform.NewMeteredClient(i.meter)
 	i.log = platform.NewLog(i.settings.Log, client)
 	i.table = catalogue.NewTable(catalogue.Rules{
 		Operators:          i.settings.OperatorKeys,
