Demo without the weight store's address in instances' settings

Cause: engines pull weights themselves; the instance only paces the orders that cause pulls, so the field named nothing it uses and is now unknown. Change: the demo's settings drop it; [platform] pullsPerMinute is what an instance takes.

--- a/experiment/demo/node.go
+++ b/experiment/demo/node.go
@@ -58,7 +58,6 @@
 [platform]
 log = http://{{.Log}}
 roster = http://{{.Roster}}
-weightStore = http://{{.Weights}}
 `))
 
 // startNode starts an instance on ports that the system picks and lists it.
