--- a/transport/caller/body.go
+++ b/transport/caller/body.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -42,10 +43,14 @@
 	Content json.RawMessage `json:"content"`
 }
 
-// readBody reads a bounded body whole.
-func readBody(w http.ResponseWriter, request *http.Request, limit int) ([]byte, error) {
+// readBody reads a bounded body whole, within the body's timeout.
+func (h *Handler) readBody(w http.ResponseWriter, request *http.Request) ([]byte, error) {
+	limit := h.config.MaximumBodyBytes
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
 	data, err := io.ReadAll(http.MaxBytesReader(w, request.Body, int64(limit)))
 	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
 		return data, nil
 	}
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
--- a/transport/caller/call.go
+++ b/transport/caller/call.go
@@ -27,29 +27,17 @@
 }
 
 // call serves one call of a plain service.
-func (h *Handler) call(w http.ResponseWriter, request *http.Request, parameters httprouter.Params) {
-	workspace, err := h.workspace(request)
-	if err != nil {
-		h.refuse(w, "", "", err)
-		return
-	}
-	if err := h.admit(); err != nil {
-		h.refuse(w, workspace.Name, "", err)
-		return
-	}
-	defer h.leave()
+func (h *Handler) call(w http.ResponseWriter, request *http.Request, parameters httprouter.Params, workspace *catalogue.Workspace) {
 	entry, err := h.entry(parameters.ByName("entry"), catalogue.KindService, workspace)
 	if err != nil {
 		h.refuse(w, workspace.Name, "", err)
 		return
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := readBody(w, request, h.config.MaximumBodyBytes)
+	body, err := h.readBody(w, request)
 	if err != nil {
 		h.refuse(w, workspace.Name, entry.Class, err)
 		return
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	asked := newCall(request, workspace, entry, body)
 	began := time.Now()
 	w.Header().Set(headerAnswer, asked.ID)
--- a/transport/caller/generate.go
+++ b/transport/caller/generate.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/julienschmidt/httprouter"
+
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/protocol/answer"
 	"dogwooddyke/state/catalogue"
@@ -20,40 +22,35 @@
 // bytesPerToken estimates a prompt's tokens, which only the engine knows.
 const bytesPerToken = 4
 
-// generate serves the two calls that start a generation.
-func (h *Handler) generate(chat bool) http.HandlerFunc {
-	return func(w http.ResponseWriter, request *http.Request) {
-		workspace, err := h.workspace(request)
-		if err != nil {
-			h.refuse(w, "", "", err)
-			return
-		}
-		if err := h.admit(); err != nil {
-			h.refuse(w, workspace.Name, "", err)
-			return
-		}
-		defer h.leave()
-		body, entry, err := h.readGeneration(w, request, workspace, chat)
-		if err != nil {
-			h.refuse(w, workspace.Name, "", err)
-			return
-		}
-		asked, err := newRequest(newID(), request.URL.Path, workspace, entry, body)
-		if err != nil {
-			h.refuse(w, workspace.Name, entry.Class, err)
-			return
-		}
-		h.answer(w, request, body, asked, chat)
+// chat starts a generation from messages.
+func (h *Handler) chat(w http.ResponseWriter, request *http.Request, _ httprouter.Params, workspace *catalogue.Workspace) {
+	h.generate(w, request, workspace, true)
+}
+
+// complete starts a generation from a plain prompt.
+func (h *Handler) complete(w http.ResponseWriter, request *http.Request, _ httprouter.Params, workspace *catalogue.Workspace) {
+	h.generate(w, request, workspace, false)
+}
+
+func (h *Handler) generate(w http.ResponseWriter, request *http.Request, workspace *catalogue.Workspace, chat bool) {
+	body, entry, err := h.readGeneration(w, request, workspace, chat)
+	if err != nil {
+		h.refuse(w, workspace.Name, "", err)
+		return
+	}
+	asked, err := newRequest(newID(), request.URL.Path, workspace, entry, body)
+	if err != nil {
+		h.refuse(w, workspace.Name, entry.Class, err)
+		return
 	}
+	h.answer(w, request, body, asked, chat)
 }
 
 func (h *Handler) readGeneration(w http.ResponseWriter, request *http.Request, workspace *catalogue.Workspace, chat bool) (*generationBody, *catalogue.Entry, error) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	data, err := readBody(w, request, h.config.MaximumBodyBytes)
+	data, err := h.readBody(w, request)
 	if err != nil {
 		return nil, nil, err
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	body, err := parseBody(data, chat)
 	if err != nil {
 		return nil, nil, err
--- a/transport/caller/handler.go
+++ b/transport/caller/handler.go
@@ -69,18 +69,18 @@
 // NewHandler returns the handler of the callers' listener; able tells whether the instance can take work.
 func NewHandler(config Config, able func() bool) *Handler {
 	h := &Handler{config: config, router: httprouter.New(), able: able}
-	h.router.HandlerFunc(http.MethodPost, "/v1/chat/completions", h.generate(true))
-	h.router.HandlerFunc(http.MethodPost, "/v1/completions", h.generate(false))
-	h.router.HandlerFunc(http.MethodGet, "/v1/models", h.models)
-	h.router.GET("/v1/models/:model", h.model)
-	h.router.GET("/v1/answers/:id", h.resume)
-	h.router.POST("/v1/answers/:id", h.resume)
+	h.router.POST("/v1/chat/completions", h.work(h.chat))
+	h.router.POST("/v1/completions", h.work(h.complete))
+	h.router.GET("/v1/models", h.known(h.models))
+	h.router.GET("/v1/models/:model", h.known(h.model))
+	h.router.GET("/v1/answers/:id", h.work(h.resume))
+	h.router.POST("/v1/answers/:id", h.work(h.resume))
 	h.router.HandlerFunc(http.MethodGet, "/healthz", h.health)
 	h.router.HandlerFunc(http.MethodGet, "/readyz", h.readiness)
 	for _, m := range []string{
 		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions,
 	} {
-		h.router.Handle(m, "/call/:entry/*path", h.call)
+		h.router.Handle(m, "/call/:entry/*path", h.work(h.call))
 	}
 	h.router.RedirectTrailingSlash = false
 	h.router.RedirectFixedPath = false
@@ -120,6 +120,33 @@
 	}
 }
 
+// service serves a request of a workspace.
+type service func(w http.ResponseWriter, request *http.Request, parameters httprouter.Params, workspace *catalogue.Workspace)
+
+// known serves only callers whose key is a workspace's.
+func (h *Handler) known(serve service) httprouter.Handle {
+	return func(w http.ResponseWriter, request *http.Request, parameters httprouter.Params) {
+		workspace, err := h.workspace(request)
+		if err != nil {
+			h.refuse(w, "", "", err)
+			return
+		}
+		serve(w, request, parameters, workspace)
+	}
+}
+
+// work counts what it serves as in progress, and refuses it when the instance takes no work.
+func (h *Handler) work(serve service) httprouter.Handle {
+	return h.known(func(w http.ResponseWriter, request *http.Request, parameters httprouter.Params, workspace *catalogue.Workspace) {
+		if err := h.admit(); err != nil {
+			h.refuse(w, workspace.Name, "", err)
+			return
+		}
+		defer h.leave()
+		serve(w, request, parameters, workspace)
+	})
+}
+
 // admit counts the request in, or refuses it when the instance drains, is not ready or is full.
 func (h *Handler) admit() error {
 	now := time.Now()
--- a/transport/caller/models.go
+++ b/transport/caller/models.go
@@ -22,12 +22,7 @@
 }
 
 // models lists the engine entries that are open to the workspace.
-func (h *Handler) models(w http.ResponseWriter, request *http.Request) {
-	workspace, err := h.workspace(request)
-	if err != nil {
-		h.refuse(w, "", "", err)
-		return
-	}
+func (h *Handler) models(w http.ResponseWriter, _ *http.Request, _ httprouter.Params, workspace *catalogue.Workspace) {
 	list := make([]modelBody, 0)
 	for _, e := range h.config.Catalogue.View().Entries() {
 		if e.Kind == catalogue.KindEngine && e.Allows(workspace.Name) && len(list) < maximumModels {
@@ -41,12 +36,7 @@
 }
 
 // model shows one engine entry.
-func (h *Handler) model(w http.ResponseWriter, request *http.Request, parameters httprouter.Params) {
-	workspace, err := h.workspace(request)
-	if err != nil {
-		h.refuse(w, "", "", err)
-		return
-	}
+func (h *Handler) model(w http.ResponseWriter, _ *http.Request, parameters httprouter.Params, workspace *catalogue.Workspace) {
 	entry, err := h.entry(parameters.ByName("model"), catalogue.KindEngine, workspace)
 	if err != nil {
 		h.refuse(w, workspace.Name, "", err)
--- a/transport/caller/resume.go
+++ b/transport/caller/resume.go
@@ -13,17 +13,7 @@
 
 // resume goes on with an answer after the token in Last-Event-ID. A POST carries the request's body as it was first sent,
 // with which an answer whose engine is lost can be replayed.
-func (h *Handler) resume(w http.ResponseWriter, request *http.Request, parameters httprouter.Params) {
-	workspace, err := h.workspace(request)
-	if err != nil {
-		h.refuse(w, "", "", err)
-		return
-	}
-	if err := h.admit(); err != nil {
-		h.refuse(w, workspace.Name, "", err)
-		return
-	}
-	defer h.leave()
+func (h *Handler) resume(w http.ResponseWriter, request *http.Request, parameters httprouter.Params, workspace *catalogue.Workspace) {
 	token, err := h.readToken(request, parameters.ByName("id"), workspace)
 	if err != nil {
 		h.refuse(w, workspace.Name, "", err)
@@ -65,7 +55,7 @@
 	if request.Method == http.MethodGet {
 		return requestOf(token.Answer, workspace, entry, time.Now()), nil
 	}
-	data, err := readBody(w, request, h.config.MaximumBodyBytes)
+	data, err := h.readBody(w, request)
 	if err != nil {
 		return nil, err
 	}
--- a/transport/caller/whole.go
+++ b/transport/caller/whole.go
@@ -101,26 +101,30 @@
 	s.tools = append(s.tools, piece)
 }
 
-// body returns the whole answer as OpenAI's object.
-func (s *wholeSink) body(id string) ([]byte, error) {
-	if s.chat {
-		return s.chatBody(id)
-	}
-	return json.Marshal(struct {
-		ID      string          `json:"id"`
-		Object  string          `json:"object"`
-		Created int64           `json:"created"`
-		Model   string          `json:"model"`
-		Choices any             `json:"choices"`
-		Usage   json.RawMessage `json:"usage,omitempty"`
-	}{
-		id, "text_completion", s.head.Created, s.head.Model, []struct {
-			Text         string          `json:"text"`
-			Index        int             `json:"index"`
-			Logprobs     json.RawMessage `json:"logprobs"`
-			FinishReason json.RawMessage `json:"finish_reason"`
-		}{{s.text.String(), 0, json.RawMessage(`null`), s.finish}}, s.usage,
-	})
+// wholeBody is OpenAI's object for an answer in one piece.
+type wholeBody struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []any           `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
+// textChoice is the choice of a plain completion.
+type textChoice struct {
+	Text         string          `json:"text"`
+	Index        int             `json:"index"`
+	Logprobs     json.RawMessage `json:"logprobs"`
+	FinishReason json.RawMessage `json:"finish_reason"`
+}
+
+// chatChoice is the choice of a chat completion.
+type chatChoice struct {
+	Index        int             `json:"index"`
+	Message      chatMessage     `json:"message"`
+	Logprobs     json.RawMessage `json:"logprobs"`
+	FinishReason json.RawMessage `json:"finish_reason"`
 }
 
 type chatMessage struct {
@@ -130,27 +134,25 @@
 	ToolCalls []toolCall `json:"tool_calls,omitempty"`
 }
 
-func (s *wholeSink) chatBody(id string) ([]byte, error) {
-	message := chatMessage{Role: "assistant", ToolCalls: s.tools}
+// body returns the whole answer as OpenAI's object.
+func (s *wholeSink) body(id string) ([]byte, error) {
+	whole := wholeBody{ID: id, Object: "text_completion", Created: s.head.Created, Model: s.head.Model, Usage: s.usage}
+	if s.chat {
+		whole.Object = "chat.completion"
+		whole.Choices = []any{chatChoice{Message: s.message(), FinishReason: s.finish}}
+	} else {
+		whole.Choices = []any{textChoice{Text: s.text.String(), FinishReason: s.finish}}
+	}
+	return json.Marshal(whole)
+}
+
+func (s *wholeSink) message() chatMessage {
+	m := chatMessage{Role: "assistant", ToolCalls: s.tools}
 	if text := s.text.String(); text != "" || len(s.tools) == 0 {
-		message.Content = &text
+		m.Content = &text
 	}
 	if text := s.refusal.String(); text != "" {
-		message.Refusal = &text
+		m.Refusal = &text
 	}
-	return json.Marshal(struct {
-		ID      string          `json:"id"`
-		Object  string          `json:"object"`
-		Created int64           `json:"created"`
-		Model   string          `json:"model"`
-		Choices any             `json:"choices"`
-		Usage   json.RawMessage `json:"usage,omitempty"`
-	}{
-		id, "chat.completion", s.head.Created, s.head.Model, []struct {
-			Index        int             `json:"index"`
-			Message      chatMessage     `json:"message"`
-			Logprobs     json.RawMessage `json:"logprobs"`
-			FinishReason json.RawMessage `json:"finish_reason"`
-		}{{0, message, json.RawMessage(`null`), s.finish}}, s.usage,
-	})
+	return m
 }
