Claims: a record that counts before a takeover is granted, and no claim is orphaned

Cause: keyed calls over the stand-ins showed keys that never ran and were told unknown for good, and repeats that waited 4.8 s. A steward that read back its record together with its successor's own record dropped the batch: the claims counted, but their callers were told to ask elsewhere and abandoned nothing. Repeats at a former steward waited for a result that went to the new one. Change: a deposed steward answers its last batch from the table; a batch whose outcome it can't learn is answered with an error, after which the client abandons. Idle stewards look at the view twice a second, and at the log while repeats wait.

--- a/coordination/claim/constants.go
+++ b/coordination/claim/constants.go
@@ -38,7 +38,7 @@
 const (
 	retryMinimum  = 20 * time.Millisecond // between tries at the log or a steward
 	retryMaximum  = time.Second
-	idleCheck     = 10 * time.Second       // between an idle steward's looks at the view of stewards
+	idleCheck     = 500 * time.Millisecond // between an idle steward's looks at the view of stewards
 	answerMargin  = 250 * time.Millisecond // by which stewards answer before a question's deadline
 	flushPause    = 10 * time.Millisecond  // between looks at what a leaving steward has to write
 	repeatWait    = 10 * time.Second       // longest wait of a repeat for the first call's result
--- a/coordination/claim/faults_test.go
+++ b/coordination/claim/faults_test.go
@@ -94,7 +94,8 @@
 	})
 }
 
-// checkKey asserts that a key ran at most once, and that a later repeat is told no less than what happened.
+// checkKey asserts that a key ran at most once, and that a later repeat gets its result, or the key if it did not run: no
+// instance died, so that each call's end reaches the log.
 func (f *fleet) checkKey(t *testing.T, key string) {
 	t.Helper()
 	before := f.ran(key)
@@ -105,11 +106,12 @@
 	if err != nil {
 		t.Errorf("key %s: %v", key, err)
 	}
-	if before == 1 && grant.State != StateSettled && grant.State != StateRunning {
-		t.Errorf("key %s ran, but a repeat is told %s", key, grant.State)
+	want := StateGranted
+	if before == 1 {
+		want = StateSettled
 	}
-	if before == 0 && grant.State == StateSettled {
-		t.Errorf("key %s did not run, but has a result", key)
+	if grant.State != want {
+		t.Errorf("key %s ran %d times, and a repeat is told %s", key, before, grant.State)
 	}
 	if f.ran(key) > 1 {
 		t.Errorf("key %s ran again", key)
--- a/coordination/claim/partition.go
+++ b/coordination/claim/partition.go
@@ -36,7 +36,7 @@
 	taken    map[Digest]*tentative // keys with changes that are not in the table yet
 	waiting  map[Digest][]*asking  // repeats that wait for a result
 	waiters  int                   // sum over waiting
-	ended    time.Time             // of the last stewardship
+	closed   time.Time             // end of the last stewardship
 }
 
 // asking is one question that waits for its answer.
@@ -46,10 +46,11 @@
 	gone   bool        // nobody waits any more
 }
 
-// answer is a grant, or a settled result that has to be read from the log.
+// answer is a grant, a settled result that has to be read from the log, or an error after which the call is to be abandoned.
 type answer struct {
 	grant  Grant
 	offset uint64 // of the result; zero if the grant is complete
+	err    error
 }
 
 // tentative is the part of a key's state that is not in the table yet.
@@ -100,7 +101,10 @@
 	a.gone = true
 	select {
 	case given := <-a.answer: // it came at the same moment
-		return given.grant, nil
+		if given.offset == 0 {
+			return given.grant, given.err
+		}
+		return Grant{State: StateRunning}, nil
 	default:
 	}
 	if p.stopWaiting(a) {
@@ -117,7 +121,7 @@
 	if p.phase != phaseClosed {
 		return true
 	}
-	if time.Since(p.ended) < takeOverPause {
+	if time.Since(p.closed) < takeOverPause {
 		return false
 	}
 	p.phase = phaseOpening
--- a/coordination/claim/queue.go
+++ b/coordination/claim/queue.go
@@ -107,10 +107,11 @@
 	}
 }
 
-// resolve answers for a batch that is in the log and counts. The lock is held.
-func (p *partition) resolve(b *batch) {
+// resolve answers for a batch from what the table has of it; a deposed steward's settlements may be void. The lock is held.
+func (p *partition) resolve(b *batch, deposed bool) {
 	for _, s := range b.settlements {
 		p.resolveSettlement(s)
+		s.done <- !deposed || p.ended(&s.settlement)
 	}
 	for _, c := range b.claims {
 		p.resolveClaim(c)
@@ -129,7 +130,12 @@
 	if s.settlement.Abandoned {
 		p.reconsiderWaiting(key)
 	}
-	s.done <- true
+}
+
+// ended reports whether the table has the end of a call. The lock is held.
+func (p *partition) ended(s *Settlement) bool {
+	h := p.table.claims[s.Key]
+	return h != nil && h.call == s.Call && h.progress != progressRunning
 }
 
 // resolveClaim gives the key to the call if the table does, and frees it again if nobody waits for it any more.
--- a/coordination/claim/waiting.go
+++ b/coordination/claim/waiting.go
@@ -61,7 +61,7 @@
 // complete reads a result from the log that is no longer in memory.
 func (p *partition) complete(ctx context.Context, ask Ask, given answer) (Grant, error) {
 	if given.offset == 0 {
-		return given.grant, nil
+		return given.grant, given.err
 	}
 	page, err := p.steward.log.Read(ctx, p.stream, given.offset, time.Time{})
 	if err != nil || len(page.Records) == 0 || page.Records[0].Offset != given.offset {
--- a/coordination/claim/worker.go
+++ b/coordination/claim/worker.go
@@ -11,6 +11,9 @@
 // errDeposed reports that another stewardship has begun.
 var errDeposed = errors.New("another steward has the partition")
 
+// errUncertain reports a claim that may or may not be in the log.
+var errUncertain = errors.New("outcome of the claim unknown")
+
 // work takes the partition over and writes its records until another steward does or the instance ends.
 func (p *partition) work() {
 	ctx := p.steward.ctx
@@ -41,14 +44,18 @@
 	if errors.Is(err, record.ErrUnavailable) {
 		return p.postpone(ctx, b)
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, errDeposed) {
 		return err
 	}
+	// A record that came before another stewardship counts, so its claims are granted by a deposed steward too.
 	p.lock.Lock()
 	p.inFlight = nil
 	p.table.expire(time.Now().UnixMilli())
-	p.resolve(b)
+	p.resolve(b, err != nil)
 	p.lock.Unlock()
+	if err != nil {
+		return err
+	}
 	p.steward.observer.Committed(len(b.claims), len(b.settlements), time.Since(began))
 	return pause(ctx, p.steward.settings.interval()-time.Since(began))
 }
@@ -67,8 +74,8 @@
 		select {
 		case <-p.wake:
 		case <-idle.C:
-			if !p.steward.mine(p.stream) {
-				return errDeposed
+			if err := p.lookRound(ctx); err != nil {
+				return err
 			}
 		case <-ctx.Done():
 			return ctx.Err()
@@ -76,6 +83,26 @@
 	}
 }
 
+// lookRound ends a stewardship that is another's by the view of stewards, or by the log where repeats wait for a result.
+func (p *partition) lookRound(ctx context.Context) error {
+	if !p.steward.mine(p.stream) {
+		return errDeposed
+	}
+	p.lock.Lock()
+	waited := p.waiters > 0
+	p.lock.Unlock()
+	if !waited {
+		return nil
+	}
+	if err := p.readAll(ctx); err != nil {
+		return err
+	}
+	if p.table.writer != p.writer {
+		return errDeposed
+	}
+	return nil
+}
+
 // postpone keeps a batch that certainly is not in the log for the next try.
 func (p *partition) postpone(ctx context.Context, b *batch) error {
 	p.lock.Lock()
@@ -116,10 +143,10 @@
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.phase = phaseClosed
-	p.ended = time.Now()
+	p.closed = time.Now()
 	p.table = nil
 	if p.inFlight != nil {
-		p.putBack(p.inFlight)
+		p.closeInFlight(p.inFlight)
 		p.inFlight = nil
 	}
 	for _, s := range p.queue.settlements {
@@ -143,6 +170,18 @@
 	clear(p.taken)
 }
 
+// closeInFlight answers for a batch that may or may not be in the log. The lock is held.
+func (p *partition) closeInFlight(b *batch) {
+	for _, s := range b.settlements {
+		s.done <- false
+	}
+	for _, c := range b.claims {
+		if c.asker != nil {
+			c.asker.answer <- answer{err: errUncertain}
+		}
+	}
+}
+
 // flush waits until nothing waits for a record, or the context ends.
 func (p *partition) flush(ctx context.Context) {
 	for {
