--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -40,6 +40,8 @@
 
 func commands() []command {
 	return []command{
+		{"control", "Measure how catalogue changes take hold while instances come and go", "Starts stand-ins and instances on loopback ports, publishes racing changes while instances are killed, drained and replaced, and checks that each accepted change takes hold everywhere in time and stays.", &controlCommand{}},
+		{"cost", "Measure what control costs each instance at several sizes", "Starts fleets of several sizes before stand-ins in another process and measures control traffic by kind, processor time and memory of each instance.", &costCommand{}},
 		{"demo", "Run stand-ins and instances in one process and check what must hold", "Starts stand-ins and instances on loopback ports, sends the traffic of both deployments while things fail, and prints a table and the checks that held.", &demoCommand{}},
 		{"explain", "Show what the fleet decided for a request, and why", "Asks one instance, which asks the others, for the decisions that are kept of a request.", &explainCommand{}},
 		{"load", "Send traffic to instances and check every answer", "Sends open-loop, seeded traffic in the shape of a profile and checks every token of every answer against stand-in engines.", &loadCommand{}},
@@ -50,6 +52,7 @@
 		{"check", "Check files without publishing", "Lists every fault with file, section, field and reason; exit code 2 if there is one.", &checkCommand{}},
 		{"status", "Show instances, leases and endpoints", "Asks the instances' listeners for operators.", &statusCommand{}},
 		{"overhead", "Measure what an instance adds to the first token, and its memory", "Sends the same requests to stand-in engines direct, through a naive proxy and through an instance, all in this process, and compares the time to the first token and the memory of open streams.", &overheadCommand{}},
+		{"capacity", "Measure what each role costs, and work out the size to design for", "Measures the slopes behind docs/CAPACITY.md afresh and rewrites its tables.", &capacityCommand{}},
 		{"standin", "Run a stand-in of an endpoint or of the platform", standinLong, &standinCommand{}},
 		{"bench", "compare policies of routing", "Compares policies of routing on modelled engines in synthetic time.", &benchCommand{}},
 	}
