Load that retries add, under test

Change: a thousand answers a bench, with two of nine engines dying, and with all engines failing every start.

--- a/protocol/answer/fake_test.go
+++ b/protocol/answer/fake_test.go
@@ -29,6 +29,7 @@
 	strikes     []*strike
 	dead        bool
 	refuses     bool
+	loses       bool // starts nothing that lasts
 	generations map[string]bool
 	starts      int
 	cancelled   []string
@@ -83,7 +84,7 @@
 		return nil, &RefusedError{Status: 503, NotStarted: true}
 	}
 	engine.starts++
-	engine.generations[generation] = true
+	engine.generations[generation] = !engine.loses
 	kind := engine.struck(-1)
 	f.mutex.Unlock()
 	switch kind {
@@ -240,6 +241,7 @@
 type fakeRouter struct {
 	mutex    sync.Mutex
 	order    []netip.AddrPort
+	rotates  bool // gives each request the next endpoint
 	next     int
 	open     int
 	outcomes []routing.Outcome
@@ -251,6 +253,9 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
+	if r.rotates {
+		r.next++
+	}
 	for range r.order {
 		at := r.order[r.next%len(r.order)]
 		if !slices.Contains(ask.Exclude, at) {
