--- a/coordination/routing/constants.go
+++ b/coordination/routing/constants.go
@@ -20,11 +20,11 @@
 	prefillDecay          = 0.95
 	tightMemory           = 0.85 // part of the memory above which an endpoint costs more
 	tightCost             = 3.0
-	blockTokens           = 64              // tokens of a prompt block
-	rateSeconds           = 8.0             // time constant of the observed rate of starts
-	rateModelSeconds      = 2.0             // weight of the modelled rate against it
-	ejectFraction         = 0.34            // of the endpoints of an entry at most
-	shareRenewal          = 3 * time.Second // in which an instance without a share is given one
+	blockTokens           = 64          // tokens of a prompt block
+	rateSeconds           = 8.0         // time constant of the observed rate of starts
+	rateModelSeconds      = 2.0         // weight of the modelled rate against it
+	ejectFraction         = 0.34        // of the endpoints of an entry at most
+	shareRenewal          = time.Second // in which the other holders of an endpoint ask again and so give up a part
 	minimumRetry          = 500 * time.Millisecond
 	judgePeriod           = 500 * time.Millisecond // between searches for slow endpoints
 	loadStale             = 15 * time.Second       // age at which a load report is not used any more
--- a/instance/call_test.go
+++ b/instance/call_test.go
@@ -33,6 +33,9 @@
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	is.NoErr(err)
+	if response.StatusCode != http.StatusOK {
+		f.t.Logf("instance %d, key %s: %s %s", instance, key, response.Status, data)
+	}
 	return sounding{status: response.StatusCode, outcome: response.Header.Get("Outcome"), body: string(data)}
 }
 
