--- a/coordination/routing/choice.go
+++ b/coordination/routing/choice.go
@@ -60,7 +60,7 @@
 	}
 	a.foresee(now)
 	peak := a.profile.with(f, share.Spread)
-	if a.running() > 0 && peak > float64(share.Memory) {
+	if peak > float64(share.Memory) && !f.overdue(a, now) {
 		candidate.Verdict = VerdictMemory
 		return candidate
 	}
@@ -72,6 +72,11 @@
 	return candidate
 }
 
+// overdue lets a request that no share is large enough for start alone, once it has waited.
+func (f *Flight) overdue(a *account, now time.Time) bool {
+	return a.running() == 0 && now.Sub(f.submitted) >= ageStep
+}
+
 // barred tells why an endpoint may not serve a request at all; it is empty when it may.
 func (f *Flight) barred(a *account, now time.Time) Verdict {
 	if a.leaving() {
@@ -94,7 +99,7 @@
 	length := f.remaining()
 	step := a.speed.Step(candidate.Batch + 1).Seconds()
 	added := step - a.speed.Step(candidate.Batch).Seconds()
-	score := (float64(f.prompt())-candidate.Saved)*a.prefill + length*step
+	score := (float64(f.prompt())-candidate.Saved)*a.prefill*float64(candidate.Batch+1) + length*step
 	score += length * added * float64(candidate.Batch)
 	if candidate.Memory > tightMemory {
 		score += length * step * tightCost * (candidate.Memory - tightMemory)
--- a/coordination/routing/constants.go
+++ b/coordination/routing/constants.go
@@ -3,18 +3,18 @@
 import "time"
 
 const (
-	defaultSample         = 4    // endpoints that fit, of which the best is taken
+	defaultSample         = 8    // endpoints that fit, of which the best is taken
 	defaultSubset         = 16   // endpoints of an entry that one instance works with
 	defaultQueueBound     = 2048 // requests queued at an instance
 	defaultWorkspaceBound = 512  // requests queued of one workspace
 	flushTokens           = 16   // tokens between two updates of the shared tables
-	spreadMargin          = 1.3  // standard deviations of memory that are kept free
+	spreadMargin          = 0.5  // standard deviations of memory that are kept free
 	defaultPrompt         = 64   // tokens of a prompt of unknown length
 	defaultCapacity       = 16384
 	defaultSlots          = 8               // of an endpoint whose load is unknown
 	promptCharge          = 0.25            // served tokens that a prompt token counts as
 	ageStep               = 4 * time.Second // waiting that raises a request by one priority
-	pickAttempts          = 6               // heads of lines tried before the rest waits
+	pickAttempts          = 6               // heads of lines tried for an entry before the rest of them waits
 	remoteSeconds         = 0.010           // cost of an endpoint in another data centre
 	priorPrefill          = 0.0003          // seconds for a prompt token that is not cached
 	prefillDecay          = 0.95
--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -186,7 +186,8 @@
 		return f
 	}
 	f.pool = p
-	f.lengths = c.lengths.Find(f.lengthKey())
+	f.groups = c.lengths.Groups(f.lengthKey())
+	f.lengths = f.groups.Best()
 	f.decision.Length = f.remaining()
 	p.count(now)
 	if reason, retry := c.judge(f, now); reason != "" {
@@ -263,7 +264,7 @@
 func (c *Core) Admit(now time.Time) []*Flight {
 	c.decided = c.decided[:0]
 	c.round++
-	for attempts := 0; attempts < pickAttempts && c.queue.size > 0; {
+	for c.queue.size > 0 {
 		l := c.pick(now)
 		if l == nil {
 			break
@@ -274,7 +275,7 @@
 			continue
 		}
 		l.tried = c.round
-		attempts++
+		f.pool.missed(c.round)
 	}
 	return c.decided
 }
@@ -364,12 +365,21 @@
 	} else {
 		a.speed.Observe(a.batch(now), interval)
 	}
+	f.groups.Passed(f.passed(), emitted)
 	f.counted, f.flushed = emitted, now
 	for _, l := range f.limiters {
 		l.Spent(fresh, now)
 	}
 }
 
+// passed gives the tokens that the length statistics know, -1 before the first.
+func (f *Flight) passed() int {
+	if f.counted == 0 {
+		return -1
+	}
+	return f.counted
+}
+
 // Release ends a running flight.
 func (c *Core) Release(f *Flight, outcome Outcome, now time.Time) {
 	if f.phase != phaseRunning {
@@ -392,7 +402,7 @@
 	h := &f.account.health
 	switch outcome {
 	case OutcomeFinished:
-		c.lengths.Observe(f.lengthKey(), emitted)
+		f.groups.Ended(emitted)
 		h.Success()
 	case OutcomeCancelled:
 		h.Cancelled()
--- a/coordination/routing/flight.go
+++ b/coordination/routing/flight.go
@@ -23,7 +23,8 @@
 	pool     *pool
 	line     *line
 	account  *account
-	lengths  *length.Histogram
+	groups   length.Groups
+	lengths  *length.Histogram // of the groups, the one to rely on
 	service  *workspace.Account
 	limiters [2]*workspace.Limiter // of the workspace, and of the workspace on the entry
 	phase    phase
--- a/coordination/routing/memory.go
+++ b/coordination/routing/memory.go
@@ -18,7 +18,7 @@
 		alive := f.survival(h)
 		size := held + float64(h)
 		p.mean[i] += alive * size
-		p.variance[i] += alive * (1 - alive) * size * size
+		p.variance[i] += max(alive*(1-alive), 0) * size * size
 	}
 }
 
--- a/coordination/routing/pool.go
+++ b/coordination/routing/pool.go
@@ -18,7 +18,9 @@
 	accounts []*account
 	queued   int
 	need     int    // tokens of memory of a usual request
-	full     uint64 // round in which no endpoint had a slot
+	full     uint64 // round in which no more heads of lines are tried
+	tried    uint64 // round that misses counts for
+	misses   int
 	judged   time.Time
 
 	starts  float64 // decayed count of starts while requests waited
@@ -26,6 +28,16 @@
 	counted time.Time
 }
 
+// missed notes a head of a line that fitted nowhere; after a few of them the rest waits for the next round.
+func (p *pool) missed(round uint64) {
+	if p.tried != round {
+		p.tried, p.misses = round, 0
+	}
+	if p.misses++; p.misses >= pickAttempts {
+		p.full = round
+	}
+}
+
 // count brings the observed rate of starts up to date.
 func (p *pool) count(now time.Time) {
 	passed := now.Sub(p.counted).Seconds()
--- a/coordination/routing/shares.go
+++ b/coordination/routing/shares.go
@@ -17,8 +17,18 @@
 // Demands calls the function for each endpoint that the instance works with.
 func (c *Core) Demands(now time.Time, take func(address netip.AddrPort, demand endpoint.Demand)) {
 	waiting := make(map[*account]waitingDemand, len(c.accounts))
+	need := make(map[*account]int, len(c.accounts))
 	for _, p := range c.entries {
 		p.spread(waiting)
+		for _, a := range p.accounts {
+			need[a] = max(need[a], p.need)
+		}
+	}
+	for _, l := range c.queue.lines {
+		f := l.head()
+		for _, a := range f.pool.accounts {
+			need[a] = max(need[a], f.prompt()+int(f.decision.Length))
+		}
 	}
 	for _, a := range c.order {
 		a.foresee(now)
@@ -26,7 +36,9 @@
 		take(a.address, endpoint.Demand{
 			Running:  a.running(),
 			Waiting:  w.requests,
-			Memory:   int(a.profile.peak(0)) + w.memory,
+			Memory:   int(a.profile.peak(0)),
+			Wanted:   w.memory,
+			Need:     need[a],
 			Variance: a.profile.widest(),
 			Knee:     a.speed.Knee(),
 		})
--- a/coordination/share/constants.go
+++ b/coordination/share/constants.go
@@ -12,8 +12,9 @@
 	refreshPeriod  = 1 * time.Second         // between asks otherwise
 	callTimeout    = 500 * time.Millisecond  // of one call to a steward
 	settleSpan     = 1500 * time.Millisecond // in which a new steward learns what is held
-	memoryPart     = 0.97                    // of an engine's memory that is granted
-	spreadMargin   = 1.3                     // standard deviations that all margins together keep free
+	memoryPart     = 0.96                    // of an engine's memory that is granted
+	spreadMargin   = 0.5                     // standard deviations that all margins together keep free
+	requestMargin  = 1.5                     // times the need of a usual request that is given beyond the demand
 	leastSpread    = 0.3                     // least factor on an instance's margin
 	maximumAsks    = 4096                    // lines of one ask
 	maximumLedgers = 8192                    // endpoints or limits that a steward keeps
--- a/coordination/share/endpoints.go
+++ b/coordination/share/endpoints.go
@@ -91,7 +91,7 @@
 func (l *endpointLedger) grant(place, instances int, now time.Time) endpoint.Share {
 	spread := l.spreads()
 	slots := l.slots(place, now)
-	memory := l.memory(place, spread, slots, now)
+	memory := l.memory(place, spread, now)
 	if now.Sub(l.opened) < settleSpan {
 		slots, memory = l.cautious(place, slots, memory, instances, now)
 	}
@@ -142,29 +142,34 @@
 	return memoryPart * float64(cmp.Or(l.load.CapacityTokens, defaultMemory))
 }
 
-// memory gives the instance its fair part of the memory; what nobody needs goes with the slots.
-func (l *endpointLedger) memory(place int, spread []float64, slots int, now time.Time) int {
-	total := l.capacity()
-	needs := make([]float64, len(l.holders))
-	free, allSlots := total, 0
+// memory gives the instance what its generations in progress are expected to need, its fair part of what is left for queued
+// requests, and of the rest an equal part, or room for one more request if that is more.
+func (l *endpointLedger) memory(place int, spread []float64, now time.Time) int {
+	committed := make([]float64, len(l.holders))
+	wanted := make([]float64, len(l.holders))
+	left, free := l.capacity(), l.capacity()
 	for i, h := range l.holders {
-		needs[i] = float64(h.demand.Memory) + spreadMargin*spread[i]*math.Sqrt(h.demand.Variance)
-		if i == place {
-			allSlots += slots
-			continue
-		}
-		allSlots += h.share.Slots
-		if !now.After(h.share.Until) {
-			free -= float64(h.share.Memory)
+		committed[i] = float64(h.demand.Memory) + spreadMargin*spread[i]*math.Sqrt(h.demand.Variance)
+		wanted[i] = float64(h.demand.Wanted)
+		left -= committed[i]
+		if i != place {
+			free -= max(committed[i], heldMemory(h, now))
 		}
 	}
-	parts := fill(total, needs)
-	left := total
+	parts := fill(left, wanted)
 	for _, part := range parts {
 		left -= part
 	}
-	fair := parts[place] + left*float64(slots)/float64(max(allSlots, 1))
-	return int(max(min(fair, free), 0))
+	more := max(left/float64(len(parts)), requestMargin*float64(l.holders[place].demand.Need))
+	granted := committed[place] + parts[place] + max(min(more, left), 0)
+	return int(max(min(granted, free), 0))
+}
+
+func heldMemory(h endpointHolder, now time.Time) float64 {
+	if now.After(h.share.Until) {
+		return 0
+	}
+	return float64(h.share.Memory)
 }
 
 // cautious bounds a grant while the steward is new and may not know all that is held.
--- a/state/endpoint/share.go
+++ b/state/endpoint/share.go
@@ -14,7 +14,9 @@
 type Demand struct {
 	Running  int     `json:"running"`  // its generations in progress there
 	Waiting  int     `json:"waiting"`  // its queued requests that the endpoint could serve, as its part
-	Memory   int     `json:"memory"`   // tokens that it expects to need for both
+	Memory   int     `json:"memory"`   // tokens that it expects to need at most for those in progress
+	Wanted   int     `json:"wanted"`   // tokens that it expects to need for those queued
+	Need     int     `json:"need"`     // tokens of memory that one more usual request needs
 	Variance float64 `json:"variance"` // of the memory of those in progress, in squared tokens
 	Knee     int     `json:"knee"`     // the batch that it learnt to be the most for the target interval
 }
--- a/state/length/constants.go
+++ b/state/length/constants.go
@@ -10,6 +10,7 @@
 	priorWeight    = 4    // observations that the prior counts as
 	priorLength    = 512  // tokens; the prior is log-uniform up to its fourfold
 	beyondFraction = 0.5  // of the tokens emitted is expected to remain beyond all observations
+	leastMass      = 1e-9 // probability below which nothing is known
 	refreshPeriod  = 16   // observations between refreshes of the derived tables
 	minimumSamples = 48   // observations before a group is used in place of its wider group
 	maximumGroups  = 2048 // histograms kept
--- a/state/length/histogram.go
+++ b/state/length/histogram.go
@@ -2,17 +2,20 @@
 
 import "math"
 
-// Histogram is a bounded, decayed histogram of the lengths of finished generations, in tokens.
+// Histogram is a bounded, decayed estimate of the lengths of generations, in tokens.
+// It counts, for each bucket of lengths, the generations that entered it and those that ended in it,
+// so that generations still in progress, or cancelled, count for what they have shown (Kaplan and Meier's estimator).
 type Histogram struct {
-	counts  [bucketCount]float64
+	entered [bucketCount]float64
+	ended   [bucketCount]float64
 	weight  float64 // of the next observation
 	samples int
 	used    uint64
 
 	pending int
-	above   [bucketCount + 1]float64 // mass of the bucket and those above
-	sums    [bucketCount + 1]float64 // the same of mass times length
-	squares [bucketCount + 1]float64 // the same of mass times squared length
+	above   [bucketCount + 1]float64 // probability of the bucket and those above
+	sums    [bucketCount + 1]float64 // the same times length
+	squares [bucketCount + 1]float64 // the same times squared length
 }
 
 // NewHistogram returns a histogram that holds only the prior.
@@ -20,15 +23,31 @@
 	h := &Histogram{weight: 1}
 	last := bucketOf(4 * priorLength)
 	for b := linearBuckets; b <= last; b++ {
-		h.counts[b] = priorWeight / float64(last-linearBuckets+1)
+		h.ended[b] = priorWeight / float64(last-linearBuckets+1)
+	}
+	left := float64(priorWeight)
+	for b := range h.entered {
+		h.entered[b] = left
+		left = max(left-h.ended[b], 0)
 	}
 	h.refresh()
 	return h
 }
 
-// Observe records the length of a finished generation.
-func (h *Histogram) Observe(tokens int) {
-	h.counts[bucketOf(tokens)] += h.weight
+// Passed records that a generation has emitted more tokens than before; it starts from -1.
+func (h *Histogram) Passed(before, now int) {
+	first := 0
+	if before >= 0 {
+		first = bucketOf(before) + 1
+	}
+	for b := first; b <= bucketOf(now); b++ {
+		h.entered[b] += h.weight
+	}
+}
+
+// Ended records the end of a generation whose last tokens were recorded as passed.
+func (h *Histogram) Ended(tokens int) {
+	h.ended[bucketOf(tokens)] += h.weight
 	h.weight *= math.Exp2(1.0 / halfLife)
 	h.samples++
 	h.pending++
@@ -37,7 +56,13 @@
 	}
 }
 
-// Samples gives the number of observations so far.
+// Observe records the length of a finished generation.
+func (h *Histogram) Observe(tokens int) {
+	h.Passed(-1, tokens)
+	h.Ended(tokens)
+}
+
+// Samples gives the number of ends so far.
 func (h *Histogram) Samples() int { return h.samples }
 
 func (h *Histogram) refresh() {
@@ -45,17 +70,24 @@
 		h.rescale()
 	}
 	h.pending = 0
+	h.above[0] = 1
+	for b := range h.ended {
+		h.above[b+1] = 0
+		if h.entered[b] > h.ended[b] {
+			h.above[b+1] = h.above[b] * (1 - h.ended[b]/h.entered[b])
+		}
+	}
 	for b := bucketCount - 1; b >= 0; b-- {
-		middle := bucketMiddle(b)
-		h.above[b] = h.above[b+1] + h.counts[b]
-		h.sums[b] = h.sums[b+1] + h.counts[b]*middle
-		h.squares[b] = h.squares[b+1] + h.counts[b]*middle*middle
+		part, middle := h.above[b]-h.above[b+1], bucketMiddle(b)
+		h.sums[b] = h.sums[b+1] + part*middle
+		h.squares[b] = h.squares[b+1] + part*middle*middle
 	}
 }
 
 func (h *Histogram) rescale() {
-	for b := range h.counts {
-		h.counts[b] /= h.weight
+	for b := range h.ended {
+		h.entered[b] /= h.weight
+		h.ended[b] /= h.weight
 	}
 	h.weight = 1
 }
@@ -69,13 +101,13 @@
 // tail gives the mass of lengths greater than the tokens, with their sum and sum of squares.
 func (h *Histogram) tail(tokens int) (mass, sum, square float64) {
 	b := bucketOf(tokens)
-	part := h.counts[b] * max(inside(b, tokens), 0)
+	part := (h.above[b] - h.above[b+1]) * max(inside(b, tokens), 0)
 	middle := float64(tokens+bucketStart(b+1)) / 2
 	return h.above[b+1] + part, h.sums[b+1] + part*middle, h.squares[b+1] + part*middle*middle
 }
 
 func (h *Histogram) known(mass float64) bool {
-	return mass > h.above[0]*1e-9
+	return mass > leastMass
 }
 
 // Remaining gives the mean and the standard deviation of the tokens that remain after those emitted.
--- a/state/length/table.go
+++ b/state/length/table.go
@@ -24,22 +24,40 @@
 	return [3]Key{key, {Entry: key.Entry, Class: key.Class}, {Class: key.Class}}
 }
 
-// Observe records the length of a finished generation, in tokens, in each of its groups.
-func (t *Table) Observe(key Key, tokens int) {
-	t.all.Observe(tokens)
-	for _, k := range levels(key) {
-		t.group(k).Observe(tokens)
+// Groups are the histograms of one generation, from the narrowest group to the widest.
+type Groups [4]*Histogram
+
+// Groups returns the histograms that a generation of the key counts in.
+func (t *Table) Groups(key Key) Groups {
+	g := Groups{3: t.all}
+	for i, k := range levels(key) {
+		g[i] = t.group(k)
+	}
+	return g
+}
+
+// Passed records in each group that a generation has emitted more tokens than before; it starts from -1.
+func (g *Groups) Passed(before, now int) {
+	for _, h := range g {
+		h.Passed(before, now)
+	}
+}
+
+// Ended records in each group the end of a generation.
+func (g *Groups) Ended(tokens int) {
+	for _, h := range g {
+		h.Ended(tokens)
 	}
 }
 
-// Find returns the histogram of the narrowest group with enough observations.
-func (t *Table) Find(key Key) *Histogram {
-	for _, k := range levels(key) {
-		if h := t.groups[k]; h != nil && h.samples >= minimumSamples {
+// Best returns the histogram of the narrowest group with enough ends.
+func (g *Groups) Best() *Histogram {
+	for _, h := range g {
+		if h.samples >= minimumSamples {
 			return h
 		}
 	}
-	return t.all
+	return g[len(g)-1]
 }
 
 func (t *Table) group(key Key) *Histogram {
