--- a/protocol/answer/failure.go
+++ b/protocol/answer/failure.go
@@ -18,6 +18,7 @@
 	errReplay    = errors.New("the replay differs from what was delivered")
 	errTooLarge  = errors.New("the answer is too large to hold")
 	errCaller    = errors.New("the caller left")
+	errBudget    = errors.New("no retry left")
 )
 
 // reasonOf names a cause in few words, for metrics labels.
@@ -28,6 +29,8 @@
 	switch {
 	case errors.Is(cause, errCaller):
 		return "callerLeft"
+	case errors.Is(cause, errBudget):
+		return "retryBudget"
 	case errors.Is(cause, errReplay):
 		return "replayDiffers"
 	case errors.Is(cause, errTooLarge):
--- a/protocol/answer/resume_test.go
+++ b/protocol/answer/resume_test.go
@@ -185,6 +185,7 @@
 			began := time.Now()
 			result := b.runner.Run(context.Background(), b.request(false), b.sink)
 			is.Equal(result.Outcome, OutcomeUnknown)
+			is.Equal(result.Reason, "retryBudget")
 			is.True(result.RetryAt.After(began))
 			is.True(time.Since(began) < time.Second) // the answer comes at once
 			orderly(t, b)
--- a/protocol/answer/retry.go
+++ b/protocol/answer/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -15,6 +16,9 @@
 	} else {
 		at, allowed = e.afterLost()
 	}
+	if !allowed && !at.IsZero() {
+		cause = fmt.Errorf("%w: %w", errBudget, cause)
+	}
 	if !allowed {
 		return e.fail(cause, at), true
 	}
