A second attempt may wait as long as the answer itself

Cause: the queue's deadline of the first attempt also held for later ones, so an engine lost after that deadline could not be replaced: the router refused the retry at once. Change: a retry's admission is bounded by the deadline of the answer. The fake router now keeps to the deadline, and the tests' deadline passes while the answer streams; without the change three tests fail. Result: all tests of the package pass with the race detector.

--- a/protocol/answer/fake_test.go
+++ b/protocol/answer/fake_test.go
@@ -253,6 +253,9 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
+	if !time.Now().Before(ask.Deadline) {
+		return nil, &routing.RefusalError{Reason: routing.ReasonDeadline}
+	}
 	if r.rotates {
 		r.next++
 	}
--- a/protocol/answer/retry.go
+++ b/protocol/answer/retry.go
@@ -26,6 +26,8 @@
 		return e.endWaiting(err), true
 	}
 	e.discard()
+	// The former attempt started in time; the caller now waits for the rest, as long as for the answer itself.
+	e.request.Ask.Deadline = e.request.Deadline
 	e.runner.observer().Retried(e.request.ID, e.request.Entry, reasonOf(cause))
 	return Result{}, false
 }
