The retry budget counts only successes that have come

Cause: with the wait at 10 s the load test found more retries than a tenth: turns were given ahead, on successes that never came because all engines failed. Change: a retry waits until the credit is there and is refused when the wait is over; credit is counted in whole successes.

--- a/protocol/answer/budget.go
+++ b/protocol/answer/budget.go
@@ -1,6 +1,7 @@
 package answer
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -35,14 +36,15 @@
 // Budget allows retries up to a fraction of recent successes; it is safe for concurrent use.
 type Budget struct {
 	mutex     sync.Mutex
-	credit    float64 // retries; negative while reservations wait for successes
+	credit    int // successes that no retry has used
+	waiting   int // retries that wait for their turn
 	successes [budgetSlots]int
 	slot      int64 // number of the current part of the window since the epoch
 }
 
 // NewBudget returns a budget that allows a few retries before any success.
 func NewBudget(now time.Time) *Budget {
-	return &Budget{credit: budgetInitial, slot: slotOf(now)}
+	return &Budget{credit: budgetInitial * budgetCost, slot: slotOf(now)}
 }
 
 // Succeeded adds a finished answer.
@@ -51,33 +53,56 @@
 	defer b.mutex.Unlock()
 	b.advance(now)
 	b.successes[b.slot%budgetSlots]++
-	b.credit = min(b.credit+budgetFraction, b.ceiling())
+	b.credit = min(b.credit+1, b.ceiling())
 }
 
-// Reserve takes one retry and returns when it may start; false means that it would not within the wait, and then the time is when to ask again.
-func (b *Budget) Reserve(now time.Time, longest time.Duration) (time.Time, bool) {
+// Take waits for a retry's turn and takes it. Where the turn would not come within the wait, by the recent rate of successes, it
+// returns false at once, and when to ask again.
+func (b *Budget) Take(ctx context.Context, longest time.Duration) (time.Time, bool) {
+	limit := time.Now().Add(longest)
+	at, taken := b.try(time.Now())
+	if taken {
+		return at, true
+	}
+	b.wait(1)
+	defer b.wait(-1)
+	for !at.After(limit) {
+		if err := pause(ctx, max(time.Until(at), budgetPause)); err != nil {
+			return at, false
+		}
+		if at, taken = b.try(time.Now()); taken {
+			return at, true
+		}
+	}
+	return at, false
+}
+
+// try takes a retry if there is one, or returns when there should be.
+func (b *Budget) try(now time.Time) (time.Time, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.advance(now)
-	if b.credit >= 1 {
-		b.credit--
+	if b.credit >= budgetCost {
+		b.credit -= budgetCost
 		return now, true
 	}
-	perSecond := budgetFraction * float64(b.recent()) / budgetWindow.Seconds()
-	if perSecond == 0 {
+	recent := b.recent()
+	if recent == 0 {
 		return now.Add(budgetWindow), false
 	}
-	at := now.Add(time.Duration((1 - b.credit) / perSecond * float64(time.Second)))
-	if at.Sub(now) > longest {
-		return at, false
-	}
-	b.credit--
-	return at, true
+	missing := budgetCost*(1+b.waiting) - b.credit
+	return now.Add(budgetWindow * time.Duration(missing) / time.Duration(recent)), false
+}
+
+func (b *Budget) wait(change int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.waiting += change
 }
 
 // ceiling bounds the credit by what the successes of the window allow.
-func (b *Budget) ceiling() float64 {
-	return max(budgetInitial, budgetFraction*float64(b.recent()))
+func (b *Budget) ceiling() int {
+	return max(budgetInitial*budgetCost, b.recent())
 }
 
 func (b *Budget) recent() int {
--- a/protocol/answer/constants.go
+++ b/protocol/answer/constants.go
@@ -34,7 +34,7 @@
 	noticePause      = 200 * time.Millisecond
 	graceDefault     = 5 * time.Second
 	tokenLifeDefault = 10 * time.Minute
-	budgetWait       = 10 * time.Second // longest wait for a retry's turn
+	budgetWait       = 8 * time.Second // longest wait for a retry's turn
 )
 
 // Progress deadlines.
@@ -57,8 +57,9 @@
 
 // Retry budget.
 const (
-	budgetFraction = 0.1 // retries for each success
-	budgetInitial  = 2   // retries before any success
+	budgetCost     = 10                    // successes for each retry
+	budgetPause    = 20 * time.Millisecond // shortest wait between looks at the budget
+	budgetInitial  = 2                     // retries before any success
 	budgetWindow   = 10 * time.Second
 	budgetSlots    = 10   // parts of the window
 	maximumBudgets = 1024 // entries with a budget of their own
--- a/protocol/call/runner.go
+++ b/protocol/call/runner.go
@@ -178,16 +178,10 @@
 
 // await waits before another dispatch: for a retry's turn if the former one may have run.
 func (c *course) await(started bool) error {
-	now := time.Now()
-	at := now.Add(unstartedPause)
 	if started {
-		turn, allowed := c.runner.Budget.Of(c.request.Entry).Reserve(now, budgetWait)
-		if !allowed {
-			return &routing.RefusalError{Reason: reasonBudget, RetryAt: turn}
-		}
-		at = turn
+		return c.awaitTurn()
 	}
-	timer := time.NewTimer(time.Until(at))
+	timer := time.NewTimer(unstartedPause)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -197,6 +191,14 @@
 	}
 }
 
+func (c *course) awaitTurn() error {
+	retryAt, taken := c.runner.Budget.Of(c.request.Entry).Take(c.caller, budgetWait)
+	if !taken {
+		return &routing.RefusalError{Reason: reasonBudget, RetryAt: retryAt}
+	}
+	return nil
+}
+
 func (c *course) release(outcome routing.Outcome) {
 	if c.slot == nil {
 		return
