An engine takes the orders of one entry only

Cause: two entries that name one engine would order it back and forth for ever. Change: the fold refuses an entry with an engine that another one has.

--- a/state/catalogue/fold.go
+++ b/state/catalogue/fold.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 )
 
@@ -37,7 +38,8 @@
 	digest     [sha256.Size]byte
 	entries    map[string]*entryState
 	workspaces map[string]*workspaceState
-	keys       map[string]string // key hash to workspace
+	keys       map[string]string         // key hash to workspace
+	engines    map[netip.AddrPort]string // endpoint to the one entry whose orders it takes
 	ids        map[string]uint64
 	order      []ChangeOffset // of ids, oldest first
 	history    []Verdict
@@ -51,6 +53,7 @@
 		entries:    map[string]*entryState{},
 		workspaces: map[string]*workspaceState{},
 		keys:       map[string]string{},
+		engines:    map[netip.AddrPort]string{},
 		ids:        map[string]uint64{},
 	}
 }
@@ -137,6 +140,13 @@
 	if added && c.Workspace != nil && len(f.workspaces) >= MaximumWorkspaces {
 		return OutcomeInvalid, "the catalogue holds no more workspaces"
 	}
+	if c.Entry != nil && c.Entry.Kind == KindEngine {
+		for _, p := range c.Entry.Endpoints {
+			if other, ok := f.engines[p.Address]; ok && other != c.Entry.Name {
+				return OutcomeInvalid, fmt.Sprintf("endpoint %s: takes the orders of entry %s", p.Address, other)
+			}
+		}
+	}
 	if c.Workspace != nil {
 		for _, h := range c.Workspace.KeyHashes {
 			if other, ok := f.keys[h]; ok && other != c.Workspace.Name {
@@ -162,10 +172,8 @@
 
 func (f *Fold) accept(offset uint64, c *Change, subject Subject) {
 	switch {
-	case c.Entry != nil:
-		f.entries[subject.Name] = &entryState{revision: offset, entry: *c.Entry}
 	case subject.Kind == SubjectEntry:
-		delete(f.entries, subject.Name)
+		f.setEntry(offset, c.Entry, subject.Name)
 	default:
 		f.setWorkspace(offset, c.Workspace, subject.Name)
 	}
@@ -182,6 +190,27 @@
 	}
 }
 
+// setEntry puts the entry in place of the one of the name, or removes that.
+func (f *Fold) setEntry(offset uint64, e *Entry, name string) {
+	if old, ok := f.entries[name]; ok && old.entry.Kind == KindEngine {
+		for _, p := range old.entry.Endpoints {
+			delete(f.engines, p.Address)
+		}
+	}
+	if e == nil {
+		delete(f.entries, name)
+		return
+	}
+	f.entries[name] = &entryState{revision: offset, entry: *e}
+	if e.Kind != KindEngine {
+		return
+	}
+	for _, p := range e.Endpoints {
+		f.engines[p.Address] = name
+	}
+}
+
+// setWorkspace puts the workspace in place of the one of the name, or removes that.
 func (f *Fold) setWorkspace(offset uint64, w *Workspace, name string) {
 	if old, ok := f.workspaces[name]; ok {
 		for _, h := range old.workspace.KeyHashes {
@@ -245,7 +274,7 @@
 	next.offset, next.revision, next.horizon, next.refused = s.Covers, s.Revision, s.Horizon, s.Refused
 	copy(next.digest[:], s.Digest)
 	for _, e := range s.Entries {
-		next.entries[e.Entry.Name] = &entryState{revision: e.Revision, entry: e.Entry}
+		next.setEntry(e.Revision, &e.Entry, e.Entry.Name)
 	}
 	for _, w := range s.Workspaces {
 		next.setWorkspace(w.Revision, &w.Workspace, w.Workspace.Name)
--- a/state/catalogue/fold_test.go
+++ b/state/catalogue/fold_test.go
@@ -50,9 +50,10 @@
 }
 
 func testEntry(name, owner string) *Entry {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, name[0]}), 1)
 	return &Entry{
 		Name: name, Owner: owner, Kind: KindEngine, Class: "c", Model: "m", Version: "1",
-		Endpoints: []Endpoint{{Address: netip.MustParseAddrPort("10.0.0.1:1"), DataCentre: "a"}},
+		Endpoints: []Endpoint{{Address: address, DataCentre: "a"}},
 	}
 }
 
@@ -212,6 +213,23 @@
 			is.Equal(v.Outcome, want)
 		}
 	})
+	t.Run("engineOfAnotherEntry", func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFold()
+		first, second := testEntry("x", "o"), testEntry("y", "o")
+		second.Endpoints = first.Endpoints
+		for i, e := range []*Entry{first, second} {
+			_, err := f.Apply(uint64(i+1), encode(t, Record{Change: &Change{ID: e.Name, Operator: "o", Seen: uint64(i), Entry: e}}))
+			is.NoErr(err)
+		}
+		is.Equal(f.Snapshot().History[1].Outcome, OutcomeInvalid)
+		removal := &Change{ID: "r", Operator: "o", Base: 1, Seen: 2, Removal: &Subject{Kind: SubjectEntry, Name: "x"}}
+		for i, c := range []*Change{removal, {ID: "z", Operator: "o", Seen: 3, Entry: second}} {
+			v, err := f.Apply(uint64(i+3), encode(t, Record{Change: c}))
+			is.NoErr(err)
+			is.Equal(v.Outcome, OutcomeAccepted)
+		}
+	})
 	t.Run("gapsAndOldSnapshots", func(t *testing.T) {
 		is := is.New(t)
 		f := newTestFold()
