A change id stands for one change; faults are not appended

Cause: a second change under a used id was told to its operator as accepted; content that the fold refuses for certain was still appended. Change: ids are kept with a hash of the content, publish asks the fold first.

--- a/coordination/publication/publisher.go
+++ b/coordination/publication/publisher.go
@@ -25,6 +25,9 @@
 
 // Error gives the outcome and the reason.
 func (r *RefusedError) Error() string {
+	if r.Verdict.Offset == 0 {
+		return fmt.Sprintf("not appended: %s: %s", r.Verdict.Outcome, r.Verdict.Reason)
+	}
 	return fmt.Sprintf("refused at %d: %s: %s", r.Verdict.Offset, r.Verdict.Outcome, r.Verdict.Reason)
 }
 
@@ -69,13 +72,17 @@
 	if err := p.CatchUp(ctx); err != nil {
 		return Accepted{}, fmt.Errorf("%w: nothing was appended: %w", ErrUnknown, err)
 	}
-	if done, ok := p.already(wish); ok {
-		return done, nil
-	}
 	change, err := p.change(wish)
 	if err != nil {
 		return Accepted{}, err
 	}
+	if done, ok := p.already(wish, change); ok {
+		return done, nil
+	}
+	// Faults are not worth a record; who wins a race, and who may, the log decides, and history shows it.
+	if outcome, reason := p.Table().Judge(change); outcome == catalogue.OutcomeInvalid {
+		return Accepted{}, &RefusedError{Verdict: catalogue.Verdict{Change: change.ID, Outcome: outcome, Reason: reason}}
+	}
 	data, err := catalogue.Encode(catalogue.Record{Change: change})
 	if err != nil {
 		return Accepted{}, err
@@ -83,10 +90,10 @@
 	return p.append(ctx, change, data)
 }
 
-// already finds a change of the wished id, or a catalogue that says what is wished.
-func (p *Publisher) already(wish *Wish) (Accepted, bool) {
-	if offset, ok := p.Table().Accepted(wish.ChangeID); ok {
-		return Accepted{Change: wish.ChangeID, Offset: offset, Before: true}, true
+// already finds the change of the wished id, or a catalogue that says what is wished.
+func (p *Publisher) already(wish *Wish, c *catalogue.Change) (Accepted, bool) {
+	if offset, ok := p.Table().Accepted(c); ok {
+		return Accepted{Change: c.ID, Offset: offset, Before: true}, true
 	}
 	if wish.Base != nil || wish.ChangeID != "" {
 		return Accepted{}, false
@@ -161,7 +168,7 @@
 
 // find returns what the fold made of the change: accepted once counts more than any refusal of another copy.
 func (p *Publisher) find(c *catalogue.Change) (catalogue.Verdict, bool) {
-	if offset, ok := p.Table().Accepted(c.ID); ok {
+	if offset, ok := p.Table().Accepted(c); ok {
 		return catalogue.Verdict{Offset: offset, Change: c.ID, Outcome: catalogue.OutcomeAccepted}, true
 	}
 	for _, v := range p.Table().View().History() {
--- a/coordination/publication/publisher_test.go
+++ b/coordination/publication/publisher_test.go
@@ -99,6 +99,27 @@
 		}
 		is.Equal(log.Log.(*logtest.Log).Head(catalogue.Stream), uint64(2))
 	})
+	inTime(t, "changeIDOfAnotherChange", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		first, second := workspace("islaget", 1), workspace("islaget", 2)
+		first.ChangeID, second.ChangeID = "same", "same"
+		_, err := New(log, catalogue.Rules{}).Publish(ctx, first)
+		is.NoErr(err)
+		_, err = New(log, catalogue.Rules{}).Publish(ctx, second)
+		refused, ok := errors.AsType[*RefusedError](err)
+		is.True(ok)
+		is.Equal(refused.Verdict.Outcome, catalogue.OutcomeConflict)
+	})
+	inTime(t, "invalidIsNotAppended", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		_, err := New(log, catalogue.Rules{}).Publish(ctx, workspace("islaget", 1))
+		is.NoErr(err)
+		other := workspace("islaget", 1)
+		other.Workspace.Name, other.Subject.Name = "anglers", "anglers"
+		_, err = New(log, catalogue.Rules{}).Publish(ctx, other)
+		refused, ok := errors.AsType[*RefusedError](err)
+		is.True(ok)
+		is.Equal(refused.Verdict.Outcome, catalogue.OutcomeInvalid)
+		is.Equal(log.Log.(*logtest.Log).Head(catalogue.Stream), uint64(1))
+	})
 	inTime(t, "notTheOwner", func(ctx context.Context, is *is.I, log *logtest.Link) {
 		_, err := New(log, catalogue.Rules{}).Publish(ctx, workspace("gyeongsan", 1))
 		refused, ok := errors.AsType[*RefusedError](err)
--- a/state/catalogue/change.go
+++ b/state/catalogue/change.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/ed25519"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 )
 
@@ -73,6 +74,18 @@
 	return encoder.Marshal(&unsigned)
 }
 
+// content returns a hash of what the change says, without what may differ between two attempts at it.
+func (c *Change) content() (uint64, error) {
+	content := *c
+	content.ID, content.Base, content.Seen, content.Signature = "", 0, 0, nil
+	encoded, err := encoder.Marshal(&content)
+	if err != nil {
+		return 0, err
+	}
+	digest := sha256.Sum256(encoded)
+	return binary.BigEndian.Uint64(digest[:8]), nil
+}
+
 // DeriveID returns an id that is the same for the same content on the same base, so that a repeated command repeats its change.
 func (c *Change) DeriveID() (string, error) {
 	content := *c
--- a/state/catalogue/fold.go
+++ b/state/catalogue/fold.go
@@ -40,7 +40,7 @@
 	workspaces map[string]*workspaceState
 	keys       map[string]string         // key hash to workspace
 	engines    map[netip.AddrPort]string // endpoint to the one entry whose orders it takes
-	ids        map[string]uint64
+	ids        map[string]ChangeOffset
 	order      []ChangeOffset // of ids, oldest first
 	history    []Verdict
 }
@@ -54,7 +54,7 @@
 		workspaces: map[string]*workspaceState{},
 		keys:       map[string]string{},
 		engines:    map[netip.AddrPort]string{},
-		ids:        map[string]uint64{},
+		ids:        map[string]ChangeOffset{},
 	}
 }
 
@@ -105,7 +105,10 @@
 		return OutcomeUnsigned, "no valid signature of operator " + clip(c.Operator)
 	}
 	if first, ok := f.ids[c.ID]; ok {
-		return OutcomeRepeated, fmt.Sprintf("accepted at %d", first)
+		if content, err := c.content(); err != nil || content != first.Content {
+			return OutcomeConflict, fmt.Sprintf("the id is that of another change, accepted at %d", first.Offset)
+		}
+		return OutcomeRepeated, fmt.Sprintf("accepted at %d", first.Offset)
 	}
 	if !known {
 		return OutcomeInvalid, "names not exactly one entry, workspace or removal"
@@ -181,8 +184,11 @@
 	var position [8]byte
 	binary.BigEndian.PutUint64(position[:], offset)
 	f.digest = sha256.Sum256(slices.Concat(f.digest[:], position[:], []byte(c.ID)))
-	f.ids[c.ID] = offset
-	f.order = append(f.order, ChangeOffset{ID: c.ID, Offset: offset})
+	// It was encoded to get here, so it can be encoded again.
+	content, _ := c.content()
+	accepted := ChangeOffset{ID: c.ID, Offset: offset, Content: content}
+	f.ids[c.ID] = accepted
+	f.order = append(f.order, accepted)
 	if len(f.order) > f.bound {
 		f.horizon = f.order[0].Offset
 		delete(f.ids, f.order[0].ID)
@@ -281,7 +287,7 @@
 	}
 	next.order = slices.Clone(s.Changes)
 	for _, c := range s.Changes {
-		next.ids[c.ID] = c.Offset
+		next.ids[c.ID] = c
 	}
 	next.history = slices.Clone(s.History)
 	*f = *next
--- a/state/catalogue/snapshot.go
+++ b/state/catalogue/snapshot.go
@@ -31,10 +31,11 @@
 	Workspace Workspace `cbor:"workspace"`
 }
 
-// ChangeOffset is the id of an accepted change and its offset.
+// ChangeOffset is the id of an accepted change, its offset and a hash of what it says.
 type ChangeOffset struct {
-	ID     string `cbor:"id"`
-	Offset uint64 `cbor:"offset"`
+	ID      string `cbor:"id"`
+	Offset  uint64 `cbor:"offset"`
+	Content uint64 `cbor:"content"`
 }
 
 // Authenticate sets the HMAC of a key that instances share.
--- a/state/catalogue/table.go
+++ b/state/catalogue/table.go
@@ -134,12 +134,16 @@
 	return s.check(rules)
 }
 
-// Accepted returns the offset at which the change of the id was accepted, if that is still remembered.
-func (t *Table) Accepted(id string) (uint64, bool) {
+// Accepted returns the offset at which a change of the id and content was accepted, if that is still remembered.
+func (t *Table) Accepted(c *Change) (uint64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	offset, ok := t.fold.ids[id]
-	return offset, ok
+	accepted, ok := t.fold.ids[c.ID]
+	if !ok {
+		return 0, false
+	}
+	content, err := c.content()
+	return accepted.Offset, err == nil && content == accepted.Content
 }
 
 // Ordered returns the names of the entries whose engines take orders.
@@ -152,3 +156,11 @@
 	}
 	return names
 }
+
+// Judge tells what the fold would make of the change if it were the next record.
+func (t *Table) Judge(c *Change) (Outcome, string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	subject, known := c.Subject()
+	return t.fold.decide(t.fold.offset+1, c, subject, known)
+}
