A leaseholder never orders by an older catalogue than a former one

Cause: an instance that takes a lease before it has read the latest changes would load engines with the version before. Change: lease records carry the catalogue's offset that orders go by, the grant passes it on.

--- a/coordination/lease/fold.go
+++ b/coordination/lease/fold.go
@@ -8,6 +8,8 @@
 	Fence    uint64 // offset of the latest take
 	Holder   netip.AddrPort
 	Released bool
+
+	Catalogue uint64 // latest offset that any holder's orders went by
 }
 
 // Apply folds a record and tells whether it counts.
@@ -16,6 +18,14 @@
 		return false
 	}
 	f.Offset = offset
+	counts := f.apply(offset, r)
+	if counts {
+		f.Catalogue = max(f.Catalogue, r.Catalogue)
+	}
+	return counts
+}
+
+func (f *Fold) apply(offset uint64, r Record) bool {
 	switch {
 	case r.Kind == KindTake:
 		f.Fence, f.Holder, f.Released = offset, r.Holder, false
--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -10,6 +10,8 @@
 	Fence uint64
 	From  time.Time // earliest order to an engine that ignores fencing numbers: the former holder's right is over
 	Until time.Time // end of the right, unless it is renewed
+
+	Catalogue uint64 // orders must not go by an older catalogue than this offset's
 }
 
 // Keeper is one instance's view of one partition's lease; time is passed in, and it is not safe for concurrent use.
@@ -23,6 +25,8 @@
 	until    time.Time // see Grant
 	actAt    time.Time // earliest next own record
 	blindAt  time.Time // last time that the log could not be read
+
+	catalogue uint64 // offset that this instance's orders go by
 }
 
 // sending is an own record and when its append began.
@@ -81,7 +85,7 @@
 	if k.fold.Holder != k.self || k.fold.Released || !now.Before(k.until) {
 		return Grant{}, false
 	}
-	return Grant{Fence: k.fold.Fence, From: k.from, Until: k.until}, true
+	return Grant{Fence: k.fold.Fence, From: k.from, Until: k.until, Catalogue: k.fold.Catalogue}, true
 }
 
 // Holder tells whether the records name this process as the holder, though its right may have lapsed.
@@ -89,6 +93,9 @@
 	return k.fold.Holder == k.self && !k.fold.Released && !k.until.IsZero()
 }
 
+// Ordering tells which catalogue's offset this instance's orders go by.
+func (k *Keeper) Ordering(catalogue uint64) { k.catalogue = catalogue }
+
 // Next returns the record that this instance should append now, if any; rank is its place among the candidates, negative if it is none.
 func (k *Keeper) Next(now time.Time, rank int, wanted bool) (Record, bool) {
 	if now.Before(k.actAt) {
@@ -141,7 +148,7 @@
 	if len(k.sent) > maximumSent {
 		k.sent = k.sent[1:]
 	}
-	r := Record{Kind: kind, Holder: k.self, Sequence: k.sequence}
+	r := Record{Kind: kind, Holder: k.self, Sequence: k.sequence, Catalogue: k.catalogue}
 	if kind != KindTake {
 		r.Fence = k.fold.Fence
 	}
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -203,6 +203,21 @@
 		is.True(!ok)
 		is.Equal(k.Fold().Fence, uint64(2))
 	})
+	t.Run("nextHolderKnowsTheCatalogueOfTheFormer", func(t *testing.T) {
+		is := is.New(t)
+		former, next := NewKeeper(address(1), start, 0), NewKeeper(address(2), start, 0)
+		former.Ordering(77)
+		for i, k := range []*Keeper{former, next} {
+			now := start.Add(time.Duration(i) * WaitOut)
+			r, ok := k.Next(now, 0, true)
+			is.True(ok)
+			former.Observe(now, uint64(i+1), r)
+			next.Observe(now, uint64(i+1), r)
+		}
+		g, ok := next.Holding(start.Add(WaitOut))
+		is.True(ok)
+		is.Equal(g.Catalogue, uint64(77))
+	})
 	t.Run("formerProcessOfTheAddress", func(t *testing.T) {
 		is := is.New(t)
 		k := NewKeeper(address(1), start, 100)
--- a/coordination/lease/leases.go
+++ b/coordination/lease/leases.go
@@ -48,6 +48,7 @@
 	wanted   map[int][]string // entries of each partition
 	ranks    map[int]int
 	draining bool
+	ordering uint64 // offset of the catalogue that orders go by
 }
 
 // New returns leases that follow nothing.
@@ -80,6 +81,13 @@
 	return k.Holding(now)
 }
 
+// Ordering tells which catalogue's offset this instance's orders go by; the next renewal passes it on.
+func (l *Leases) Ordering(catalogue uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ordering = catalogue
+}
+
 // Row is what is known here of one entry's lease.
 type Row struct {
 	Entry  string
@@ -265,6 +273,7 @@
 func (l *Leases) act(ctx context.Context, partition int) {
 	l.mu.Lock()
 	_, wanted := l.wanted[partition]
+	l.keepers[partition].Ordering(l.ordering)
 	r, ok := l.keepers[partition].Next(time.Now(), l.rank(partition), wanted && !l.draining)
 	l.mu.Unlock()
 	if !ok {
--- a/coordination/lease/record.go
+++ b/coordination/lease/record.go
@@ -26,6 +26,8 @@
 	Holder   netip.AddrPort `cbor:"holder"`
 	Fence    uint64         `cbor:"fence,omitempty"`
 	Sequence uint64         `cbor:"sequence"` // of the holder's records, to know one's own again
+
+	Catalogue uint64 `cbor:"catalogue,omitempty"` // offset that the holder's orders go by
 }
 
 var decoder = newDecoder()
--- a/protocol/order/fake_test.go
+++ b/protocol/order/fake_test.go
@@ -140,6 +140,7 @@
 	offset uint64
 	grant  lease.Grant
 	sent   int
+	former uint64
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -187,7 +188,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	h.grant = lease.Grant{Fence: fence, From: now, Until: now.Add(span)}
+	h.grant = lease.Grant{Fence: fence, From: now, Until: now.Add(span), Catalogue: h.former}
+}
+
+// follow says how far a former holder's catalogue was.
+func (h *holder) follow(former uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.former = former
 }
 
 func (h *holder) orders() int {
@@ -202,6 +210,7 @@
 	return h.grant, now.Before(h.grant.Until)
 }
 
+func (h *holder) Ordering(uint64)               {}
 func (h *holder) Share(rate float64) float64    { return rate }
 func (h *holder) Leaving(netip.AddrPort) bool   { return false }
 func (h *holder) OrderSent(string, bool, error) {}
--- a/protocol/order/order_test.go
+++ b/protocol/order/order_test.go
@@ -92,6 +92,23 @@
 		}
 		is.Equal(h.orders(), 0)
 	})
+	inTime(t, "staleCatalogueRevertsNothing", func(t *testing.T, is *is.I) {
+		s := newSite(3, 0, true)
+		former, next := newHolder(t, s, 100), newHolder(t, s, 100)
+		defer former.stop()
+		defer next.stop()
+		former.publish("2")
+		former.hold(10, time.Minute)
+		time.Sleep(time.Minute)
+		is.True(s.all("2"))
+		next.follow(former.table.Offset())
+		next.hold(20, forLong)
+		time.Sleep(time.Minute)
+		is.Equal(next.orders(), 0)
+		next.publish("3")
+		time.Sleep(time.Minute)
+		is.True(s.all("3"))
+	})
 	inTime(t, "formerOrderIsWaitedOut", func(t *testing.T, is *is.I) {
 		s := newSite(3, 0, false)
 		h := newHolder(t, s, 100)
--- a/protocol/order/runner.go
+++ b/protocol/order/runner.go
@@ -25,6 +25,7 @@
 type Leases interface {
 	Grant(now time.Time, entry string) (lease.Grant, bool)
 	Share(rate float64) float64
+	Ordering(catalogue uint64)
 }
 
 // Leaving tells whether any source says that an endpoint is leaving.
@@ -96,6 +97,7 @@
 func (r *Runner) Round(ctx context.Context) {
 	view := r.Catalogue.View()
 	r.forget(view)
+	r.Leases.Ordering(view.Offset)
 	var group conc.WaitGroup
 	for _, e := range view.Entries() {
 		if e.Kind != catalogue.KindEngine {
@@ -107,6 +109,10 @@
 		if a == nil || now.Before(a.lookAt) || !mayOrder(e, grant, now) {
 			continue
 		}
+		if view.Offset < grant.Catalogue {
+			// A former holder went by a later catalogue: this one's orders would revert its.
+			continue
+		}
 		group.Go(func() { r.look(ctx, e, a) })
 	}
 	group.Wait()
