--- a/cmd/dykectl/fleet.go
+++ b/cmd/dykectl/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -53,6 +54,13 @@
 	return nil
 }
 
+// printJSON writes the value to standard output.
+func printJSON(value any) error {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
 // context ends with the timeout.
 func (o *fleetOptions) context() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), time.Duration(o.Timeout*float64(time.Second)))
--- a/cmd/dykectl/list.go
+++ b/cmd/dykectl/list.go
@@ -11,6 +11,16 @@
 // listCommand prints all entries and workspaces.
 type listCommand struct {
 	catalogueOptions
+	JSON bool `long:"json" description:"print JSON, for scripts"`
+}
+
+// listed is the catalogue as JSON.
+type listed struct {
+	Revision   uint64                 `json:"revision"`
+	Offset     uint64                 `json:"offset"`
+	Digest     string                 `json:"digest"`
+	Entries    []*catalogue.Entry     `json:"entries"`
+	Workspaces []*catalogue.Workspace `json:"workspaces"`
 }
 
 // Execute runs the command.
@@ -22,6 +32,12 @@
 	if err != nil {
 		return err
 	}
+	if c.JSON {
+		return printJSON(listed{
+			Revision: view.Revision, Offset: view.Offset, Digest: view.Digest,
+			Entries: view.Entries(), Workspaces: view.AllWorkspaces(),
+		})
+	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(w, "KIND\tNAME\tOWNER\tREVISION\tCLASS\tENDPOINTS\tMODEL")
 	for _, e := range view.Entries() {
--- a/cmd/dykectl/status.go
+++ b/cmd/dykectl/status.go
@@ -18,6 +18,7 @@
 // statusCommand prints how the instances are.
 type statusCommand struct {
 	fleetOptions
+	JSON      bool `long:"json" description:"print JSON, for scripts"`
 	Endpoints bool `long:"endpoints" description:"also each instance's view of its endpoints"`
 }
 
@@ -41,7 +42,31 @@
 	}
 	ctx, cancel := c.context()
 	defer cancel()
-	return c.print(askAll(ctx, c.Instances))
+	all := askAll(ctx, c.Instances)
+	if c.JSON {
+		return printStatuses(all)
+	}
+	return c.print(all)
+}
+
+// printStatuses prints each instance's answer as it came, or why there is none.
+func printStatuses(all []answered) error {
+	type row struct {
+		URL    string           `json:"url"`
+		Error  string           `json:"error,omitempty"`
+		Status *operator.Status `json:"status,omitempty"`
+	}
+	rows := make([]row, 0, len(all))
+	var failure error
+	for _, a := range all {
+		if a.err != nil {
+			rows = append(rows, row{URL: a.url, Error: a.err.Error()})
+			failure = &exitError{exitFailed, errUnreachable}
+			continue
+		}
+		rows = append(rows, row{URL: a.url, Status: &a.status})
+	}
+	return errors.Join(printJSON(rows), failure)
 }
 
 func askAll(ctx context.Context, urls []string) []answered {
