Demo: published through coordination/publication; steps that fail are a failed check

A log that loses an acknowledgement made the script's own publisher give up, and the whole report was lost with it.

--- a/experiment/demo/audit.go
+++ b/experiment/demo/audit.go
@@ -85,7 +85,7 @@
 		for i := range t.Records {
 			r := &t.Records[i]
 			traced += starts(b, r)
-			if r.Key == "" && r.Answer == "" && r.Outcome != load.OutcomeNotRun && r.Outcome != load.OutcomeUnreached {
+			if r.Generates() && r.Answer == "" && r.Outcome != load.OutcomeNotRun && r.Outcome != load.OutcomeUnreached {
 				nameless++
 			}
 		}
--- a/experiment/demo/changes.go
+++ b/experiment/demo/changes.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"dogwooddyke/experiment/load"
-	"dogwooddyke/state/catalogue"
 	"dogwooddyke/transport/operator"
 )
 
@@ -23,13 +22,13 @@
 		return Idle{}, err
 	}
 	defer func() { err = errors.Join(err, f.close()) }()
-	pause(ctx, memorySettle)
+	pause(ctx, workSettle)
 	before, bytes := ProcessorTime(), f.sent()
 	revision := uint64(0)
 	for i := range changes {
 		e := f.backends.groups[0].entry()
 		e.Limits.Concurrency = 1000 + i
-		if revision, err = f.publisher.publish(ctx, e.Owner, catalogue.Change{Entry: e}); err != nil {
+		if revision, err = f.publisher.entry(ctx, e); err != nil {
 			return Idle{}, err
 		}
 	}
--- a/experiment/demo/check.go
+++ b/experiment/demo/check.go
@@ -68,6 +68,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var list []Check
+	for _, err := range r.faults {
+		list = append(list, Check{Name: "every step of the script was carried out", Seen: err.Error()})
+	}
 	for _, err := range r.drains {
 		seen := "all requests in progress finished"
 		if err != nil {
--- a/experiment/demo/fleet.go
+++ b/experiment/demo/fleet.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"dogwooddyke/experiment/load"
-	"dogwooddyke/state/catalogue"
 	"dogwooddyke/transport/operator"
 )
 
@@ -62,14 +61,14 @@
 // publishAll publishes the entries of the layout and the workspaces of the profiles.
 func (f *fleet) publishAll(ctx context.Context) error {
 	for _, g := range f.backends.groups {
-		if _, err := f.publisher.publish(ctx, g.service.Entry.Owner, catalogue.Change{Entry: g.entry()}); err != nil {
+		if _, err := f.publisher.entry(ctx, g.entry()); err != nil {
 			return err
 		}
 	}
 	for _, p := range f.profiles {
 		for i := range p.Workspaces {
 			w := workspaceOf(&p.Workspaces[i], p.Name)
-			if _, err := f.publisher.publish(ctx, p.Name, catalogue.Change{Workspace: w}); err != nil {
+			if _, err := f.publisher.workspace(ctx, w); err != nil {
 				return err
 			}
 		}
@@ -81,7 +80,7 @@
 func (f *fleet) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
 	return f.await(ctx, deadline, func(s *operator.Status) bool {
-		return s.State == "ready" && s.CatalogueOffset >= f.publisher.table.Offset() && len(s.Members) >= len(f.nodes)
+		return s.State == "ready" && s.CatalogueOffset >= f.publisher.offset() && len(s.Members) >= len(f.nodes)
 	})
 }
 
--- a/experiment/demo/idle.go
+++ b/experiment/demo/idle.go
@@ -26,7 +26,7 @@
 		return Idle{}, err
 	}
 	defer func() { err = errors.Join(err, f.close()) }()
-	pause(ctx, memorySettle)
+	pause(ctx, workSettle)
 	before, bytes := ProcessorTime(), f.sent()
 	pause(ctx, time.Duration(seconds*float64(time.Second)))
 	idle.Microseconds = float64((ProcessorTime() - before).Microseconds()) / seconds
--- a/experiment/demo/memory.go
+++ b/experiment/demo/memory.go
@@ -20,7 +20,8 @@
 	memoryTokens  = 100_000 // more than are sent before the run ends
 	memoryRate    = 150.0   // requests/s until all streams are open
 	memoryWait    = 60 * time.Second
-	memorySettle  = 3 * time.Second
+	memorySettle  = 2 * time.Second
+	workSettle    = 1500 * time.Millisecond
 )
 
 // Memory is the live memory of this process in bytes, with streams open by two ways and by none.
--- a/experiment/demo/publish.go
+++ b/experiment/demo/publish.go
@@ -2,67 +2,45 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"time"
 
+	"dogwooddyke/coordination/publication"
 	"dogwooddyke/experiment/load"
 	"dogwooddyke/state/catalogue"
 	"dogwooddyke/transport/platform"
 )
 
-// errRefused reports a change that the fold did not accept.
-var errRefused = errors.New("change refused")
-
-// publisher appends catalogue changes and folds the log to see what became of them.
+// publisher publishes in the name of each subject's owner, as operators would.
 type publisher struct {
-	log   *platform.Log
-	table *catalogue.Table
+	publisher *publication.Publisher
 }
 
 func newPublisher(s *site) *publisher {
-	return &publisher{
-		log:   platform.NewLog("http://"+s.logAt.String(), platform.NewClient()),
-		table: catalogue.NewTable(catalogue.Rules{}),
-	}
+	log := platform.NewLog("http://"+s.logAt.String(), platform.NewClient())
+	return &publisher{publisher: publication.New(log, catalogue.Rules{})}
 }
 
-// publish appends a change in the name of the subject's owner, based on the current revision, and returns its own.
-func (p *publisher) publish(ctx context.Context, owner string, c catalogue.Change) (uint64, error) {
-	subject, _ := c.Subject()
-	c.Operator, c.Base, c.Seen = owner, p.table.View().RevisionOf(subject), p.table.Offset()
-	id, err := c.DeriveID()
-	if err != nil {
-		return 0, err
-	}
-	c.ID = id
-	data, err := catalogue.Encode(catalogue.Record{Change: &c})
-	if err != nil {
-		return 0, err
-	}
-	offset, err := p.log.Append(ctx, catalogue.Stream, data)
-	if err != nil {
-		return 0, err
-	}
-	return offset, p.accepted(ctx, offset)
+// offset returns how far the catalogue has been read.
+func (p *publisher) offset() uint64 {
+	return p.publisher.Table().Offset()
 }
 
-// accepted folds through the offset and returns an error unless the change there was accepted.
-func (p *publisher) accepted(ctx context.Context, offset uint64) error {
-	page, err := p.log.Read(ctx, catalogue.Stream, p.table.Offset()+1, time.Time{})
-	if err != nil {
-		return err
-	}
-	verdicts, err := p.table.ApplyAll(page.Records)
-	if err != nil {
-		return err
-	}
-	for _, v := range verdicts {
-		if v.Offset == offset && v.Refused() {
-			return fmt.Errorf("%w: %s %s: %s", errRefused, v.Subject.Name, v.Outcome, v.Reason)
-		}
-	}
-	return nil
+// entry publishes an entry and returns its revision.
+func (p *publisher) entry(ctx context.Context, e *catalogue.Entry) (uint64, error) {
+	return p.publish(ctx, &publication.Wish{
+		Subject: catalogue.Subject{Kind: catalogue.SubjectEntry, Name: e.Name}, Entry: e, Operator: e.Owner,
+	})
+}
+
+// workspace publishes a workspace and returns its revision.
+func (p *publisher) workspace(ctx context.Context, w *catalogue.Workspace) (uint64, error) {
+	return p.publish(ctx, &publication.Wish{
+		Subject: catalogue.Subject{Kind: catalogue.SubjectWorkspace, Name: w.Name}, Workspace: w, Operator: w.Owner,
+	})
+}
+
+func (p *publisher) publish(ctx context.Context, w *publication.Wish) (uint64, error) {
+	accepted, err := p.publisher.Publish(ctx, w)
+	return accepted.Offset, err
 }
 
 // entry returns the catalogue entry of a group.
--- a/experiment/demo/runner.go
+++ b/experiment/demo/runner.go
@@ -23,11 +23,12 @@
 	background conc.WaitGroup
 	killed     bool // an instance was ended without notice
 
-	mutex  sync.Mutex // guards all below
-	drains []error
-	forced []time.Duration // from publishing to in force everywhere
-	events []string
-	faults []error
+	mutex    sync.Mutex // guards all below
+	drains   []error
+	forced   []time.Duration // from publishing to in force everywhere
+	events   []string
+	faults   []error // of steps of the script
+	failures []error // of load tools
 }
 
 // baseline is a naive proxy before endpoints of its own.
@@ -104,7 +105,14 @@
 	stop()
 	script.Wait()
 	r.background.Wait()
-	return fleet, naive, errors.Join(r.faults...)
+	return fleet, naive, r.broken()
+}
+
+// broken returns the error of a load tool that could not run, as its traffic has no report then.
+func (r *runner) broken() error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return errors.Join(r.failures...)
 }
 
 // send sends one profile; only one of those that run at once may show its progress.
@@ -112,7 +120,7 @@
 	t := Traffic{Name: profile}
 	p, err := load.OpenProfile(profile)
 	if err != nil {
-		r.failed(err)
+		r.lost(err)
 		return t
 	}
 	options := &load.Options{
@@ -124,7 +132,7 @@
 	}
 	t.Report, t.Records, err = load.Run(ctx, options)
 	if err != nil {
-		r.failed(err)
+		r.lost(err)
 	}
 	return t
 }
@@ -155,6 +163,12 @@
 	r.faults = append(r.faults, err)
 }
 
+func (r *runner) lost(err error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.failures = append(r.failures, err)
+}
+
 func (r *runner) drained(err error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/experiment/demo/script.go
+++ b/experiment/demo/script.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"dogwooddyke/standin"
-	"dogwooddyke/state/catalogue"
 	"dogwooddyke/transport/operator"
 )
 
@@ -122,7 +121,7 @@
 	return Step{at, "catalogue change published", func(ctx context.Context, r *runner) error {
 		e := r.fleet.backends.groups[0].entry()
 		e.Limits.RequestsPerSecond = maximumRate
-		revision, err := r.fleet.publisher.publish(ctx, e.Owner, catalogue.Change{Entry: e})
+		revision, err := r.fleet.publisher.entry(ctx, e)
 		if err != nil {
 			return err
 		}
--- a/experiment/demo/work.go
+++ b/experiment/demo/work.go
@@ -25,7 +25,7 @@
 		return 0, err
 	}
 	defer func() { err = errors.Join(err, s.close()) }()
-	pause(ctx, memorySettle)
+	pause(ctx, workSettle)
 	direct, err := w.cost(ctx, s.direct.urls())
 	if err != nil {
 		return 0, err
--- a/experiment/load/record.go
+++ b/experiment/load/record.go
@@ -36,3 +36,8 @@
 		r.Request.Number, r.Request.Mix.Name, r.Request.Seed, r.Answer, r.Outcome, r.Reason,
 		r.Request.Tokens, r.Text.Tokens, r.Text.Lost, r.Text.Doubled, r.Text.Crossed)
 }
+
+// Generates tells whether the request was for a generation.
+func (r *Record) Generates() bool {
+	return r.Kind == KindStream || r.Kind == KindWhole
+}
