--- a/coordination/claim/constants.go
+++ b/coordination/claim/constants.go
@@ -4,15 +4,15 @@
 
 // Limits of one partition.
 const (
-	maximumClaims      = 1 << 20 // keys remembered
-	maximumGroupClaims = 4096    // claims in one record
-	maximumGroupBytes  = 1 << 20 // results in one record
-	maximumPending     = 16384   // claims that wait for a record
-	maximumResults     = 16384   // results that wait for a record
-	maximumWaiting     = 4096    // repeats that wait for a result
-	maximumCachedBytes = 4 << 20 // results kept in memory; older ones are read back from the log
-	maximumCached      = 65536   // number of them
-	maximumStateBytes  = 16      // of a state's name in messages
+	maximumClaims      = 1 << 20   // keys remembered
+	maximumGroupClaims = 1024      // claims in one record
+	maximumGroupBytes  = 128 << 10 // results in one record
+	maximumPending     = 16384     // claims that wait for a record
+	maximumResults     = 16384     // results that wait for a record
+	maximumWaiting     = 4096      // repeats that wait for a result
+	maximumCachedBytes = 4 << 20   // results kept in memory; older ones are read back from the log
+	maximumCached      = 65536     // number of them
+	maximumStateBytes  = 16        // of a state's name in messages
 	streamPrefix       = "claims."
 )
 
@@ -38,7 +38,7 @@
 const (
 	retryMinimum  = 20 * time.Millisecond // between tries at the log or a steward
 	retryMaximum  = time.Second
-	idleCheck     = 10 * time.Second       // between an idle steward's looks at the view of stewards
+	idleCheck     = 500 * time.Millisecond // between an idle steward's looks at the view of stewards
 	answerMargin  = 250 * time.Millisecond // by which stewards answer before a question's deadline
 	flushPause    = 10 * time.Millisecond  // between looks at what a leaving steward has to write
 	repeatWait    = 10 * time.Second       // longest wait of a repeat for the first call's result
--- a/coordination/claim/faults_test.go
+++ b/coordination/claim/faults_test.go
@@ -23,7 +23,8 @@
 	"look",      // the member holds the other to be the steward
 	"cut",       // answers of others to the member are lost from now on
 	"outage",    // the log refuses
-	"restored",  // the log takes appends again
+	"lag",       // records can be read only some time after they were appended
+	"restored",  // the log takes appends again, and reads are current
 	"abandoned", // the member claims the key and gives it up before the dispatch
 	"call", "call", "call", "call", "call",
 }
@@ -46,6 +47,9 @@
 		m.set(e.other, true)
 	case "outage", "restored":
 		f.log.setOutage(e.kind == "outage")
+		f.log.setLag(0)
+	case "lag":
+		f.log.setLag(time.Second)
 	case "call":
 		group.Go(func() { _, _ = f.call(t, e.member, numbered("k", e.other), 8*time.Second) })
 	case "abandoned":
@@ -78,6 +82,7 @@
 				f.happen(t, e, &group)
 			}
 			f.log.setOutage(false)
+			f.log.setLag(0)
 			group.Wait()
 			f.look(0)
 			time.Sleep(time.Minute)
@@ -89,7 +94,8 @@
 	})
 }
 
-// checkKey asserts that a key ran at most once, and that a later repeat is told no less than what happened.
+// checkKey asserts that a key ran at most once, and that a later repeat gets its result, or the key if it did not run: no
+// instance died, so that each call's end reaches the log.
 func (f *fleet) checkKey(t *testing.T, key string) {
 	t.Helper()
 	before := f.ran(key)
@@ -100,11 +106,12 @@
 	if err != nil {
 		t.Errorf("key %s: %v", key, err)
 	}
-	if before == 1 && grant.State != StateSettled && grant.State != StateRunning {
-		t.Errorf("key %s ran, but a repeat is told %s", key, grant.State)
+	want := StateGranted
+	if before == 1 {
+		want = StateSettled
 	}
-	if before == 0 && grant.State == StateSettled {
-		t.Errorf("key %s did not run, but has a result", key)
+	if grant.State != want {
+		t.Errorf("key %s ran %d times, and a repeat is told %s", key, before, grant.State)
 	}
 	if f.ran(key) > 1 {
 		t.Errorf("key %s ran again", key)
--- a/coordination/claim/worker.go
+++ b/coordination/claim/worker.go
@@ -5,14 +5,15 @@
 	"errors"
 	"time"
 
-	"github.com/google/uuid"
-
 	"dogwooddyke/state/record"
 )
 
 // errDeposed reports that another stewardship has begun.
 var errDeposed = errors.New("another steward has the partition")
 
+// errUncertain reports a claim that may or may not be in the log.
+var errUncertain = errors.New("outcome of the claim unknown")
+
 // work takes the partition over and writes its records until another steward does or the instance ends.
 func (p *partition) work() {
 	ctx := p.steward.ctx
@@ -43,14 +44,18 @@
 	if errors.Is(err, record.ErrUnavailable) {
 		return p.postpone(ctx, b)
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, errDeposed) {
 		return err
 	}
+	// A record that came before another stewardship counts, so its claims are granted by a deposed steward too.
 	p.lock.Lock()
 	p.inFlight = nil
 	p.table.expire(time.Now().UnixMilli())
-	p.resolve(b)
+	p.resolve(b, err != nil)
 	p.lock.Unlock()
+	if err != nil {
+		return err
+	}
 	p.steward.observer.Committed(len(b.claims), len(b.settlements), time.Since(began))
 	return pause(ctx, p.steward.settings.interval()-time.Since(began))
 }
@@ -69,8 +74,8 @@
 		select {
 		case <-p.wake:
 		case <-idle.C:
-			if !p.steward.mine(p.stream) {
-				return errDeposed
+			if err := p.lookRound(ctx); err != nil {
+				return err
 			}
 		case <-ctx.Done():
 			return ctx.Err()
@@ -78,130 +83,33 @@
 	}
 }
 
-// postpone keeps a batch that certainly is not in the log for the next try.
-func (p *partition) postpone(ctx context.Context, b *batch) error {
+// lookRound ends a stewardship that is another's by the view of stewards, or by the log where repeats wait for a result.
+func (p *partition) lookRound(ctx context.Context) error {
+	if !p.steward.mine(p.stream) {
+		return errDeposed
+	}
 	p.lock.Lock()
-	p.putBack(b)
-	p.inFlight = nil
+	waited := p.waiters > 0
 	p.lock.Unlock()
-	return pause(ctx, max(retryMinimum, p.steward.settings.interval()))
-}
-
-// commit writes one record and returns when the table has it; ErrUnavailable means that it certainly is not in the log.
-func (p *partition) commit(ctx context.Context, b *batch) error {
-	data, err := encode(p.entry(b))
-	if err != nil {
-		return err
-	}
-	wait := retryMinimum
-	for certain := true; ; {
-		offset, err := p.append(ctx, data)
-		if certain && errors.Is(err, record.ErrUnavailable) {
-			return err
-		}
-		if err != nil && !errors.Is(err, record.ErrUnavailable) {
-			certain = false
-		}
-		if err == nil || !certain {
-			written, err := p.readBack(ctx, offset, data)
-			if written || errors.Is(err, errDeposed) {
-				return err
-			}
-		}
-		if err := pause(ctx, wait); err != nil {
-			return err
-		}
-		wait = min(2*wait, retryMaximum)
-	}
-}
-
-// entry gives the batch the form of a record; only the worker changes the writer and the sequence.
-func (p *partition) entry(b *batch) *entry {
-	e := &entry{
-		Kind:     kindGroup,
-		Writer:   p.writer,
-		Sequence: p.table.sequence + 1,
-		At:       time.Now().UnixMilli(),
-	}
-	for _, s := range b.settlements {
-		if s.settlement.Abandoned {
-			e.Abandoned = append(e.Abandoned, abandoned{Key: s.settlement.Key, Call: s.settlement.Call})
-			continue
-		}
-		e.Results = append(e.Results, result{Key: s.settlement.Key, Call: s.settlement.Call, Data: s.settlement.Data})
-	}
-	for _, c := range b.claims {
-		e.Claims = append(e.Claims, c.claim)
+	if !waited {
+		return nil
 	}
-	return e
-}
-
-func (p *partition) append(ctx context.Context, data []byte) (uint64, error) {
-	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	return p.steward.log.Append(bounded, p.stream, data)
-}
-
-// readBack brings the table up to the record that was appended, or to the log's end where the offset is not known, and
-// reports whether the record is there and counts.
-func (p *partition) readBack(ctx context.Context, offset uint64, data []byte) (bool, error) {
-	sequence := p.table.sequence + 1
-	if offset != 0 && offset == p.table.next {
-		p.apply(record.Record{Offset: offset, Data: data})
-	} else if err := p.catchUp(ctx, offset); err != nil {
-		return false, err
+	if err := p.readAll(ctx); err != nil {
+		return err
 	}
 	if p.table.writer != p.writer {
-		p.steward.observer.Voided(p.number)
-		return false, errDeposed
-	}
-	return p.table.sequence == sequence, nil
-}
-
-// catchUp applies the log's records up to the offset, or to the log's end if it is zero.
-func (p *partition) catchUp(ctx context.Context, offset uint64) error {
-	for offset == 0 || p.table.next <= offset {
-		bounded, cancel := context.WithTimeout(ctx, readTimeout)
-		page, err := p.steward.log.Read(bounded, p.stream, p.table.next, time.Time{})
-		cancel()
-		if err != nil {
-			return err
-		}
-		p.applyPage(page)
-		if len(page.Records) == 0 {
-			return nil
-		}
+		return errDeposed
 	}
 	return nil
 }
 
-// applyPage applies records; where older ones are gone from the log, keys from before them can't be judged.
-func (p *partition) applyPage(page record.Page) {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	if page.First > p.table.next {
-		p.floor = oldest(page)
-	}
-	for _, r := range page.Records {
-		p.table.apply(r)
-	}
-	p.table.next = max(p.table.next, page.Next)
-}
-
-// oldest returns when the first record of a page was written, or now for an empty one.
-func oldest(page record.Page) int64 {
-	for _, r := range page.Records {
-		if e, err := decode(r.Data); err == nil {
-			return e.At
-		}
-	}
-	return time.Now().UnixMilli()
-}
-
-func (p *partition) apply(r record.Record) {
+// postpone keeps a batch that certainly is not in the log for the next try.
+func (p *partition) postpone(ctx context.Context, b *batch) error {
 	p.lock.Lock()
-	defer p.lock.Unlock()
-	p.table.apply(r)
+	p.putBack(b)
+	p.inFlight = nil
+	p.lock.Unlock()
+	return pause(ctx, max(retryMinimum, p.steward.settings.interval()))
 }
 
 // open reads the partition's stream and begins a stewardship.
@@ -230,58 +138,15 @@
 	return nil
 }
 
-// readAll reads to the log's end, as long as it takes.
-func (p *partition) readAll(ctx context.Context) error {
-	wait := retryMinimum
-	for {
-		err := p.catchUp(ctx, 0)
-		if err == nil {
-			return nil
-		}
-		if err := pause(ctx, wait); err != nil {
-			return err
-		}
-		wait = min(2*wait, retryMaximum)
-	}
-}
-
-// own appends the record that begins a stewardship, and reads through it.
-func (p *partition) own(ctx context.Context) error {
-	p.writer = uuid.New()
-	previous := p.table.writer
-	data, err := encode(&entry{Kind: kindOwn, Writer: p.writer, Previous: previous, At: time.Now().UnixMilli()})
-	if err != nil {
-		return err
-	}
-	wait := retryMinimum
-	for {
-		if _, err := p.append(ctx, data); !errors.Is(err, record.ErrUnavailable) {
-			if err := p.readAll(ctx); err != nil {
-				return err
-			}
-		}
-		if p.table.owned && p.table.writer == p.writer {
-			return nil
-		}
-		if p.table.owned && p.table.writer != previous {
-			return errDeposed
-		}
-		if err := pause(ctx, wait); err != nil {
-			return err
-		}
-		wait = min(2*wait, retryMaximum)
-	}
-}
-
 // close ends the stewardship and sends all who wait to the next steward.
 func (p *partition) close() {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.phase = phaseClosed
-	p.ended = time.Now()
+	p.closed = time.Now()
 	p.table = nil
 	if p.inFlight != nil {
-		p.putBack(p.inFlight)
+		p.closeInFlight(p.inFlight)
 		p.inFlight = nil
 	}
 	for _, s := range p.queue.settlements {
@@ -305,6 +170,18 @@
 	clear(p.taken)
 }
 
+// closeInFlight answers for a batch that may or may not be in the log. The lock is held.
+func (p *partition) closeInFlight(b *batch) {
+	for _, s := range b.settlements {
+		s.done <- false
+	}
+	for _, c := range b.claims {
+		if c.asker != nil {
+			c.asker.answer <- answer{err: errUncertain}
+		}
+	}
+}
+
 // flush waits until nothing waits for a record, or the context ends.
 func (p *partition) flush(ctx context.Context) {
 	for {
--- a/experiment/demo/idle.go
+++ b/experiment/demo/idle.go
@@ -38,7 +38,7 @@
 func (f *fleet) sent() int64 {
 	total := int64(0)
 	for _, n := range f.nodes {
-		total += n.instance.Traffic().BytesOut.Load()
+		total += n.instance.Usage().PeerBytesOut
 	}
 	return total
 }
