--- a/experiment/demo/run_test.go
+++ b/experiment/demo/run_test.go
@@ -1,11 +1,14 @@
 package demo
 
 import (
+	"log/slog"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"dogwooddyke/experiment/load"
+	"dogwooddyke/standin"
 )
 
 // failing returns the names of the checks that did not hold.
@@ -49,3 +52,22 @@
 		is.Equal(len(failing(&Report{Checks: r.checks([]Traffic{{Report: &load.Report{}}}, Audit{})})), 2)
 	})
 }
+
+// TestRun has one engine die and come back under light traffic.
+func TestRun(t *testing.T) {
+	is := is.New(t)
+	o := &Options{
+		Layout: Small(), Profiles: []string{"islaget"}, Rate: 20, Seconds: 2, Seed: 5, Logger: slog.New(slog.DiscardHandler),
+		Script: []Step{
+			fault(500*time.Millisecond, "isportal", 0, standin.Fault{Kind: standin.FaultSilence}),
+			changeCatalogue(time.Second),
+		},
+	}
+	for i := range o.Layout.Services {
+		o.Layout.Services[i].Capacity = 100_000
+	}
+	report, err := Run(t.Context(), o)
+	is.NoErr(err)
+	is.Equal(failing(report), nil)
+	is.Equal(len(report.Events), 2)
+}
--- a/experiment/load/run.go
+++ b/experiment/load/run.go
@@ -129,7 +129,7 @@
 	if !sleepUntil(ctx, due) {
 		return
 	}
-	result := c.mark(ctx, c.call(ctx, r, r.Other, due))
+	result := c.mark(ctx, c.call(ctx, r, c.balancer.pick(r.Other), due))
 	result.Repeat = true
 	c.recorder.finished(result)
 }
