Idle endpoints and limits are asked for every 10 s in place of every second

Change: while nothing runs or waits at an endpoint or limit its share may run out; the cautious part that is left admits a first request, whose start is told within one look (75 ms). The end of use is still told at once. A steward reads the load of endpoints that nobody uses every 2 s, and an instance polls for itself only when its steward left two asks unanswered.

--- a/coordination/share/endpoints.go
+++ b/coordination/share/endpoints.go
@@ -60,6 +60,16 @@
 	})
 }
 
+// busy tells whether an instance uses the endpoint or lately did.
+func (l *endpointLedger) busy(now time.Time) bool {
+	for _, h := range l.holders {
+		if now.Sub(h.seen) <= grantSpan && (h.demand.Running > 0 || h.demand.Waiting > 0) {
+			return true
+		}
+	}
+	return false
+}
+
 // knee gives the median of what the instances learnt.
 func (l *endpointLedger) knee() int {
 	knees := make([]int, 0, len(l.holders))
--- a/coordination/share/holder.go
+++ b/coordination/share/holder.go
@@ -31,6 +31,7 @@
 
 type endpointState struct {
 	asked  time.Time
+	misses int             // asks since the last grant
 	demand endpoint.Demand // as last asked
 	share  endpoint.Share
 	seen   time.Time
@@ -86,10 +87,12 @@
 		return
 	}
 	s.asked, s.demand = now, demand
+	s.misses++
 	request.Endpoints = append(request.Endpoints, EndpointAsk{Endpoint: address, Demand: demand, Held: s.share})
 }
 
-// endpointPeriod gives the time between two asks: short while requests wait for a share, long while nothing changes.
+// endpointPeriod gives the time between two asks: short while requests wait for a share, long while nothing changes, and so
+// long while nothing runs that the share runs out: the cautious part that is left then admits a first request.
 func endpointPeriod(s *endpointState, demand endpoint.Demand) time.Duration {
 	if demand.Waiting > 0 && demand.Running >= s.share.Slots {
 		return urgentPeriod
@@ -97,6 +100,9 @@
 	if demand.Running != s.demand.Running || demand.Waiting != s.demand.Waiting {
 		return changePeriod
 	}
+	if demand.Running == 0 && demand.Waiting == 0 {
+		return idlePeriod
+	}
 	return refreshPeriod
 }
 
@@ -107,11 +113,7 @@
 		h.limits[key] = s
 	}
 	s.seen = now
-	period := refreshPeriod
-	if demand.Waiting > 0 {
-		period = urgentPeriod
-	}
-	if now.Sub(s.asked) < period {
+	if period := limitPeriod(s, demand); now.Sub(s.asked) < period {
 		return
 	}
 	request := h.request(requests, LimitKey(key.Workspace, key.Entry))
@@ -122,6 +124,16 @@
 	request.Limits = append(request.Limits, LimitAsk{Workspace: key.Workspace, Entry: key.Entry, Limits: limits, Demand: demand, Held: s.share})
 }
 
+func limitPeriod(s *limitState, demand workspace.Demand) time.Duration {
+	if demand.Waiting > 0 {
+		return urgentPeriod
+	}
+	if demand.Running == 0 && s.demand.Running == 0 && s.demand.Waiting == 0 {
+		return idlePeriod
+	}
+	return refreshPeriod
+}
+
 func (h *Holder) request(requests map[netip.AddrPort]*Request, key string) *Request {
 	steward := h.stewards.Steward(key)
 	request := requests[steward]
@@ -136,7 +148,7 @@
 func (h *Holder) Granted(reply *Reply) {
 	for _, g := range reply.Endpoints {
 		if s := h.endpoints[g.Endpoint]; s != nil {
-			s.share = g.Share
+			s.share, s.misses = g.Share, 0
 		}
 	}
 	for _, g := range reply.Limits {
@@ -146,11 +158,11 @@
 	}
 }
 
-// Unreached lists the endpoints without a valid share, whose load the instance has to poll itself.
+// Unreached lists the endpoints without a valid share whose steward does not answer, so that the instance has to poll their load itself.
 func (h *Holder) Unreached(now time.Time) []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for address, s := range h.endpoints {
-		if now.After(s.share.Until) {
+		if now.After(s.share.Until) && s.misses >= missesToReach {
 			addresses = append(addresses, address)
 		}
 	}
--- a/coordination/share/steward.go
+++ b/coordination/share/steward.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// Polls lists the endpoints whose load the steward needs.
+// Polls lists the endpoints whose load the steward needs; it needs that of idle ones more seldom.
 func (s *Steward) Polls(now time.Time) []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for address, l := range s.endpoints {
@@ -45,6 +45,9 @@
 			delete(s.endpoints, address)
 			continue
 		}
+		if !l.busy(now) && now.Sub(l.loaded) < idlePoll {
+			continue
+		}
 		addresses = append(addresses, address)
 	}
 	slices.SortFunc(addresses, netip.AddrPort.Compare)
