--- a/instance/constants.go
+++ b/instance/constants.go
@@ -34,16 +34,17 @@
 
 // Intervals and timeouts of an instance's loops.
 const (
-	tickInterval    = 50 * time.Millisecond
-	leaseTimeout    = 10 * time.Second // of releasing leases at the end of a drain
-	drainPoll       = 20 * time.Millisecond
-	shareInterval   = 75 * time.Millisecond // between two looks at whether a share has to be asked for
-	loadInterval    = 500 * time.Millisecond
-	leavingInterval = 500 * time.Millisecond
-	cacheInterval   = 2 * time.Second
-	restartPause    = time.Second
-	explainWorkers  = 64
-	pollWorkers     = 16
-	loadTimeout     = 2 * time.Second
-	explainTimeout  = time.Second
+	tickInterval      = 50 * time.Millisecond
+	leaseTimeout      = 10 * time.Second // of releasing leases at the end of a drain
+	drainPoll         = 20 * time.Millisecond
+	shareInterval     = 75 * time.Millisecond // between two looks at whether a share has to be asked for
+	loadInterval      = 500 * time.Millisecond
+	leavingInterval   = 500 * time.Millisecond
+	cacheInterval     = 2 * time.Second
+	cacheIdleInterval = 20 * time.Second // of endpoints that this instance does not use
+	restartPause      = time.Second
+	explainWorkers    = 64
+	pollWorkers       = 16
+	loadTimeout       = 2 * time.Second
+	explainTimeout    = time.Second
 )
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -44,19 +44,38 @@
 	i.shares.UpdateLoad(address, load, now)
 }
 
-// pollCaches reads what the endpoints that this instance works with say of their prefix caches.
+// cachePlace is how far an endpoint's cache events have been read.
+type cachePlace struct {
+	next uint64
+	at   time.Time // of the latest read
+	due  bool
+}
+
+// pollCaches reads what the endpoints that this instance works with say of their prefix caches: often while it uses them,
+// seldom otherwise.
 func (i *Instance) pollCaches(ctx context.Context) {
-	after := make(map[netip.AddrPort]uint64)
+	places := make(map[netip.AddrPort]cachePlace)
 	each(ctx, cacheInterval, func(now time.Time) {
-		seen := make(map[netip.AddrPort]uint64, len(after))
-		i.router.Demands(now, func(address netip.AddrPort, _ endpoint.Demand) { seen[address] = after[address] })
-		for a := range seen {
-			seen[a] = i.pollCache(ctx, a, seen[a])
+		places = i.cachePlaces(places, now)
+		for a, p := range places {
+			if p.due {
+				places[a] = cachePlace{next: i.pollCache(ctx, a, p.next), at: now}
+			}
 		}
-		after = seen
 	})
 }
 
+// cachePlaces tells which endpoints are due, and forgets those that the instance does not work with any more.
+func (i *Instance) cachePlaces(former map[netip.AddrPort]cachePlace, now time.Time) map[netip.AddrPort]cachePlace {
+	places := make(map[netip.AddrPort]cachePlace, len(former))
+	i.router.Demands(now, func(address netip.AddrPort, demand endpoint.Demand) {
+		p := former[address]
+		p.due = demand.Running > 0 || demand.Waiting > 0 || now.Sub(p.at) >= cacheIdleInterval
+		places[address] = p
+	})
+	return places
+}
+
 // pollCache takes in an endpoint's events after the sequence number and returns the next one.
 func (i *Instance) pollCache(ctx context.Context, address netip.AddrPort, after uint64) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
