dykectl cost: entries that were removed can be published again; longer settling

Cause: the id derived from content and base is that of an earlier change when an entry is removed and added again unchanged, so the fold took the second addition for a repeat and the entry stayed away; the second table measured too few endpoints. Change: publications of this experiment have ids of their own; kinds that are absent in the first window are shown.

--- a/experiment/control/constants.go
+++ b/experiment/control/constants.go
@@ -43,7 +43,7 @@
 	maximumOpen       = 512  // requests in progress
 	meanTokens        = 50   // of an answer
 	startPause        = 20 * time.Millisecond
-	settlePause       = 12 * time.Second // until new members have been taken in everywhere
+	settlePause       = 20 * time.Second // until members and stewards have been taken in everywhere
 )
 
 // What control may spend on each instance, and the size at which it has to hold.
--- a/experiment/control/cost.go
+++ b/experiment/control/cost.go
@@ -153,7 +153,7 @@
 	s.read(ctx)
 	subject, _ := c.Subject()
 	c.Operator, c.Base, c.Seen = owner, s.table.View().RevisionOf(subject), s.table.Offset()
-	c.ID, _ = c.DeriveID()
+	c.ID = newKey() // the same content may be published again after a removal
 	data, err := catalogue.Encode(catalogue.Record{Change: &c})
 	if err != nil {
 		return err
--- a/experiment/control/costreport.go
+++ b/experiment/control/costreport.go
@@ -49,8 +49,10 @@
 func (r *CostReport) kinds() []string {
 	total := make(map[string]float64)
 	for _, c := range slices.Concat(r.ByInstances, r.ByEndpoints) {
-		for kind, bytes := range c.Windows[0].Bytes {
-			total[kind] += bytes
+		for _, w := range c.Windows {
+			for kind, bytes := range w.Bytes {
+				total[kind] += bytes
+			}
 		}
 	}
 	maps.DeleteFunc(total, func(_ string, bytes float64) bool { return bytes == 0 })
