--- a/cmd/dykectl/cost.go
+++ b/cmd/dykectl/cost.go
@@ -26,6 +26,7 @@
 	Entries string        `long:"entries" value-name:"N,..." default:"1,2,3,4" description:"numbers of entries of 16 endpoints each, with the first number of instances"`
 	Rate    float64       `long:"rate" value-name:"N" description:"requests/s of callers to each instance"`
 	Changes float64       `long:"changes" value-name:"N" default:"0.07" description:"catalogue changes/s"`
+	Settle  time.Duration `long:"settle" value-name:"TIME" default:"20s" description:"before the first measurement, until members and stewards have been taken in everywhere"`
 	Window  time.Duration `long:"window" value-name:"TIME" default:"6s" description:"length of one of five measurements at each size"`
 	Seed    uint64        `long:"seed" value-name:"N" default:"1" description:"seed of callers and changes"`
 	Profile string        `long:"profile" value-name:"FILE" description:"write a processor profile"`
@@ -59,7 +60,7 @@
 		return nil, err
 	}
 	options := &control.CostOptions{
-		Rate: c.Rate, Changes: c.Changes, Window: c.Window, Seed: c.Seed, Site: site, Progress: progressWriter(),
+		Rate: c.Rate, Changes: c.Changes, Settle: c.Settle, Window: c.Window, Seed: c.Seed, Site: site, Progress: progressWriter(),
 		Logger: slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError})),
 	}
 	if options.Instances, err = numbers("sizes", c.Sizes); err != nil {
--- a/experiment/control/constants.go
+++ b/experiment/control/constants.go
@@ -43,7 +43,6 @@
 	maximumOpen       = 512  // requests in progress
 	meanTokens        = 50   // of an answer
 	startPause        = 20 * time.Millisecond
-	settlePause       = 20 * time.Second // until members and stewards have been taken in everywhere
 )
 
 // What control may spend on each instance, and the size at which it has to hold.
--- a/experiment/control/control_test.go
+++ b/experiment/control/control_test.go
@@ -120,6 +120,7 @@
 
 // TestRun has three instances, one killed and one drained, during an outage of the log; the bound on time is a generous one.
 func TestRun(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	report, err := Run(context.Background(), &Options{
 		Instances: 3, Changes: 20, Seconds: 3, Seed: 1, Outage: 500 * time.Millisecond, Limit: time.Minute,
--- a/experiment/control/cost.go
+++ b/experiment/control/cost.go
@@ -80,7 +80,7 @@
 	if o.Changes > 0 {
 		group.Go(func() { operator.keepChanging(working, o, entries) })
 	}
-	pause(ctx, settlePause)
+	pause(ctx, o.Settle)
 	c := &Case{Instances: instances, Entries: entries, Endpoints: entries * endpointsPerEntry}
 	return c, f.windows(ctx, o, c, base)
 }
--- a/experiment/control/costoptions.go
+++ b/experiment/control/costoptions.go
@@ -10,10 +10,11 @@
 
 // CostOptions say at which sizes the cost of control is measured.
 type CostOptions struct {
-	Instances []int   // sizes of the fleet, with the first number of entries
-	Entries   []int   // numbers of entries, with the first size of the fleet
-	Rate      float64 // requests/s of callers to each instance
-	Changes   float64 // catalogue changes/s
+	Instances []int         // sizes of the fleet, with the first number of entries
+	Entries   []int         // numbers of entries, with the first size of the fleet
+	Rate      float64       // requests/s of callers to each instance
+	Changes   float64       // catalogue changes/s
+	Settle    time.Duration // until members and stewards have been taken in everywhere
 	Window    time.Duration
 	Seed      uint64
 	Site      *Addresses // of stand-ins in another process
@@ -43,6 +44,9 @@
 	if o.Rate < 0 || o.Rate > maximumRate || o.Changes < 0 || o.Changes > maximumChanges {
 		faults = append(faults, fmt.Errorf("rate, changes: not between 0 and %d and %d", maximumRate, maximumChanges))
 	}
+	if o.Settle < 0 || o.Settle > time.Minute {
+		faults = append(faults, errors.New("settle: not between 0 s and 1 min"))
+	}
 	if o.Window < time.Second || o.Window > time.Minute {
 		faults = append(faults, errors.New("window: not between 1 s and 1 min"))
 	}
