Stewards and subsets are found without sorting or hashing all members anew

Change: a subset keeps its best in order while it goes through the members once; the live set carries the members' hashes. Keys get other stewards than before, as the hash of a member is computed from its words.

--- a/coordination/member/members.go
+++ b/coordination/member/members.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // LeavingSource is another place that says which endpoints are leaving, such as the catalogue.
@@ -38,6 +40,7 @@
 // view is what readers see.
 type view struct {
 	live    []netip.AddrPort
+	hashes  []uint64 // of live, at the same places
 	leaving map[netip.AddrPort]bool
 }
 
@@ -66,7 +69,7 @@
 		sent:       map[netip.AddrPort]uint64{},
 		wake:       make(chan struct{}, 1),
 	}
-	m.view.Store(&view{live: []netip.AddrPort{self}})
+	m.view.Store((&view{live: []netip.AddrPort{self}}).hash())
 	return m
 }
 
@@ -78,7 +81,29 @@
 
 // Steward returns the live instance that is first for the key.
 func (m *Members) Steward(key string) netip.AddrPort {
-	return Rendezvous(key, m.Live())
+	return m.view.Load().steward(key)
+}
+
+// steward is Rendezvous over the live set with the members' hashes at hand.
+func (v *view) steward(key string) netip.AddrPort {
+	var best netip.AddrPort
+	var bestScore uint64
+	seed := xxhash.Sum64String(key)
+	for i, h := range v.hashes {
+		if s := mix(seed ^ h); s >= bestScore && outranks(s, v.live[i], bestScore, best) {
+			best, bestScore = v.live[i], s
+		}
+	}
+	return best
+}
+
+// hash fills in the hashes.
+func (v *view) hash() *view {
+	v.hashes = make([]uint64, 0, len(v.live))
+	for _, a := range v.live {
+		v.hashes = append(v.hashes, hash(a))
+	}
+	return v
 }
 
 // Leaving tells whether any source says that the instance or endpoint is leaving.
@@ -127,5 +152,5 @@
 	if before := m.view.Load(); !slices.Equal(before.live, next.live) {
 		m.moves++
 	}
-	m.view.Store(next)
+	m.view.Store(next.hash())
 }
--- a/coordination/member/rendezvous.go
+++ b/coordination/member/rendezvous.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"net/netip"
 	"slices"
 
@@ -14,18 +15,42 @@
 	var bestScore uint64
 	seed := xxhash.Sum64String(key)
 	for _, m := range members {
-		s := score(seed, m)
-		if !best.IsValid() || s > bestScore || (s == bestScore && m.Compare(best) < 0) {
+		if s := score(seed, m); outranks(s, m, bestScore, best) {
 			best, bestScore = m, s
 		}
 	}
 	return best
 }
 
-// Subset returns the count members with the highest scores for the key, best first.
+// outranks tells whether a member stands before another one, which may be none.
+func outranks(score uint64, member netip.AddrPort, otherScore uint64, other netip.AddrPort) bool {
+	return !other.IsValid() || score > otherScore || (score == otherScore && member.Compare(other) < 0)
+}
+
+// Subset returns the count members with the highest scores for the key, best first; it sorts no more than these.
 func Subset(key string, of []netip.AddrPort, count int) []netip.AddrPort {
-	ranked := Ranked(key, of)
-	return ranked[:max(0, min(count, len(ranked)))]
+	count = max(0, min(count, len(of)))
+	if count == 0 {
+		return nil
+	}
+	best := make([]netip.AddrPort, 0, count)
+	scores := make([]uint64, 0, count)
+	seed := xxhash.Sum64String(key)
+	for _, m := range of {
+		s := score(seed, m)
+		at := len(best)
+		for at > 0 && outranks(s, m, scores[at-1], best[at-1]) {
+			at--
+		}
+		if at == count {
+			continue
+		}
+		if len(best) == count {
+			best, scores = best[:count-1], scores[:count-1]
+		}
+		best, scores = slices.Insert(best, at, m), slices.Insert(scores, at, s)
+	}
+	return best
 }
 
 // Ranked returns all members by score for the key, best first.
@@ -49,13 +74,16 @@
 	return ranked
 }
 
-// score mixes the key's hash with the member's, without allocation.
+// score mixes the key's hash with the member's.
 func score(seed uint64, member netip.AddrPort) uint64 {
-	var raw [18]byte
+	return mix(seed ^ hash(member))
+}
+
+// hash is the member's own part of its scores.
+func hash(member netip.AddrPort) uint64 {
 	address := member.Addr().As16()
-	copy(raw[:], address[:])
-	raw[16], raw[17] = byte(member.Port()>>8), byte(member.Port())
-	return mix(seed ^ mix(xxhash.Sum64(raw[:])))
+	high, low := binary.BigEndian.Uint64(address[:8]), binary.BigEndian.Uint64(address[8:])
+	return mix(high ^ mix(low^mix(uint64(member.Port()))))
 }
 
 // mix is the finalizer of SplitMix64.
