--- a/instance/core.go
+++ b/instance/core.go
@@ -258,16 +258,6 @@
 	return member.Position{Offset: v.Offset, Digest: v.Digest}
 }
 
-// Reload takes the peer keys of the settings and reads the certificates again; connections made from now on use them.
-func (i *Instance) Reload(settings *Settings) {
-	i.node.SetKeys(settings.PeerKeys)
-	for _, k := range i.keepers {
-		if err := k.Reload(); err != nil {
-			i.logger.Error("certificate not reloaded", "error", err)
-		}
-	}
-}
-
 // Listen opens the sockets that the settings name.
 func Listen(settings *Settings) (Listeners, error) {
 	var l Listeners
--- a/instance/observers.go
+++ b/instance/observers.go
@@ -239,19 +239,3 @@
 	o.metrics.events.WithLabelValues("orderHeld").Add(float64(plan.Held))
 	o.metrics.events.WithLabelValues("engineFenced").Add(float64(plan.Fenced))
 }
-
-// ordered names the entries whose engines take orders.
-type ordered struct {
-	instance *Instance
-}
-
-// Ordered returns the names of the engine entries in force.
-func (o ordered) Ordered() []string {
-	var names []string
-	for _, e := range o.instance.View().Entries() {
-		if e.Kind == catalogue.KindEngine {
-			names = append(names, e.Name)
-		}
-	}
-	return names
-}
--- a/instance/status.go
+++ b/instance/status.go
@@ -114,6 +114,7 @@
 // registerGauges makes what is counted elsewhere readable.
 func (i *Instance) registerGauges() {
 	m := i.metrics
+	m.registry.MustRegister(newUsageCollector(i))
 	traffic := i.node.Traffic()
 	m.gauge("requests_in_flight", "Requests in progress.", func() float64 { return float64(i.handler.InFlight()) })
 	m.gauge("catalogue_offset", "Offset of the last folded record.", func() float64 { return float64(i.View().Offset) })
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -62,11 +62,7 @@
 }
 
 func (i *Instance) wireAnswers() error {
-	var previous []byte
-	if len(i.settings.TokenKeys) > 1 {
-		previous = i.settings.TokenKeys[1]
-	}
-	signer, err := answer.NewSigner(i.settings.TokenKeys[0], previous)
+	signer, err := answer.NewSigner(currentAndPrevious(i.settings.TokenKeys))
 	if err != nil {
 		return err
 	}
@@ -88,7 +84,7 @@
 
 // wireOrders gives this instance its part in the leases, and the orders of those that it holds.
 func (i *Instance) wireOrders() {
-	i.leases = lease.New(i.log, i.members, ordered{i}, leaseObserver{i})
+	i.leases = lease.New(i.log, i.members, i.table, leaseObserver{i})
 	i.orders = order.NewRunner(order.Options{
 		Catalogue:      i,
 		Leases:         i.leases,
--- a/protocol/answer/token.go
+++ b/protocol/answer/token.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -57,19 +58,33 @@
 
 // Signer signs and checks resume tokens; it is safe for concurrent use.
 type Signer struct {
+	keys atomic.Pointer[signerKeys]
+}
+
+type signerKeys struct {
 	current  []byte
 	previous []byte
 }
 
 // NewSigner signs with the current key and accepts the previous one too, which may be empty; keys have 32 bytes or more.
 func NewSigner(current, previous []byte) (*Signer, error) {
+	s := &Signer{}
+	if err := s.Rotate(current, previous); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Rotate replaces both keys; after an error the former ones stay.
+func (s *Signer) Rotate(current, previous []byte) error {
 	if len(current) < minimumKeyBytes {
-		return nil, oops.Errorf("current resume key: %d bytes, needs %d", len(current), minimumKeyBytes)
+		return oops.Errorf("current resume key: %d bytes, needs %d", len(current), minimumKeyBytes)
 	}
 	if len(previous) > 0 && len(previous) < minimumKeyBytes {
-		return nil, oops.Errorf("previous resume key: %d bytes, needs %d", len(previous), minimumKeyBytes)
+		return oops.Errorf("previous resume key: %d bytes, needs %d", len(previous), minimumKeyBytes)
 	}
-	return &Signer{current: current, previous: previous}, nil
+	s.keys.Store(&signerKeys{current: current, previous: previous})
+	return nil
 }
 
 // Sign returns the token as text, valid for the workspace only.
@@ -78,7 +93,7 @@
 	if err != nil {
 		return "", oops.Wrapf(err, "sign resume token")
 	}
-	raw := append(signature(s.current, workspace, payload), payload...)
+	raw := append(signature(s.keys.Load().current, workspace, payload), payload...)
 	return base64.RawURLEncoding.EncodeToString(raw), nil
 }
 
@@ -109,10 +124,11 @@
 }
 
 func (s *Signer) signed(given []byte, workspace string, payload []byte) bool {
-	if hmac.Equal(given, signature(s.current, workspace, payload)) {
+	keys := s.keys.Load()
+	if hmac.Equal(given, signature(keys.current, workspace, payload)) {
 		return true
 	}
-	return len(s.previous) > 0 && hmac.Equal(given, signature(s.previous, workspace, payload))
+	return len(keys.previous) > 0 && hmac.Equal(given, signature(keys.previous, workspace, payload))
 }
 
 // signature covers the workspace's name with its length, so that no two pairs look alike.
--- a/state/catalogue/table.go
+++ b/state/catalogue/table.go
@@ -87,6 +87,17 @@
 	return s, s.Authenticate(t.fold.rules.SnapshotKey)
 }
 
+// SetSnapshotKeys replaces the keys of snapshots, the first of which is for new ones; the rules for changes can't move
+// while a fold goes on, for all instances must fold alike.
+func (t *Table) SetSnapshotKeys(keys [][]byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fold.rules.SnapshotKey, t.fold.rules.FormerSnapshotKeys = nil, nil
+	if len(keys) > 0 {
+		t.fold.rules.SnapshotKey, t.fold.rules.FormerSnapshotKeys = keys[0], keys[1:]
+	}
+}
+
 func newView(f *Fold) *View {
 	v := &View{
 		Offset:     f.offset,
