Usage goes to callers who ask for it; an instance and an engine lost at once, end to end

Cause: the last chunk's usage was asked of every engine and passed to every caller; a whole answer had no resume token; a resume with the body had been tested with fakes only. Change: usage is asked for where the caller gets it; Resume-Token comes from the result. Result: after the loss of both, a GET ends interrupted, a POST with the first body ends whole, with the one text that its engines give.

--- a/instance/client_test.go
+++ b/instance/client_test.go
@@ -64,6 +64,20 @@
 		is.NoErr(stream.Err())
 		is.Equal(chunks, 30)
 	})
+	t.Run("usageOnlyWhereAskedFor", func(t *testing.T) {
+		is := is.New(t)
+		for _, wanted := range []bool{false, true} {
+			asked := question("tokens=10 usage")
+			asked.StreamOptions.IncludeUsage = openai.Bool(wanted)
+			stream := client.Chat.Completions.NewStreaming(t.Context(), asked)
+			tokens := int64(0)
+			for stream.Next() {
+				tokens = max(tokens, stream.Current().Usage.CompletionTokens)
+			}
+			is.NoErr(stream.Err())
+			is.Equal(tokens == 10, wanted)
+		}
+	})
 	t.Run("sameAsWhole", func(t *testing.T) {
 		is := is.New(t)
 		asked := question("tokens=25 the same twice")
--- a/instance/stream_test.go
+++ b/instance/stream_test.go
@@ -126,19 +126,58 @@
 	f.instances = f.instances[1:]
 }
 
+// killBusyEngine lets the engine with a generation in progress lose its state.
+func (f *fleet) killBusyEngine() {
+	is := is.New(f.t)
+	for _, e := range f.engines {
+		if e.Truth().Running > 0 {
+			is.NoErr(e.Fault(standin.Fault{Kind: standin.FaultDie, Until: time.Now().Add(time.Minute)}))
+			return
+		}
+	}
+	f.t.Fatal("no engine is busy")
+}
+
 func TestReplayElsewhere(t *testing.T) {
-	is := is.New(t)
 	f := newFleet(t, 2, 0, 1)
 	response := f.post(0, longQuestion)
 	events := readEvents(response.Body, 20)
-	for n, e := range f.engines {
-		if e.Truth().Running > 0 {
-			is.NoErr(f.engines[n].Fault(standin.Fault{Kind: standin.FaultDie, Until: time.Now().Add(time.Minute)}))
-		}
-	}
+	f.killBusyEngine()
 	assertWhole(t, append(events, readEvents(response.Body, 1<<20)...))
 }
 
+// TestInstanceAndEngineLost loses both at once; the caller goes on elsewhere with the body that it sent first.
+func TestInstanceAndEngineLost(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, 0, 2)
+	response := f.post(0, longQuestion)
+	events := readEvents(response.Body, 20)
+	f.killBusyEngine()
+	f.instances[0].Close()
+	path := "/v1/answers/" + response.Header.Get("Answer-Id")
+	last := events[len(events)-1].id
+	t.Run("withoutBody", func(t *testing.T) {
+		is := is.New(t)
+		again := f.request(1, http.MethodGet, path, "")
+		again.Header.Set("Last-Event-ID", last)
+		ended := f.do(again, is)
+		is.Equal(ended.StatusCode, http.StatusBadGateway)
+		is.Equal(ended.Header.Get("Outcome"), "interrupted")
+	})
+	t.Run("withBody", func(t *testing.T) {
+		is := is.New(t)
+		again := f.request(1, http.MethodPost, path, longQuestion)
+		again.Header.Set("Last-Event-ID", last)
+		resumed := f.do(again, is)
+		is.Equal(resumed.StatusCode, http.StatusOK)
+		assertWhole(t, append(events, readEvents(resumed.Body, 1<<20)...))
+	})
+	is.NoErr(f.roster.Put(standin.Instance{
+		Address: f.instances[0].settings.Peers, Kind: standin.KindInstance, DataCentre: "lulea-a", State: standin.InstanceLeaving,
+	}))
+	f.instances = f.instances[1:]
+}
+
 func TestForeignToken(t *testing.T) {
 	f := newFleet(t, 1, 0, 1)
 	response := f.post(0, longQuestion)
--- a/transport/caller/body.go
+++ b/transport/caller/body.go
@@ -17,7 +17,7 @@
 	model         string
 	prompt        string // the text that engines cache prefixes of
 	stream        bool
-	includeUsage  bool
+	usage         bool // the engine is asked for the usage chunk
 	maximumTokens int
 	seeded        bool
 	fields        map[string]json.RawMessage
@@ -65,7 +65,8 @@
 	if err := json.Unmarshal(data, &wire); err != nil {
 		return nil, invalid(wrongField(err), "the body is not valid: "+err.Error())
 	}
-	b := &generationBody{stream: wire.Stream, includeUsage: wire.StreamOptions != nil && wire.StreamOptions.IncludeUsage}
+	b := &generationBody{stream: wire.Stream}
+	b.usage = !wire.Stream || (wire.StreamOptions != nil && wire.StreamOptions.IncludeUsage)
 	if err := json.Unmarshal(data, &b.fields); err != nil {
 		return nil, invalid("", "the body is not a JSON object")
 	}
@@ -156,11 +157,13 @@
 	return joined.String(), nil
 }
 
-// complete returns the body for the engine: a stream with usage, and a seed that follows from the answer's id where the
+// complete returns the body for the engine: a stream, with usage where the caller gets it, and a seed that follows from the answer's id where the
 // caller set none, so that whoever goes on with the answer can ask for the same one again.
 func (b *generationBody) complete(id string) ([]byte, error) {
 	b.fields["stream"] = json.RawMessage(`true`)
-	b.fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	if b.usage {
+		b.fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	}
 	if !b.seeded {
 		seed := xxhash.Sum64String(id) & maximumSeed
 		b.fields["seed"] = strconv.AppendUint(nil, seed, 10)
--- a/transport/caller/generate.go
+++ b/transport/caller/generate.go
@@ -74,6 +74,7 @@
 	asked.Path = path
 	asked.Body = data
 	asked.Whole = !body.stream
+	asked.Usage = body.usage
 	asked.Ask.PromptTokens = len(body.prompt) / bytesPerToken
 	asked.Ask.MaximumTokens = body.maximumTokens
 	asked.Ask.Prefix = endpoint.Blocks(body.prompt)
@@ -104,7 +105,7 @@
 func (h *Handler) answer(w http.ResponseWriter, request *http.Request, body *generationBody, asked *answer.Request, chat bool) {
 	began := time.Now()
 	if body.stream {
-		sink := newStreamSink(w, asked.ID, body.includeUsage)
+		sink := newStreamSink(w, asked.ID)
 		timed := newTimedSink(sink, h.config.Observer.Begin(asked.Workspace, asked.Class))
 		result := h.config.Answers.Run(request.Context(), asked, timed)
 		h.config.Observer.Ended(asked.Workspace, asked.Class, result.Outcome, time.Since(began))
@@ -147,7 +148,7 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(headerAnswer, asked.ID)
 	header.Set(headerOutcome, string(answer.OutcomeFinished))
-	header.Set(headerResume, sink.resume)
+	header.Set(headerResume, result.Resume)
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, _ = w.Write(data)
 }
--- a/transport/caller/stream.go
+++ b/transport/caller/stream.go
@@ -14,13 +14,12 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	id         string
-	usage      bool // the caller asked for the usage chunk
 	started    bool
 	buffer     bytes.Buffer
 }
 
-func newStreamSink(w http.ResponseWriter, id string, usage bool) *streamSink {
-	return &streamSink{writer: w, controller: http.NewResponseController(w), id: id, usage: usage}
+func newStreamSink(w http.ResponseWriter, id string) *streamSink {
+	return &streamSink{writer: w, controller: http.NewResponseController(w), id: id}
 }
 
 // Deliver writes one event; an error means that the caller takes no more.
--- a/transport/caller/whole.go
+++ b/transport/caller/whole.go
@@ -14,7 +14,6 @@
 type wholeSink struct {
 	chat     bool
 	bytes    int
-	resume   string
 	head     chunk
 	text     strings.Builder
 	refusal  strings.Builder
@@ -53,7 +52,7 @@
 }
 
 // Deliver takes one chunk.
-func (s *wholeSink) Deliver(token answer.Token, resume string) error {
+func (s *wholeSink) Deliver(token answer.Token, _ string) error {
 	s.bytes += len(token.Data)
 	if s.bytes > maximumWholeBytes {
 		return errTooLong
@@ -62,7 +61,6 @@
 	if err := json.Unmarshal(token.Data, &c); err != nil {
 		return err
 	}
-	s.resume = resume
 	s.take(&c)
 	return nil
 }
