A retry may wait 20 s for its turn, and is refused at once while nothing succeeds

Change: the wait is 20 s, within the answer's deadline; without any recent success the answer ends at once.

--- a/protocol/answer/budget.go
+++ b/protocol/answer/budget.go
@@ -66,7 +66,7 @@
 	}
 	b.wait(1)
 	defer b.wait(-1)
-	for !at.After(limit) {
+	for !at.IsZero() && !at.After(limit) {
 		if err := pause(ctx, max(time.Until(at), budgetPause)); err != nil {
 			return at, false
 		}
@@ -74,10 +74,13 @@
 			return at, true
 		}
 	}
+	if at.IsZero() {
+		at = time.Now().Add(budgetWindow)
+	}
 	return at, false
 }
 
-// try takes a retry if there is one, or returns when there should be.
+// try takes a retry if there is one, or returns when there should be; zero: not while nothing succeeds.
 func (b *Budget) try(now time.Time) (time.Time, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -88,7 +91,7 @@
 	}
 	recent := b.recent()
 	if recent == 0 {
-		return now.Add(budgetWindow), false
+		return time.Time{}, false
 	}
 	missing := budgetCost*(1+b.waiting) - b.credit
 	return now.Add(budgetWindow * time.Duration(missing) / time.Duration(recent)), false
--- a/protocol/answer/constants.go
+++ b/protocol/answer/constants.go
@@ -34,7 +34,7 @@
 	noticePause      = 200 * time.Millisecond
 	graceDefault     = 5 * time.Second
 	tokenLifeDefault = 10 * time.Minute
-	budgetWait       = 8 * time.Second // longest wait for a retry's turn
+	budgetWait       = 20 * time.Second // longest wait for a retry's turn
 )
 
 // Progress deadlines.
