Memory run: engines are reset between its parts, an interrupted run is an error

Engines went on decoding for nobody, so a run waited for minutes, and one that was interrupted reported what it had not measured. The naive proxy gets the same plan of requests and engines whose texts can be checked.

--- a/experiment/demo/fleet.go
+++ b/experiment/demo/fleet.go
@@ -49,7 +49,7 @@
 	}
 	keys := newSecrets()
 	for range o.Layout.Instances {
-		n, err := startNode(ctx, f.site, keys, o.Logger)
+		n, err := startNode(ctx, f.site, o.Layout.Grace, keys, o.Logger)
 		if err != nil {
 			return err
 		}
--- a/experiment/demo/layout.go
+++ b/experiment/demo/layout.go
@@ -13,7 +13,8 @@
 type Layout struct {
 	Instances  int
 	Services   []Service
-	LeastWhole float64 // share of accepted answers of repeatable entries that must finish whole
+	Grace      time.Duration // for callers who have left
+	LeastWhole float64       // share of accepted answers of repeatable entries that must finish whole
 }
 
 // Service is one entry of the catalogue and the stand-ins behind it.
@@ -29,7 +30,7 @@
 
 // Small is the layout of the demo.
 func Small() Layout {
-	return Layout{Instances: 3, LeastWhole: leastOfThree, Services: []Service{
+	return Layout{Instances: 3, LeastWhole: leastOfThree, Grace: callerGrace, Services: []Service{
 		engines("isoraklet", "islaget", "assessment", 3, true),
 		engines("isportal", "islaget", "verdict", 2, false),
 		plain("soundings", "islaget", "sounding", 2, catalogue.KeyRuleRequired),
@@ -43,7 +44,7 @@
 
 // Today is the layout of one deployment as it is now: 7 instances, 9 engines for long answers and 4 for short ones.
 func Today() Layout {
-	return Layout{Instances: 7, LeastWhole: leastOfNine, Services: []Service{
+	return Layout{Instances: 7, LeastWhole: leastOfNine, Grace: callerGrace, Services: []Service{
 		engines("isoraklet", "islaget", "assessment", 9, true),
 		engines("isportal", "islaget", "verdict", 4, false),
 		plain("soundings", "islaget", "sounding", 2, catalogue.KeyRuleRequired),
--- a/experiment/demo/memory.go
+++ b/experiment/demo/memory.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"dogwooddyke/experiment/load"
+	"dogwooddyke/standin"
 )
 
 // Shape of a memory run: engines slow enough for one process to carry all the streams three times over.
@@ -20,6 +21,7 @@
 	memoryTokens  = 100_000 // more than are sent before the run ends
 	memoryRate    = 150.0   // requests/s until all streams are open
 	memoryWait    = 60 * time.Second
+	resetSpan     = 50 * time.Millisecond
 	memorySettle  = 2 * time.Second
 	workSettle    = 1500 * time.Millisecond
 )
@@ -74,12 +76,21 @@
 	}
 	pause(ctx, memorySettle)
 	open, bytes = b.running(), liveMemory()
+	stopped := ctx.Err()
 	cancel()
 	run.Wait()
-	for b.running() > 0 && time.Now().Before(deadline.Add(memoryWait)) && pause(context.WithoutCancel(ctx), pollInterval) {
-		continue
+	return open, bytes, errors.Join(err, stopped, b.reset())
+}
+
+// reset makes all engines lose their state, as they go on with what nobody reads any more.
+func (b *backends) reset() error {
+	var faults []error
+	for _, g := range b.groups {
+		for _, e := range g.engines {
+			faults = append(faults, e.Fault(standin.Fault{Kind: standin.FaultDie, Until: time.Now().Add(resetSpan)}))
+		}
 	}
-	return open, bytes, err
+	return errors.Join(faults...)
 }
 
 // running returns the generations that the engines decode now.
--- a/experiment/demo/node.go
+++ b/experiment/demo/node.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 	"text/template"
+	"time"
 
 	"dogwooddyke/instance"
 	"dogwooddyke/standin"
@@ -55,18 +56,19 @@
 key = {{.Secrets.Peer}}
 [answers]
 key = {{.Secrets.Token}}
+grace = {{.Grace}}
 [platform]
 log = http://{{.Log}}
 roster = http://{{.Roster}}
 `))
 
 // startNode starts an instance on ports that the system picks and lists it.
-func startNode(ctx context.Context, s *site, keys secrets, logger *slog.Logger) (*node, error) {
+func startNode(ctx context.Context, s *site, grace time.Duration, keys secrets, logger *slog.Logger) (*node, error) {
 	listeners, err := openListeners()
 	if err != nil {
 		return nil, err
 	}
-	settings, err := newSettings(s, keys, &listeners)
+	settings, err := newSettings(s, grace, keys, &listeners)
 	if err != nil {
 		return nil, err
 	}
@@ -94,14 +96,15 @@
 	return l, nil
 }
 
-func newSettings(s *site, keys secrets, l *instance.Listeners) (*instance.Settings, error) {
+func newSettings(s *site, grace time.Duration, keys secrets, l *instance.Listeners) (*instance.Settings, error) {
 	var text strings.Builder
 	err := settingsText.Execute(&text, struct {
 		DataCentre                string
 		Callers, Operators, Peers net.Addr
 		Secrets                   secrets
-		Log, Roster, Weights      netip.AddrPort
-	}{dataCentre, l.Callers.Addr(), l.Operators.Addr(), l.Peers.Addr(), keys, s.logAt, s.rosterAt, s.weightsAt})
+		Grace                     time.Duration
+		Log, Roster               netip.AddrPort
+	}{dataCentre, l.Callers.Addr(), l.Operators.Addr(), l.Peers.Addr(), keys, grace, s.logAt, s.rosterAt})
 	if err != nil {
 		return nil, err
 	}
--- a/experiment/demo/runner.go
+++ b/experiment/demo/runner.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"dogwooddyke/experiment/load"
 	"dogwooddyke/experiment/naive"
+	"dogwooddyke/state/catalogue"
 )
 
 // runner carries out one run.
@@ -47,8 +49,14 @@
 	Records []load.Record `json:"-"`
 }
 
+// startBaseline gives the proxy engines whose texts can be checked without the generation's id, which it does not tell.
 func startBaseline(l *Layout) (*baseline, error) {
-	b, err := startBackends(l)
+	checked := Layout{Services: slices.Clone(l.Services)}
+	for i := range checked.Services {
+		s := &checked.Services[i]
+		s.Entry.Repeatable = s.Entry.Kind == catalogue.KindEngine
+	}
+	b, err := startBackends(&checked)
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +106,9 @@
 	if r.baseline != nil {
 		naive = make([]Traffic, len(o.Profiles))
 		for i, name := range o.Profiles {
-			runs.Go(func() { naive[i] = r.send(ctx, name, []string{r.baseline.url}, o.Seed+uint64(i), false) })
+			runs.Go(func() {
+				naive[i] = r.send(ctx, name, slices.Repeat([]string{r.baseline.url}, len(targets)), o.Seed+uint64(i), false)
+			})
 		}
 	}
 	runs.Wait()
