--- a/protocol/answer/resume_test.go
+++ b/protocol/answer/resume_test.go
@@ -178,13 +178,14 @@
 			is := is.New(t)
 			b := newBench(t, 2, false)
 			for range budgetInitial {
-				_, allowed := b.runner.Budget.Of("verdicts").Reserve(time.Now(), 0)
+				_, allowed := b.runner.Budget.Of("verdicts").Take(t.Context(), 0)
 				is.True(allowed)
 			}
 			b.engines.fault(0, "die", 0)
 			began := time.Now()
 			result := b.runner.Run(context.Background(), b.request(false), b.sink)
 			is.Equal(result.Outcome, OutcomeUnknown)
+			is.Equal(result.Reason, "retryBudget")
 			is.True(result.RetryAt.After(began))
 			is.True(time.Since(began) < time.Second) // the answer comes at once
 			orderly(t, b)
--- a/state/endpoint/share.go
+++ b/state/endpoint/share.go
@@ -14,7 +14,9 @@
 type Demand struct {
 	Running  int     `cbor:"1,keyasint,omitzero" json:"running"`  // its generations in progress there
 	Waiting  int     `cbor:"2,keyasint,omitzero" json:"waiting"`  // its queued requests that the endpoint could serve, as its part
-	Memory   int     `cbor:"3,keyasint,omitzero" json:"memory"`   // tokens that it expects to need for both
+	Memory   int     `cbor:"3,keyasint,omitzero" json:"memory"`   // tokens that it expects to need at most for those in progress
 	Variance float64 `cbor:"4,keyasint,omitzero" json:"variance"` // of the memory of those in progress, in squared tokens
 	Knee     int     `cbor:"5,keyasint,omitzero" json:"knee"`     // the batch that it learnt to be the most for the target interval
+	Wanted   int     `cbor:"6,keyasint,omitzero" json:"wanted"`   // tokens that it expects to need for those queued
+	Need     int     `cbor:"7,keyasint,omitzero" json:"need"`     // tokens of memory that one more usual request needs
 }
