--- a/cmd/dykectl/bench.go
+++ b/cmd/dykectl/bench.go
@@ -73,5 +73,8 @@
 	defer page.Close()
 	bench.Report(page, suite, groups, command, date)
 	fmt.Println("written:", page.Name())
-	return page.Sync()
+	if err := page.Sync(); err != nil {
+		return err
+	}
+	return bench.Plots(c.Out, suite, groups)
 }
--- a/coordination/routing/account.go
+++ b/coordination/routing/account.go
@@ -99,5 +99,5 @@
 			break
 		}
 	}
-	a.profile.made = time.Time{}
+	a.profile.remove(f)
 }
--- a/coordination/routing/choice.go
+++ b/coordination/routing/choice.go
@@ -19,11 +19,13 @@
 		offset = c.config.Random.IntN(len(accounts))
 	}
 	f.decision.Candidates = f.decision.Candidates[:0]
+	own, length := profile{}, f.remaining()
+	own.add(f)
 	var best *account
 	least, fits, slotless := math.Inf(1), 0, true
 	for i := range accounts {
 		a := accounts[(offset+i)%len(accounts)]
-		candidate := c.assess(f, a, now)
+		candidate := c.assess(f, a, &own, length, now)
 		if len(f.decision.Candidates) < maximumCandidates {
 			f.decision.Candidates = append(f.decision.Candidates, candidate)
 		}
@@ -48,7 +50,7 @@
 }
 
 // assess judges one endpoint for a request.
-func (c *Core) assess(f *Flight, a *account, now time.Time) Candidate {
+func (c *Core) assess(f *Flight, a *account, own *profile, length float64, now time.Time) Candidate {
 	candidate := Candidate{Endpoint: a.address, Verdict: f.barred(a, now)}
 	if candidate.Verdict != "" {
 		return candidate
@@ -59,7 +61,7 @@
 		return candidate
 	}
 	a.foresee(now)
-	peak := a.profile.with(f, share.Spread)
+	peak := a.profile.with(own, share.Spread)
 	if peak > float64(share.Memory) && !f.overdue(a, now) {
 		candidate.Verdict = VerdictMemory
 		return candidate
@@ -68,7 +70,7 @@
 	candidate.Memory = peak / float64(max(share.Memory, 1))
 	candidate.Batch = a.batch(now)
 	candidate.Saved = min(a.cache.Match(f.ask.Prefix)*blockTokens, float64(f.prompt()))
-	candidate.Score = c.score(f, a, candidate)
+	candidate.Score = c.score(f, a, candidate, length)
 	return candidate
 }
 
@@ -95,8 +97,7 @@
 }
 
 // score predicts the seconds to the request's end on an endpoint, with what it costs those already there.
-func (c *Core) score(f *Flight, a *account, candidate Candidate) float64 {
-	length := f.remaining()
+func (c *Core) score(f *Flight, a *account, candidate Candidate, length float64) float64 {
 	step := a.speed.Step(candidate.Batch + 1).Seconds()
 	added := step - a.speed.Step(candidate.Batch).Seconds()
 	score := (float64(f.prompt())-candidate.Saved)*a.prefill*float64(candidate.Batch+1) + length*step
--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -303,13 +303,21 @@
 			continue
 		}
 		u := l.urgency(now)
-		if best == nil || u < urgency || u == urgency && f.service.Served < best.head().service.Served {
+		if best == nil || u < urgency || u == urgency && f.behind(best.head()) {
 			best, urgency = l, u
 		}
 	}
 	return best
 }
 
+// behind tells whether the flight's workspace was served less than the other's, or as much when the flight came first.
+func (f *Flight) behind(other *Flight) bool {
+	if f.service.Served != other.service.Served {
+		return f.service.Served < other.service.Served
+	}
+	return f.submitted.Before(other.submitted)
+}
+
 func (c *Core) tryStart(f *Flight, now time.Time) bool {
 	a := c.choose(f, now)
 	if a == nil {
--- a/coordination/routing/memory.go
+++ b/coordination/routing/memory.go
@@ -22,6 +22,16 @@
 	}
 }
 
+// remove takes out a generation that ended; what it had been foreseen to hold may have differed, until the profile is made anew.
+func (p *profile) remove(f *Flight) {
+	own := profile{}
+	own.add(f)
+	for i := range horizons {
+		p.mean[i] = max(p.mean[i]-own.mean[i], 0)
+		p.variance[i] = max(p.variance[i]-own.variance[i], 0)
+	}
+}
+
 // peak gives the most memory that is expected at any horizon, with a margin for its spread.
 func (p *profile) peak(spread float64) float64 {
 	most := 0.0
@@ -31,10 +41,13 @@
 	return most
 }
 
-// with gives the peak after one more generation.
-func (p *profile) with(f *Flight, spread float64) float64 {
+// with gives the peak after another profile is added.
+func (p *profile) with(other *profile, spread float64) float64 {
 	sum := *p
-	sum.add(f)
+	for i := range horizons {
+		sum.mean[i] += other.mean[i]
+		sum.variance[i] += other.variance[i]
+	}
 	return sum.peak(spread)
 }
 
--- a/experiment/bench/constants.go
+++ b/experiment/bench/constants.go
@@ -21,4 +21,5 @@
 	clairvoyantStep  = 50 * time.Millisecond // longest step that the clairvoyant policy lets a batch grow to
 	clairvoyantTries = 16                    // jobs that don't fit before the clairvoyant policy looks no further
 	topicCount       = 30                    // of a workspace
+	usualLag         = time.Second           // of load reports where nothing else is said
 )
