--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -40,12 +40,23 @@
 	instances []*Instance
 	offset    uint64
 	group     conc.WaitGroup
+	sections  string // further settings of each instance
+	peers     string // further settings of its section [peers]
 }
 
 func newFleet(t *testing.T, engines, services, instances int) *fleet {
+	t.Helper()
+	return newFleetWith(t, engines, services, instances, "", "")
+}
+
+// newFleetWith adds sections to the instances' settings, and fields to their section [peers].
+func newFleetWith(t *testing.T, engines, services, instances int, sections, peers string) *fleet {
 	t.Helper()
 	is := is.New(t)
-	f := &fleet{t: t, log: standin.NewLog(standin.LogConfig{}), roster: standin.NewRoster(standin.RosterConfig{})}
+	f := &fleet{
+		t: t, log: standin.NewLog(standin.LogConfig{}), roster: standin.NewRoster(standin.RosterConfig{}),
+		sections: sections, peers: peers,
+	}
 	var err error
 	f.logAt, err = f.log.Listen(loopback())
 	is.NoErr(err)
@@ -136,7 +147,7 @@
 	}
 	settings, err := ParseSettings("test.ini", []byte("[instance]\ndataCentre = lulea-a\nnotice = 50ms\n"+
 		"callers = "+listeners.Callers.Addr().String()+"\noperators = "+listeners.Operators.Addr().String()+
-		"\npeers = "+listeners.Peers.Addr().String()+"\n[peers]\nkey = "+testPeerKey+"\n[answers]\nkey = "+testTokenKey+
+		"\npeers = "+listeners.Peers.Addr().String()+"\n[peers]\nkey = "+testPeerKey+"\n"+f.peers+f.sections+"[answers]\nkey = "+testTokenKey+
 		"\n[platform]\nlog = http://"+f.logAt.String()+"\nroster = http://"+f.rosterAt.String()+"\n"))
 	is.NoErr(err)
 	i, err := New(settings, listeners, slog.New(slog.NewTextHandler(io.Discard, nil)))
