--- a/transport/caller/constants.go
+++ b/transport/caller/constants.go
@@ -24,3 +24,12 @@
 	headerShouldRetry = "X-Should-Retry" // the official clients obey it
 	headerIdempotency = "Idempotency-Key"
 )
+
+// Codes of refusals by an instance that takes no work, beside those of routing.
+const (
+	codeNotReady = "notReady"
+	codeFull     = "instanceFull"
+)
+
+// elsewherePause is when to ask again after such a refusal.
+const elsewherePause = time.Second
--- a/transport/caller/handler.go
+++ b/transport/caller/handler.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/julienschmidt/httprouter"
 
+	"dogwooddyke/coordination/routing"
 	"dogwooddyke/protocol/answer"
 	"dogwooddyke/state/catalogue"
 )
@@ -147,20 +148,20 @@
 	})
 }
 
-// admit counts the request in, or refuses it when the instance drains, is not ready or is full.
+// admit counts the request in, or refuses it when the instance drains, has no catalogue or is full.
 func (h *Handler) admit() error {
-	now := time.Now()
-	if h.draining.Load() || !h.able() {
-		return draining(now.Add(time.Second))
+	retryAt := time.Now().Add(elsewherePause)
+	if !h.able() {
+		return takesNoWork(codeNotReady, retryAt)
 	}
 	if h.inFlight.Add(1) > int64(h.config.MaximumStreams) {
-		h.inFlight.Add(-1)
-		return draining(now.Add(time.Second))
+		h.leave()
+		return takesNoWork(codeFull, retryAt)
 	}
-	// Drain may have begun between the check and the count; whoever waits for the count must not miss this request.
+	// Whoever waits for the count to reach zero after the flag is set must not miss this request, so it is counted first.
 	if h.draining.Load() {
-		h.inFlight.Add(-1)
-		return draining(now.Add(time.Second))
+		h.leave()
+		return takesNoWork(string(routing.ReasonDraining), retryAt)
 	}
 	return nil
 }
--- a/transport/caller/refusal.go
+++ b/transport/caller/refusal.go
@@ -53,10 +53,11 @@
 	}
 }
 
-func draining(retryAt time.Time) *refusal {
+// takesNoWork refuses what another instance can take at once.
+func takesNoWork(code string, retryAt time.Time) *refusal {
 	return &refusal{
-		status: http.StatusServiceUnavailable, kind: "server_error", code: string(routing.ReasonDraining),
-		message: "this instance takes no new work; ask again at once, another one will take it", outcome: answer.OutcomeNotRun, retryAt: retryAt,
+		status: http.StatusServiceUnavailable, kind: "server_error", code: code,
+		message: "this instance takes no new work; another one will", outcome: answer.OutcomeNotRun, retryAt: retryAt,
 	}
 }
 
--- a/transport/platform/doc.go
+++ b/transport/platform/doc.go
@@ -1,2 +1,2 @@
-// Package platform speaks to what the platform gives: the append-only log, the list of instances and the weight store.
+// Package platform speaks to what the platform gives: the append-only log and the list of instances.
 package platform
