--- a/state/catalogue/entry.go
+++ b/state/catalogue/entry.go
@@ -24,7 +24,7 @@
 	KeyRuleRequired   KeyRule = "required"
 )
 
-// Endpoint is one back end of an entry and the data centre it stands in.
+// Endpoint is one address that serves an entry, and the data centre it stands in.
 type Endpoint struct {
 	Address    netip.AddrPort `cbor:"address" json:"address"`
 	DataCentre string         `cbor:"dataCentre" json:"dataCentre"`
@@ -61,7 +61,7 @@
 	MaximumTokens int           `cbor:"maximumTokens,omitempty" json:"maximumTokens,omitempty"` // limit on output; zero: the engine's own
 }
 
-// Workspace is one customer: the SHA-256 hashes (hex) of its keys and its limits over all entries.
+// Workspace is one party that calls: the SHA-256 hashes (hex) of its keys and its limits over all entries.
 type Workspace struct {
 	Name      string   `cbor:"name" json:"name"`
 	Owner     string   `cbor:"owner" json:"owner"`
