--- a/transport/endpoint/connection.go
+++ b/transport/endpoint/connection.go
@@ -57,6 +57,7 @@
 			MaxIdleConnsPerHost:    idlePerEndpoint,
 			MaxResponseHeaderBytes: maximumHeaderBytes,
 			ReadBufferSize:         streamBufferBytes,
+			WriteBufferSize:        streamBufferBytes,
 			ExpectContinueTimeout:  expectContinueBound,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/transport/endpoint/constants.go
+++ b/transport/endpoint/constants.go
@@ -17,7 +17,7 @@
 	reportIdleTimeout   = 10 * time.Second // beyond the intervals at which reports are read
 	idlePerEndpoint     = 8
 	maximumHeaderBytes  = 64 << 10
-	streamBufferBytes   = 16 << 10
+	streamBufferBytes   = 1 << 10
 	expectContinueBound = time.Second
 )
 
