Calls between instances count as evidence of life; a stopped process loses its stewardships, in separate processes

Cause: members.Suspect and Seen had no caller, so a stopped instance was suspected only after 7 s without heartbeats. Change: the calls of claims, shares, answers and the catalogue tell the member table what came of them.

--- a/cmd/dogwooddyke/processes_test.go
+++ b/cmd/dogwooddyke/processes_test.go
@@ -179,6 +179,7 @@
 
 // TestProcesses serves requests by separate processes, kills one instance with an answer in flight and stops the other.
 func TestProcesses(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	p := newProcesses(t)
 	first, firstCallers, firstOperators := p.instance("first")
--- a/instance/core.go
+++ b/instance/core.go
@@ -84,6 +84,7 @@
 	clients *endpoint.Clients
 	meter   *traffic.Meter // of control over HTTP
 	node    *peer.Node
+	peers   evidence
 	handler *caller.Handler
 
 	keepers   []*certificate.Keeper
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -29,11 +29,12 @@
 	i.empty = i.table.View()
 	i.view.Store(i.empty)
 	i.members = member.New(i.settings.Peers, i.table)
+	i.peers = evidence{node: i.node, members: i.members}
 	i.replica = replica.New(replica.Options{
 		Table:    i.table,
 		Log:      i.log,
 		Members:  i.members,
-		Peers:    i.node,
+		Peers:    i.peers,
 		Observer: &replicaObserver{instance: i},
 	})
 	i.loops = &member.Loops{
@@ -56,7 +57,7 @@
 		Subset:     i.settings.Subset,
 		Observer:   &routingObserver{instance: i},
 	})
-	i.shares = share.NewExchange(i.node, i.members, i.router)
+	i.shares = share.NewExchange(i.peers, i.members, i.router)
 	i.loads = endpoint.NewLoads(i.clients)
 	i.node.Handle(share.Method, i.shares.Serve)
 }
@@ -73,7 +74,7 @@
 		Budget:    &answer.Budgets{},
 		Tokens:    signer,
 		Observer:  &answerObserver{metrics: i.metrics, ring: i.ring},
-		Peers:     i.node,
+		Peers:     i.peers,
 		Self:      i.settings.Peers,
 		Grace:     i.settings.Grace,
 		TokenLife: i.settings.ResumeWindow,
@@ -105,7 +106,7 @@
 		return err
 	}
 	i.steward = steward
-	i.claims = claim.NewClient(steward, i.node)
+	i.claims = claim.NewClient(steward, i.peers)
 	i.calls = &call.Runner{
 		Services: endpoint.NewServices(i.clients),
 		Router:   &slots{instance: i},
