Lease streams are polled less, and a drain does not wait for a poll

Cause: candidates asked the log each 2 s for each partition, and a drain waited for such a read to end. Change: reads wait up to 10 s and end when the instance drains; a release does not wait for the next renewal's time.

--- a/coordination/lease/constants.go
+++ b/coordination/lease/constants.go
@@ -21,8 +21,8 @@
 const (
 	readTimeout   = 5 * time.Second
 	appendTimeout = 4 * time.Second
-	longestWait   = 2 * time.Second // of one read at the log's head
-	retryInterval = time.Second     // while the log does not answer
+	longestWait   = 10 * time.Second // of one read at the log's head
+	retryInterval = time.Second      // while the log does not answer
 	drainPoll     = 50 * time.Millisecond
 	chooseEvery   = time.Second // between two looks at which partitions to follow
 )
--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -98,13 +98,12 @@
 
 // Next returns the record that this instance should append now, if any; rank is its place among the candidates, negative if it is none.
 func (k *Keeper) Next(now time.Time, rank int, wanted bool) (Record, bool) {
-	if now.Before(k.actAt) {
-		return Record{}, false
-	}
 	switch {
 	case k.Holder() && !wanted:
 		k.until = time.Time{}
 		return k.record(now, KindRelease, RetryInterval), true
+	case now.Before(k.actAt):
+		return Record{}, false
 	case k.Holder():
 		// After a lapse too: the renewal counts only if nobody has taken the lease.
 		return k.record(now, KindRenew, RenewInterval), true
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -157,10 +157,12 @@
 		is := is.New(t)
 		former := w.holders(t, entry)[0]
 		w.remove(former.self)
+		begun := time.Now()
 		former.Drain(t.Context())
+		is.True(time.Since(begun) <= 2*retryInterval)
 		_, ok := former.Grant(time.Now(), entry)
 		is.True(!ok)
-		time.Sleep(longestWait + chooseEvery)
+		time.Sleep(chooseEvery + time.Second)
 		is.Equal(len(w.holders(t, entry)), 1)
 		is.True(w.holders(t, entry)[0] != former)
 	})
--- a/coordination/lease/leases.go
+++ b/coordination/lease/leases.go
@@ -42,6 +42,8 @@
 	members  Members
 	entries  Entries
 	observer Observer
+	drained  context.Context // ends when all leases are to be released, and with it the wait for records
+	drain    context.CancelFunc
 
 	mu       sync.Mutex // guards all below; taken before nothing else
 	keepers  map[int]*Keeper
@@ -53,13 +55,15 @@
 
 // New returns leases that follow nothing.
 func New(log record.Log, members Members, entries Entries, observer Observer) *Leases {
-	return &Leases{
+	l := &Leases{
 		log:      log,
 		members:  members,
 		entries:  entries,
 		observer: observer,
 		keepers:  map[int]*Keeper{},
 	}
+	l.drained, l.drain = context.WithCancel(context.Background())
+	return l
 }
 
 // PartitionOf returns the partition that an entry's lease is in.
@@ -126,6 +130,7 @@
 	l.mu.Lock()
 	l.draining = true
 	l.mu.Unlock()
+	l.drain()
 	for ctx.Err() == nil && l.holds() {
 		pause(ctx, drainPoll)
 	}
@@ -218,6 +223,9 @@
 	until := l.due(partition)
 	limited, cancel := context.WithDeadline(ctx, until.Add(readTimeout))
 	defer cancel()
+	if until.After(time.Now()) {
+		defer context.AfterFunc(l.drained, cancel)()
+	}
 	page, err := l.log.Read(limited, Stream(partition), from, until)
 	l.observer.LeaseRead(err)
 	if err != nil {
@@ -252,6 +260,9 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	due := l.keepers[partition].Due(l.rank(partition))
+	if l.draining {
+		return now
+	}
 	if latest := now.Add(longestWait); due.After(latest) {
 		return latest
 	}
