--- a/coordination/lease/leases.go
+++ b/coordination/lease/leases.go
@@ -259,11 +259,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	due := l.keepers[partition].Due(l.rank(partition))
+	k := l.keepers[partition]
+	due := k.Due(l.rank(partition))
 	if l.draining {
 		return now
 	}
-	if latest := now.Add(longestWait); due.After(latest) {
+	latest := now.Add(longestWait)
+	if k.Fold().Released {
+		// Ranks change as the holder that released leaves.
+		latest = now.Add(chooseEvery)
+	}
+	if due.After(latest) {
 		return latest
 	}
 	if due.Before(now) {
