Callers who come back do not lose the generation that they read

Cause: a caller who came back to the same instance before its first connection was seen to be dead had its generation cancelled when it was; the same befell one who came back, left before a token and came back again. Change: a second execution of an answer marks the first one as gone on with; a reader that got no token leaves without cancelling. Result: two new tests, which ended as interrupted before, finish whole.

--- a/protocol/answer/execution.go
+++ b/protocol/answer/execution.go
@@ -12,32 +12,33 @@
 
 // execution is one run of one answer; it is used by one goroutine, but for moved.
 type execution struct {
-	runner    *Runner
-	request   *Request
-	sink      Sink
-	life      *life
-	pace      *Pace
-	budget    *Budget
-	caller    context.Context // ends when the caller leaves
-	ctx       context.Context // ends also at the answer's deadline
-	cancel    context.CancelFunc
-	filter    *Filter
-	slot      Slot // nil while there is none
-	stream    Stream
-	place     place
-	attempt   int // number of the current generation
-	unstarted int // dispatches that did not start
-	lost      int // generations that may have run
-	evidence  evidence
-	held      []Token // of an answer in one piece
-	heldBytes int
-	progress  time.Time // when the last token came, or the dispatch
-	deadline  time.Time // of the next token
-	fruitless int       // new connections since the last token
-	bodySum   []byte
-	otherBody bool        // the body is not the one of the generation that the caller has a part of
-	resumed   bool        // reads a generation that another execution started
-	elsewhere atomic.Bool // another instance goes on with the answer
+	runner      *Runner
+	request     *Request
+	sink        Sink
+	life        *life
+	pace        *Pace
+	budget      *Budget
+	caller      context.Context // ends when the caller leaves
+	ctx         context.Context // ends also at the answer's deadline
+	cancel      context.CancelFunc
+	filter      *Filter
+	slot        Slot // nil while there is none
+	stream      Stream
+	place       place
+	attempt     int // number of the current generation
+	unstarted   int // dispatches that did not start
+	lost        int // generations that may have run
+	evidence    evidence
+	held        []Token // of an answer in one piece
+	heldBytes   int
+	progress    time.Time // when the last token came, or the dispatch
+	deadline    time.Time // of the next token
+	fruitless   int       // new connections since the last token
+	bodySum     []byte
+	otherBody   bool        // the body is not the one of the generation that the caller has a part of
+	resumed     bool        // reads a generation that another execution started
+	resumedFrom int         // tokens that the caller had when it came back
+	elsewhere   atomic.Bool // another instance goes on with the answer
 }
 
 func (r *Runner) newExecution(ctx context.Context, request *Request, sink Sink) *execution {
--- a/protocol/answer/left.go
+++ b/protocol/answer/left.go
@@ -37,7 +37,9 @@
 		e.release(routing.OutcomeCancelled, time.Now())
 		return
 	}
-	if e.elsewhere.Load() {
+	// A caller who got nothing here still has a token of the former instance, and may have gone on with that one elsewhere.
+	passedBy := e.resumed && e.evidence.delivered == e.resumedFrom
+	if e.elsewhere.Load() || passedBy {
 		e.release(routing.OutcomeCancelled, time.Now())
 		return
 	}
--- a/protocol/answer/resume.go
+++ b/protocol/answer/resume.go
@@ -18,6 +18,7 @@
 		return e.end(StateFinished, OutcomeFinished, nil)
 	}
 	e.resumed = true
+	e.resumedFrom = token.Delivered
 	e.slot = e.runner.adopt(e.request.ID)
 	e.runner.noticeLater(token.Origin, e.request.ID)
 	e.progress = time.Now()
--- a/protocol/answer/resume_test.go
+++ b/protocol/answer/resume_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 )
 
 // fakePeers calls the first instance's method.
@@ -99,6 +100,49 @@
 			is.Equal(len(b.engines.at(0).cancelled), 0)
 		})
 	})
+	t.Run("leavesAgainAtOnce", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, false)
+			token := b.leaveAt(t, 40)
+			second := b.second()
+			second.Grace = time.Millisecond
+			b.sink.leaveAt = 40 // gets nothing there, so its token still names the first instance
+			result := second.Resume(context.Background(), token, b.request(false), b.sink)
+			is.Equal(result.Outcome, OutcomeCancelled)
+			time.Sleep(tokenInterval)
+			b.sink.leaveAt = 0
+			result = b.runner.Resume(context.Background(), token, b.request(false), b.sink)
+			is.Equal(result.Outcome, OutcomeFinished)
+			whole(t, b.sink.tokens)
+			orderly(t, b)
+		})
+	})
+	t.Run("sameInstanceStillSends", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 2, false)
+			b.sink.leaveAt = 40
+			again := &fakeSink{}
+			var group conc.WaitGroup
+			b.sink.leaving = func() { // the caller is back before its first connection is seen to be dead
+				token, err := b.runner.Tokens.Verify(b.sink.resume, "rescue", time.Now())
+				is.NoErr(err)
+				group.Go(func() {
+					result := b.runner.Resume(context.Background(), token, b.request(false), again)
+					is.Equal(result.Outcome, OutcomeFinished)
+				})
+				synctest.Wait()
+			}
+			b.runner.Grace = time.Millisecond
+			result := b.runner.Run(context.Background(), b.request(false), b.sink)
+			is.Equal(result.Outcome, OutcomeCancelled)
+			group.Wait()
+			whole(t, append(b.sink.tokens, again.tokens...))
+			orderly(t, b)
+			is.Equal(len(b.engines.at(0).cancelled), 0)
+		})
+	})
 	t.Run("afterTheEnd", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
--- a/protocol/answer/runner.go
+++ b/protocol/answer/runner.go
@@ -104,13 +104,17 @@
 	return r.TokenLife
 }
 
-// register makes an execution known under its answer's id, for peers that go on with the answer.
+// register makes an execution known under its answer's id, for peers that go on with the answer; a former one at this instance
+// must not cancel what this one reads.
 func (r *Runner) register(e *execution) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if r.active == nil {
 		r.active = make(map[string]*execution)
 	}
+	if former := r.active[e.request.ID]; former != nil {
+		former.elsewhere.Store(true)
+	}
 	r.active[e.request.ID] = e
 }
 
