--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -216,7 +216,7 @@
 	if !f.pool.usable() {
 		return ReasonNoEndpoint, now.Add(f.pool.returnAfter())
 	}
-	f.decision.Ahead = c.queue.ahead(f)
+	f.decision.Ahead = c.queue.ahead(f, func(l *line) bool { return !c.allowed(l.head(), now) })
 	wait := c.expectedWait(f, now)
 	f.decision.Expected = now.Add(wait)
 	if c.queue.size >= c.config.QueueBound || c.queue.counts[f.ask.Workspace] >= c.config.WorkspaceBound {
@@ -277,6 +277,9 @@
 		l.tried = c.round
 		f.pool.missed(c.round)
 	}
+	for _, p := range c.entries {
+		p.backlog = p.tried == c.round
+	}
 	return c.decided
 }
 
--- a/coordination/routing/line.go
+++ b/coordination/routing/line.go
@@ -56,7 +56,6 @@
 	}
 	l.flights = append(l.flights, f)
 	f.line = l
-	f.pool.queued++
 	q.size++
 	q.counts[f.ask.Workspace]++
 }
@@ -65,7 +64,6 @@
 	l := f.line
 	l.remove(f)
 	f.line = nil
-	f.pool.queued--
 	q.size--
 	if q.counts[f.ask.Workspace]--; q.counts[f.ask.Workspace] == 0 {
 		delete(q.counts, f.ask.Workspace)
@@ -83,15 +81,15 @@
 	}
 }
 
-// ahead counts the requests that are served before a new one of the line.
-func (q *queue) ahead(f *Flight) int {
+// ahead counts the requests that are served before a new one of the line; lines that are held back by limits don't count.
+func (q *queue) ahead(f *Flight, held func(l *line) bool) int {
 	own := 0
 	if l := q.byKey[lineKey{f.ask.Entry, f.ask.Workspace, f.ask.Priority}]; l != nil {
 		own = len(l.flights)
 	}
 	total := own
 	for _, l := range q.lines {
-		if l.key.entry != f.ask.Entry || l.key.workspace == f.ask.Workspace && l.key.priority == f.ask.Priority {
+		if l.key.entry != f.ask.Entry || l.key.workspace == f.ask.Workspace && l.key.priority == f.ask.Priority || held(l) {
 			continue
 		}
 		if l.key.priority < f.ask.Priority {
--- a/coordination/routing/pool.go
+++ b/coordination/routing/pool.go
@@ -16,7 +16,7 @@
 type pool struct {
 	entry    *catalogue.Entry
 	accounts []*account
-	queued   int
+	backlog  bool   // a request waited for room, not for a limit, at the latest round
 	need     int    // tokens of memory of a usual request
 	full     uint64 // round in which no more heads of lines are tried
 	tried    uint64 // round that misses counts for
@@ -46,7 +46,7 @@
 		return
 	}
 	p.counted = now
-	if p.queued == 0 {
+	if !p.backlog {
 		return
 	}
 	decay := math.Exp(-passed / rateSeconds)
--- a/coordination/routing/shares.go
+++ b/coordination/routing/shares.go
@@ -18,8 +18,9 @@
 func (c *Core) Demands(now time.Time, take func(address netip.AddrPort, demand endpoint.Demand)) {
 	waiting := make(map[*account]waitingDemand, len(c.accounts))
 	need := make(map[*account]int, len(c.accounts))
+	queued := c.startable(now)
 	for _, p := range c.entries {
-		p.spread(waiting)
+		p.spread(waiting, queued[p])
 		for _, a := range p.accounts {
 			need[a] = max(need[a], p.need)
 		}
@@ -45,6 +46,17 @@
 	}
 }
 
+// startable counts the queued requests of each entry that no limit holds back.
+func (c *Core) startable(now time.Time) map[*pool]int {
+	queued := make(map[*pool]int, len(c.entries))
+	for _, l := range c.queue.lines {
+		if c.allowed(l.head(), now) {
+			queued[l.head().pool] += len(l.flights)
+		}
+	}
+	return queued
+}
+
 // waitingDemand is what queued requests would need of one endpoint.
 type waitingDemand struct {
 	requests int
@@ -52,17 +64,17 @@
 }
 
 // spread divides the pool's queued requests among its endpoints.
-func (p *pool) spread(waiting map[*account]waitingDemand) {
+func (p *pool) spread(waiting map[*account]waitingDemand, queued int) {
 	live := 0
 	for _, a := range p.accounts {
 		if !a.leaving() && !a.health.Ejected() {
 			live++
 		}
 	}
-	if live == 0 || p.queued == 0 {
+	if live == 0 || queued == 0 {
 		return
 	}
-	part := (p.queued + live - 1) / live
+	part := (queued + live - 1) / live
 	for _, a := range p.accounts {
 		if a.leaving() || a.health.Ejected() {
 			continue
--- a/experiment/bench/constants.go
+++ b/experiment/bench/constants.go
@@ -21,5 +21,8 @@
 	clairvoyantStep  = 50 * time.Millisecond // longest step that the clairvoyant policy lets a batch grow to
 	clairvoyantTries = 16                    // jobs that don't fit before the clairvoyant policy looks no further
 	topicCount       = 30                    // of a workspace
+	lastConcurrency  = 6                     // limit of the smallest workspace, about what it uses at 75% load
+	lastRequests     = 2                     // per second, likewise
+	noisyFactor      = 10                    // times its limit that it asks for when it is noisy
 	usualLag         = time.Second           // of load reports where nothing else is said
 )
--- a/experiment/bench/job.go
+++ b/experiment/bench/job.go
@@ -49,7 +49,7 @@
 			all = append(all, j)
 		}
 		if s.Fault == FaultNoisy {
-			all = append(all, d.noise(i, s, rate, start)...)
+			all = append(all, d.noise(i, s, rate/sum(rates), start)...)
 		}
 	}
 	slices.SortStableFunc(all, func(a, b *job) int { return a.at.Compare(b.at) })
@@ -59,13 +59,13 @@
 	return all
 }
 
-// noise draws what the last workspace asks for beyond its usual part: nine times that.
-func (d *deployment) noise(service int, s *Scenario, rate float64, start time.Time) []*job {
+// noise draws what the last workspace asks for beyond its usual part, so that it asks for ten times its limit; part is that of the service.
+func (d *deployment) noise(service int, s *Scenario, part float64, start time.Time) []*job {
 	var all []*job
 	random := rand.New(rand.NewPCG(s.Seed, uint64(service)+200))
 	last := len(d.workspaces) - 1
 	for at := 0.0; at < s.Span.Seconds(); {
-		at += random.ExpFloat64() / (9 * rate * d.workspaces[last])
+		at += random.ExpFloat64() / (noisyFactor * lastRequests * part)
 		j := d.draw(service, start.Add(time.Duration(at*float64(time.Second))), random)
 		j.workspace = last
 		all = append(all, j)
@@ -73,6 +73,14 @@
 	return all
 }
 
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
+
 func (s *Scenario) burst(at float64) float64 {
 	if !s.Burst {
 		return 1
--- a/state/endpoint/constants.go
+++ b/state/endpoint/constants.go
@@ -22,8 +22,8 @@
 	ejectErrors      = 0.5  // rate of errors at which an endpoint is an outlier
 	ejectOutcomes    = 3    // weight of outcomes needed for that
 	ejectSlowness    = 4    // times the median interval at which an endpoint is an outlier
-	firstEjection    = 5 * time.Second
-	longestEjection  = 60 * time.Second
+	firstEjection    = 3 * time.Second
+	longestEjection  = 15 * time.Second
 	defaultInterval  = 30 * time.Millisecond // interval of an endpoint that was not observed
 	slownessSamples  = 8                     // observations needed to compare an endpoint's interval
 	recentDecay      = 0.9
