--- a/coordination/routing/core_test.go
+++ b/coordination/routing/core_test.go
@@ -30,14 +30,14 @@
 func plainNext(waiting []*Flight, now time.Time) *Flight {
 	var best *Flight
 	for _, f := range waiting {
-		if best == nil || before(f, best, now) {
+		if best == nil || goesBefore(f, best, now) {
 			best = f
 		}
 	}
 	return best
 }
 
-func before(a, b *Flight, now time.Time) bool {
+func goesBefore(a, b *Flight, now time.Time) bool {
 	first := func(f *Flight) int { return f.ask.Priority - int(now.Sub(f.submitted)/ageStep) }
 	if first(a) != first(b) {
 		return first(a) < first(b)
@@ -48,11 +48,21 @@
 	return a.submitted.Before(b.submitted)
 }
 
+// servedOf notes what the workspaces were served, before an admission charges them.
+func servedOf(waiting []*Flight) map[string]float64 {
+	served := make(map[string]float64)
+	for _, f := range waiting {
+		served[f.ask.Workspace] = f.service.Served
+	}
+	return served
+}
+
 // goesFirst tells whether a waiting request had to go before one that was just started.
-func goesFirst(waiting, started *Flight, now time.Time) bool {
-	started.service.Served -= started.charged
-	defer func() { started.service.Served += started.charged }()
-	return before(waiting, started, now)
+func goesFirst(waiting, started *Flight, served map[string]float64, now time.Time) bool {
+	before := started.service.Served
+	started.service.Served = served[started.ask.Workspace]
+	defer func() { started.service.Served = before }()
+	return goesBefore(waiting, started, now)
 }
 
 func TestOrderMatchesPlainVersion(t *testing.T) {
@@ -76,9 +86,9 @@
 				}, now)
 				waiting = append(waiting, f)
 			}
-			next := plainNext(waiting, now)
+			next, served := plainNext(waiting, now), servedOf(waiting)
 			for _, f := range c.Admit(now) {
-				if goesFirst(next, f, now) {
+				if goesFirst(next, f, served, now) {
 					t.Fatalf("started %s/%d, plainly %s/%d", f.ask.Workspace, f.ask.Priority, next.ask.Workspace, next.ask.Priority)
 				}
 				running = f
