--- a/experiment/bench/measure.go
+++ b/experiment/bench/measure.go
@@ -123,6 +123,7 @@
 
 // result sums up the run; capacity is in tokens per second by service, zero when it is being measured.
 func (m *measure) result(name string, capacity []float64) Result {
+	between, first := m.between, m.first // copies, so that a result does not keep its run in memory
 	r := Result{
 		Policy:      name,
 		Scenario:    *m.driver.scenario,
@@ -132,8 +133,8 @@
 		Requests:    len(m.jobs),
 		Jain:        m.jain(capacity),
 		goodTokens:  m.goodTokens,
-		between:     &m.between,
-		first:       &m.first,
+		between:     &between,
+		first:       &first,
 		betweenBy:   m.betweenBy,
 		firstBy:     m.firstBy,
 	}
