--- a/cmd/dykectl/cost.go
+++ b/cmd/dykectl/cost.go
@@ -30,6 +30,7 @@
 	Window  time.Duration `long:"window" value-name:"TIME" default:"6s" description:"length of one of five measurements at each size"`
 	Seed    uint64        `long:"seed" value-name:"N" default:"1" description:"seed of callers and changes"`
 	Profile string        `long:"profile" value-name:"FILE" description:"write a processor profile"`
+	Report  string        `long:"report" value-name:"FILE" description:"measure nothing and write the page of a report that --json wrote"`
 	JSON    string        `long:"json" value-name:"FILE" description:"write the report as JSON"`
 	Out     string        `long:"out" value-name:"FILE" description:"write the report as a page"`
 }
@@ -44,6 +45,13 @@
 	if c.Serve != "" {
 		return control.Serve(ctx, c.Engines, func(a *control.Addresses) error { return a.Write(c.Serve) })
 	}
+	if c.Report != "" {
+		report, err := control.ReadCostReport(c.Report)
+		if err != nil {
+			return &exitError{exitBadInput, err}
+		}
+		return c.page(report)
+	}
 	options, err := c.options()
 	if err != nil {
 		return &exitError{exitBadInput, err}
@@ -103,6 +111,10 @@
 	if err := writeJSON(c.JSON, report); err != nil {
 		return err
 	}
+	return c.page(report)
+}
+
+func (c *costCommand) page(report *control.CostReport) error {
 	var out io.Writer = os.Stdout
 	if c.Out != "" {
 		page, err := os.Create(c.Out)
@@ -112,5 +124,5 @@
 		defer page.Close()
 		out = page
 	}
-	return report.Page(out, "dykectl "+strings.Join(os.Args[1:], " "))
+	return report.Page(out)
 }
--- a/experiment/control/costreport.go
+++ b/experiment/control/costreport.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
+	"os"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,21 +27,30 @@
 	ByEndpoints []*Case       `json:"byEndpoints"`
 }
 
-// slope fits the cost over the cases, once for each window; size tells what is counted and value what it costs.
-func slope(cases []*Case, name string, size func(*Case) int, value func(*Cost) float64) (*capacity.Slope, error) {
+// slope fits the cost over the cases, once for each window for the spread, and once for the means over all windows; size
+// tells what is counted and value what it costs.
+func slope(cases []*Case, name string, size func(*Case) int, value func(*Cost) float64) (windows, means *capacity.Slope, err error) {
 	p := &capacity.Probe{Name: name, Source: "instance"}
 	for _, c := range cases {
 		p.Sizes = append(p.Sizes, size(c))
 	}
-	p.Cost = func(_ context.Context, at int, window uint64) (float64, error) {
-		for _, c := range cases {
-			if size(c) == at {
-				return value(c.Windows[window]), nil
+	of := func(cost func(*Case, uint64) float64) (*capacity.Slope, error) {
+		p.Cost = func(_ context.Context, at int, window uint64) (float64, error) {
+			for _, c := range cases {
+				if size(c) == at {
+					return cost(c, window), nil
+				}
 			}
+			return 0, fmt.Errorf("%d was not measured", at)
 		}
-		return 0, fmt.Errorf("%d was not measured", at)
+		return p.Measure(context.Background(), 0)
+	}
+	windows, err = of(func(c *Case, window uint64) float64 { return value(c.Windows[window]) })
+	if err != nil {
+		return nil, nil, err
 	}
-	return p.Measure(context.Background(), 0)
+	means, err = of(func(c *Case, _ uint64) float64 { return c.mean(value) })
+	return windows, means, err
 }
 
 func byInstances(c *Case) int { return c.Instances }
@@ -101,33 +113,56 @@
 	}
 	fmt.Fprintf(w, " for each %s (spread) | line at %d |\n|---|%s\n", unit, design, strings.Repeat("---|", len(cases)+2))
 	for _, line := range r.rows() {
-		s, err := slope(cases, line.name, size, line.value)
+		windows, means, err := slope(cases, line.name, size, line.value)
 		if err != nil {
 			return err
 		}
 		fmt.Fprintf(w, "| %s |", line.name)
 		for _, c := range cases {
-			fmt.Fprintf(w, " "+line.format+" |", medianOf(c, line.value))
+			fmt.Fprintf(w, " "+line.format+" |", c.mean(line.value))
 		}
-		fmt.Fprintf(w, " %.4g (%.4g to %.4g) | "+line.format+" |\n", s.PerItem, s.Least, s.Most, s.Base+s.PerItem*float64(design))
+		fmt.Fprintf(w, " %.4g (%.4g to %.4g) | "+line.format+" |\n", means.PerItem, windows.Least, windows.Most, means.Base+means.PerItem*float64(design))
 	}
 	return nil
 }
 
-func medianOf(c *Case, value func(*Cost) float64) float64 {
-	values := make([]float64, 0, len(c.Windows))
+// mean returns the mean over the windows, as some kinds come in bursts that are further apart than a window is long.
+func (c *Case) mean(value func(*Cost) float64) float64 {
+	sum := 0.0
 	for _, w := range c.Windows {
-		values = append(values, value(w))
+		sum += value(w)
+	}
+	return sum / float64(len(c.Windows))
+}
+
+// command returns the command line that measures the same.
+func (r *CostReport) command() string {
+	var sizes, entries []string
+	for _, c := range r.ByInstances {
+		sizes = append(sizes, strconv.Itoa(c.Instances))
+	}
+	for _, c := range r.ByEndpoints {
+		entries = append(entries, strconv.Itoa(c.Entries))
+	}
+	return fmt.Sprintf("dykectl cost --site FILE --sizes %s --entries %s --rate %g --changes %g --window %s --seed %d",
+		strings.Join(sizes, ","), strings.Join(entries, ","), r.Rate, r.Changes, r.Window, r.Seed)
+}
+
+// ReadCostReport reads what was written as JSON.
+func ReadCostReport(name string) (*CostReport, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
 	}
-	slices.Sort(values)
-	return values[len(values)/2]
+	r := &CostReport{}
+	return r, json.Unmarshal(data, r)
 }
 
 // Page writes the report as a page of results.
-func (r *CostReport) Page(w io.Writer, command string) error {
+func (r *CostReport) Page(w io.Writer) error {
 	fmt.Fprintf(w, "# %s\n\nSeed %d, %s, %d processors. %g requests/s of callers to each instance, %g catalogue changes/s. ",
-		command, r.Seed, r.Started.Format(time.RFC3339), runtime.NumCPU(), r.Rate, r.Changes)
-	fmt.Fprintf(w, "Means over all instances, medians of %d windows of %s; bytes in and out on the connections, a call between instances counts at both ends. ", windowCount, r.Window)
+		r.command(), r.Seed, r.Started.Format(time.RFC3339), runtime.NumCPU(), r.Rate, r.Changes)
+	fmt.Fprintf(w, "Means over all instances and over %d windows of %s; slopes of these means, with the least and the most slope of one window. Bytes in and out on the connections, a call between instances counts at both ends. ", windowCount, r.Window)
 	fmt.Fprintln(w, "The stand-ins run in another process, so that the processor time is that of the instances (and of callers, where there are any).")
 	if err := r.table(w, r.ByInstances, "instance", byInstances, designInstances); err != nil {
 		return err
