Status tells of orders, leases, stewardships and the catalogue's age; keys of operators rotate

Cause: what leases and orders do could be seen in counters only; operators' keys could not change without a moment in which either the old or the new were refused; an instance that the platform lists as leaving still told the balancer that it was ready. Change: /status, catalogue_age_seconds; formerOperatorKeys and snapshotInterval in the settings; an instance on the list as leaving is not ready; an engine that reports empty is looked at at once where its lease is.

--- a/coordination/claim/steward.go
+++ b/coordination/claim/steward.go
@@ -132,6 +132,17 @@
 	s.workers.Wait()
 }
 
+// Mine returns the numbers of the partitions that this instance holds itself to be the steward of.
+func (s *Steward) Mine() []int {
+	mine := make([]int, 0, len(s.partitions))
+	for i := range s.partitions {
+		if s.mine(streamOf(i)) {
+			mine = append(mine, i)
+		}
+	}
+	return mine
+}
+
 // mine reports whether this instance holds itself to be a partition's steward.
 func (s *Steward) mine(stream string) bool {
 	return !s.draining.Load() && s.stewards.Steward(stream) == s.stewards.Self()
--- a/instance/constants.go
+++ b/instance/constants.go
@@ -9,6 +9,7 @@
 	defaultClaimAppends     = 200
 	defaultPullsPerMinute   = 60
 	defaultClaimWindow      = 24 * time.Hour
+	defaultSnapshotInterval = time.Hour
 	defaultNotice           = 3 * time.Second
 	defaultGrace            = 20 * time.Second
 	defaultResumeWindow     = 10 * time.Minute
--- a/instance/core.go
+++ b/instance/core.go
@@ -169,7 +169,7 @@
 func (i *Instance) Drain(ctx context.Context) error {
 	if i.setState(stateNotice, stateRunning) {
 		i.logger.Info("draining", "inFlight", i.handler.InFlight())
-		i.handler.Unready()
+		i.handler.SetUnready(true)
 		now := time.Now()
 		i.members.Drain(now)
 		i.shares.HandOver(ctx, now)
@@ -228,9 +228,14 @@
 
 // Ready tells whether the balancer should send work here.
 func (i *Instance) Ready() bool {
+	return i.running() && i.Able()
+}
+
+// running tells whether no drain has begun.
+func (i *Instance) running() bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	return i.state == stateRunning && i.Able()
+	return i.state == stateRunning
 }
 
 // Able tells whether there is a catalogue to serve by; during a drain's notice period the instance is able, but not ready.
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -41,9 +41,23 @@
 	} else {
 		i.members.Ready(now, address)
 	}
+	if load.State == endpoint.StateEmpty {
+		i.hintOrders(address)
+	}
 	i.shares.UpdateLoad(address, load, now)
 }
 
+// hintOrders makes this instance look at once at the entries of an engine that came back empty, if it has their leases.
+func (i *Instance) hintOrders(address netip.AddrPort) {
+	for _, e := range i.View().Entries() {
+		for _, p := range e.Endpoints {
+			if p.Address == address {
+				i.orders.Hint(e.Name)
+			}
+		}
+	}
+}
+
 // cachePlace is how far an endpoint's cache events have been read.
 type cachePlace struct {
 	next uint64
@@ -93,8 +107,13 @@
 	return next
 }
 
+// watchLeaving follows what any source says of leaving endpoints, and of this instance itself, whose stop the platform may
+// announce on its list before it sends the signal.
 func (i *Instance) watchLeaving(ctx context.Context) {
-	each(ctx, leavingInterval, i.followLeaving)
+	each(ctx, leavingInterval, func(now time.Time) {
+		i.followLeaving(now)
+		i.handler.SetUnready(!i.running() || i.members.Leaving(i.settings.Peers))
+	})
 }
 
 // followLeaving stops new work to endpoints that any source says are leaving.
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -45,7 +45,9 @@
 
 	Subset int // endpoints of an entry that this instance works with
 
-	OperatorKeys map[string]ed25519.PublicKey // by operator; none: changes need no signature
+	OperatorKeys       map[string]ed25519.PublicKey // by operator; none: changes need no signature
+	FormerOperatorKeys map[string]ed25519.PublicKey // accepted as well during a rotation
+	SnapshotInterval   time.Duration                // between two snapshots of the catalogue in the log
 
 	LogFormat string
 	LogLevel  slog.Level
@@ -145,16 +147,24 @@
 
 func (s *Settings) readCatalogue(f *settings.Fields) {
 	defer f.Done()
-	s.OperatorKeys = make(map[string]ed25519.PublicKey)
-	for _, item := range f.List("operatorKeys") {
+	s.OperatorKeys = readOperatorKeys(f, "operatorKeys")
+	s.FormerOperatorKeys = readOperatorKeys(f, "formerOperatorKeys")
+	s.SnapshotInterval = f.Duration("snapshotInterval", defaultSnapshotInterval, time.Second, 7*24*time.Hour)
+}
+
+// readOperatorKeys reads operator:KEY items.
+func readOperatorKeys(f *settings.Fields, field string) map[string]ed25519.PublicKey {
+	keys := make(map[string]ed25519.PublicKey)
+	for _, item := range f.List(field) {
 		operator, text, ok := strings.Cut(item, ":")
 		key, err := base64.StdEncoding.DecodeString(text)
 		if !ok || operator == "" || err != nil || len(key) != ed25519.PublicKeySize {
-			f.Fault("operatorKeys", "%q is not operator:KEY with a base64 Ed25519 public key", settings.Clip(item))
+			f.Fault(field, "%q is not operator:KEY with a base64 Ed25519 public key", settings.Clip(item))
 			continue
 		}
-		s.OperatorKeys[operator] = key
+		keys[operator] = key
 	}
+	return keys
 }
 
 func (s *Settings) readLogging(f *settings.Fields) {
--- a/instance/status.go
+++ b/instance/status.go
@@ -29,12 +29,19 @@
 		CatalogueRevision: view.Revision,
 		CatalogueOffset:   view.Offset,
 		CatalogueDigest:   view.Digest,
+		CatalogueSyncedAt: i.replica.SyncedAt(),
 		InFlight:          i.handler.InFlight(),
 		Members:           i.members.Live(),
+		Partitions:        i.steward.Mine(),
 	}
 	for _, r := range i.leases.Rows() {
 		s.Leases = append(s.Leases, operator.LeaseStatus{Entry: r.Entry, Holder: r.Holder, Fence: r.Fence, Until: r.Until})
 	}
+	for name, p := range i.orders.Plans() {
+		s.Orders = append(s.Orders, operator.OrderStatus{
+			Entry: name, Ready: p.Ready, Current: p.Current, Loading: p.Loading, Held: p.Held, Fenced: p.Fenced,
+		})
+	}
 	i.router.Demands(time.Now(), func(address netip.AddrPort, demand endpoint.Demand) {
 		s.Endpoints = append(s.Endpoints, operator.EndpointStatus{
 			Address: address, Running: demand.Running, Waiting: demand.Waiting, Knee: demand.Knee,
@@ -44,13 +51,10 @@
 }
 
 func (i *Instance) stateName() string {
-	i.mutex.Lock()
-	running := i.state == stateRunning
-	i.mutex.Unlock()
 	switch {
-	case !running:
+	case !i.running():
 		return "draining"
-	case i.Ready():
+	case i.Able():
 		return "ready"
 	default:
 		return "starting"
@@ -126,6 +130,9 @@
 	m.gauge("peer_calls_in", "Calls served for other instances.", func() float64 { return float64(traffic.CallsIn.Load()) })
 	m.gauge("peer_calls_out", "Calls made to other instances.", func() float64 { return float64(traffic.CallsOut.Load()) })
 	m.gauge("peer_panics", "Handlers for other instances that failed by a panic.", func() float64 { return float64(traffic.Panics.Load()) })
+	m.gauge("catalogue_age_seconds", "Time since the head of the log was last reached.", func() float64 {
+		return time.Since(i.replica.SyncedAt()).Seconds()
+	})
 	m.gauge("ready", "1 when the instance takes work.", func() float64 {
 		if i.Ready() {
 			return 1
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -23,6 +23,7 @@
 	i.log = platform.NewLog(i.settings.Log, client)
 	i.table = catalogue.NewTable(catalogue.Rules{
 		Operators:          i.settings.OperatorKeys,
+		FormerOperators:    i.settings.FormerOperatorKeys,
 		SnapshotKey:        i.settings.PeerKeys[0],
 		FormerSnapshotKeys: i.settings.PeerKeys[1:],
 	})
@@ -31,11 +32,12 @@
 	i.members = member.New(i.settings.Peers, i.table)
 	i.peers = evidence{node: i.node, members: i.members}
 	i.replica = replica.New(replica.Options{
-		Table:    i.table,
-		Log:      i.log,
-		Members:  i.members,
-		Peers:    i.peers,
-		Observer: &replicaObserver{instance: i},
+		Table:            i.table,
+		Log:              i.log,
+		Members:          i.members,
+		Peers:            i.peers,
+		Observer:         &replicaObserver{instance: i},
+		SnapshotInterval: i.settings.SnapshotInterval,
 	})
 	i.loops = &member.Loops{
 		Members:  i.members,
--- a/transport/caller/handler.go
+++ b/transport/caller/handler.go
@@ -95,9 +95,9 @@
 	h.router.ServeHTTP(w, request)
 }
 
-// Unready tells the balancer to turn away; requests are still taken.
-func (h *Handler) Unready() {
-	h.unready.Store(true)
+// SetUnready says whether the balancer is to turn away; requests are still taken.
+func (h *Handler) SetUnready(unready bool) {
+	h.unready.Store(unready)
 }
 
 // Drain refuses new work from now on; what is in progress goes on.
--- a/transport/operator/status.go
+++ b/transport/operator/status.go
@@ -15,10 +15,12 @@
 	CatalogueRevision uint64           `json:"catalogueRevision"`
 	CatalogueOffset   uint64           `json:"catalogueOffset"`
 	CatalogueDigest   string           `json:"catalogueDigest"`
+	CatalogueSyncedAt time.Time        `json:"catalogueSyncedAt"` // when the head of the log was last reached
 	InFlight          int              `json:"inFlight"`
 	Members           []netip.AddrPort `json:"members"`
 	Endpoints         []EndpointStatus `json:"endpoints"`
 	Leases            []LeaseStatus    `json:"leases"`
+	Orders            []OrderStatus    `json:"orders"`     // of the entries whose lease this instance has
 	Partitions        []int            `json:"partitions"` // of idempotency keys that this instance is the steward of
 }
 
@@ -37,3 +39,13 @@
 	Fence  uint64         `json:"fence"`
 	Until  time.Time      `json:"until"`
 }
+
+// OrderStatus is how far an entry's engines are with what the catalogue says.
+type OrderStatus struct {
+	Entry   string `json:"entry"`
+	Ready   int    `json:"ready"`   // engines that serve, with whatever weights
+	Current int    `json:"current"` // engines that serve as the catalogue says
+	Loading int    `json:"loading"`
+	Held    int    `json:"held"`   // engines that wait for the minimum of ready ones or for the weight store
+	Fenced  int    `json:"fenced"` // engines that have seen a later lease
+}
