--- a/cmd/dykectl/capacity.go
+++ b/cmd/dykectl/capacity.go
@@ -14,6 +14,7 @@
 // capacityCommand measures the slopes behind docs/CAPACITY.md.
 type capacityCommand struct {
 	Out  string `long:"out" value-name:"DIR" description:"rewrite the tables of DIR/CAPACITY.md and DIR/results/capacity.json"`
+	From string `long:"from" value-name:"FILE" description:"measure nothing: work out the slopes of an earlier run anew"`
 	Seed uint64 `long:"seed" value-name:"N" default:"1" description:"seed of the traffic"`
 }
 
@@ -24,7 +25,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	result, err := capacity.Run(ctx, "dykectl "+strings.Join(os.Args[1:], " "), c.Seed, os.Stdout)
+	result, err := c.result(ctx)
 	if err != nil {
 		return err
 	}
@@ -35,3 +36,10 @@
 	}
 	return result.Write(c.Out)
 }
+
+func (c *capacityCommand) result(ctx context.Context) (*capacity.Result, error) {
+	if c.From != "" {
+		return capacity.Read(c.From)
+	}
+	return capacity.Run(ctx, "dykectl "+strings.Join(os.Args[1:], " "), c.Seed, os.Stdout)
+}
--- a/experiment/capacity/logging.go
+++ b/experiment/capacity/logging.go
@@ -57,7 +57,7 @@
 		{"log, appends", "leases", reckon("%d partitions every %s", lease.Partitions, lease.RenewInterval), lease.Partitions / lease.RenewInterval.Seconds(), s.each("leaseBytes", 1) * lease.Partitions / lease.RenewInterval.Seconds()},
 		{"log, appends", "catalogue changes", reckon("%d a day", designChanges), changes, size * changes},
 		{"log, appends", "catalogue snapshots", reckon("%.0f bytes every %s", snapshot, replica.SnapshotInterval), 1 / replica.SnapshotInterval.Seconds(), snapshot / replica.SnapshotInterval.Seconds()},
-		{"log, reads", "catalogue followed", reckon("all but %d instances every %s", replica.Seeds, replica.PollInterval), polls, 0},
+		{"log, reads", "catalogue followed", reckon("all but %d instances every %s", replica.Seeds, replica.PollInterval), polls, s.each("idleLogBytes", 1) * designInstances},
 		{"list", "reads", reckon("%d rows, one read in the fleet every %.2f s", designInstances+designEndpoints, listReadSeconds), 1 / listReadSeconds, list / listReadSeconds},
 		{"operators' command", "one publication", "the stream since the newest snapshot, and one append", 0, snapshot + size},
 	}
--- a/experiment/capacity/nodes.go
+++ b/experiment/capacity/nodes.go
@@ -8,9 +8,10 @@
 
 // What a node does at the size to design for, from the design's own constants.
 const (
-	subset           = 16 // endpoints of one entry that an instance works with
-	askRate          = 1  // asks a second for each endpoint or limit
-	ticks            = 20 // of the router, a second
+	subset           = 16  // endpoints of one entry that an instance works with
+	askRate          = 1   // asks a second for each endpoint or limit in use
+	idleAskRate      = 0.1 // asks a second for each endpoint that is not in use
+	ticks            = 20  // of the router, a second
 	explained        = 4096
 	meanGap          = 0.040 // seconds between tokens
 	listReadSeconds  = 0.333 // between two reads of the list by all instances together
@@ -93,22 +94,25 @@
 			Role: role, What: "the catalogue", Reckoning: reckon("%d entries with %d endpoints, %d workspaces", designEntries, entryEndpoints, designWorkspaces),
 			Memory: s.each("entryMemory", 1)*designEntries + s.each("workspaceMemory", 1)*designWorkspaces,
 		},
+		{Role: role, What: "the log followed", Reckoning: "as an idle instance reads it", Bytes: max(0, s.each("idleLogBytes", 1))},
 	}
 }
 
 func (s Slopes) endpointSteward() []Cost {
 	const role = "steward of an endpoint"
-	calls := distinct(nodeEndpoints)
-	bytes := s.each("askEndpointBytes", shareCalls)*nodeEndpoints + s.base("askEndpointBytes", shareCalls)*calls
-	micros := s.each("askEndpointTime", shareCalls)*nodeEndpoints + s.base("askEndpointTime", shareCalls)*calls
+	used := min(openAnswers(), nodeEndpoints)
+	asks := used*askRate + (nodeEndpoints-used)*idleAskRate
+	calls := distinct(asks)
+	bytes := s.each("askEndpointBytes", shareCalls)*asks + s.base("askEndpointBytes", shareCalls)*calls
+	micros := s.each("askEndpointTime", shareCalls)*asks + s.base("askEndpointTime", shareCalls)*calls
 	return []Cost{
 		{
-			Role: role, What: "asked and asking for shares", Reckoning: reckon("%.0f endpoints once a second, at %.0f stewards; as many asks come in", nodeEndpoints, calls),
-			Bytes: 2 * bytes * askRate, Processor: micros * askRate,
+			Role: role, What: "asked and asking for shares", Reckoning: reckon("%.0f endpoints in use once a second, %.0f others every 10 s, %.0f calls/s; as many come in", used, nodeEndpoints-used, calls),
+			Bytes: 2 * bytes, Processor: micros,
 		},
 		{
-			Role: role, What: "finding the stewards", Reckoning: reckon("%.0f choices among %d instances a second", nodeEndpoints*askRate, designInstances),
-			Processor: s.each("rendezvousTime", 1000) * designInstances * nodeEndpoints * askRate,
+			Role: role, What: "finding the stewards", Reckoning: reckon("%.0f choices among %d instances a second", asks, designInstances),
+			Processor: s.each("rendezvousTime", 1000) * designInstances * asks,
 		},
 		{
 			Role: role, What: "ledgers", Reckoning: reckon("%.1f endpoints × %.0f holders", nodeStewarded, holders),
@@ -116,7 +120,11 @@
 		},
 		{
 			Role: role, What: "load reports", Reckoning: reckon("%.1f endpoints × %d reports/s, stand-in's part included", nodeStewarded, loadPollsSecond),
-			Processor: s.each("idleEngineTime", 1) * nodeStewarded,
+			Bytes: s.each("idleLoadBytes", 1) * nodeStewarded, Processor: s.each("idleEngineTime", 1) * nodeStewarded,
+		},
+		{
+			Role: "entry instance", What: "cache events of engines", Reckoning: reckon("%.0f endpoints, asked every 2 s", nodeEndpoints),
+			Bytes: s.each("idleCacheBytes", idleInstances) * nodeEndpoints,
 		},
 	}
 }
--- a/experiment/capacity/run.go
+++ b/experiment/capacity/run.go
@@ -62,6 +62,21 @@
 	r.Events = dayEvents()
 }
 
+// Read takes the slopes of an earlier run and works the costs out anew.
+func Read(name string) (*Result, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	r := &Result{}
+	if err := json.Unmarshal(data, r); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	r.Costs = nil
+	r.work()
+	return r, nil
+}
+
 // Write rewrites the tables of CAPACITY.md in the directory, and results/capacity.json below it.
 func (r *Result) Write(directory string) error {
 	page, err := OpenPage(filepath.Join(directory, "CAPACITY.md"))
--- a/experiment/capacity/traffic.go
+++ b/experiment/capacity/traffic.go
@@ -21,17 +21,25 @@
 
 func trafficProbes() []Probe {
 	m := make(memo)
+	instances, engines := []int{1, 2, 4, 8}, []int{2, 4, 8, 16}
 	return []Probe{
 		{Name: "requestTime", Item: "request/s of 20 tokens for 1.5 s, at the instance", Unit: "µs", Source: "instance", Sizes: []int{50, 100, 150, 200}, Repetitions: slowRepetitions, Cost: requestTime},
 		{Name: "tokenTime", Item: "token of each of about 75 answers, at the instance", Unit: "µs", Source: "instance", Sizes: []int{10, 40, 70, 100}, Repetitions: slowRepetitions, Cost: tokenTime},
 		{Name: "streamMemory", Item: "open answer at an instance", Unit: "bytes", Source: "instance", Sizes: []int{100, 200, 300, 400}, Repetitions: slowRepetitions, Cost: streamMemory},
-		{Name: "idleTime", Item: "instance idle for 1 s beside 4 engines, stand-ins included", Unit: "µs", Source: "instance", Sizes: []int{1, 2, 4, 8}, Repetitions: slowRepetitions, Cost: m.instanceTime},
-		{Name: "idleBytes", Item: "instance idle for 1 s beside 4 engines, to and from peers", Unit: "bytes", Source: "instance", Sizes: []int{1, 2, 4, 8}, Repetitions: slowRepetitions, Cost: m.instanceBytes},
-		{Name: "idleEngineTime", Item: "engine beside 2 idle instances for 1 s, stand-ins included", Unit: "µs", Source: "instance", Sizes: []int{2, 4, 8, 16}, Repetitions: slowRepetitions, Cost: m.engineTime},
-		{Name: "idleEngineBytes", Item: "engine beside 2 idle instances for 1 s, between peers", Unit: "bytes", Source: "instance", Sizes: []int{2, 4, 8, 16}, Repetitions: slowRepetitions, Cost: m.engineBytes},
+		idleProbe("idleTime", "instance idle for 1 s beside 4 engines, stand-ins included", "µs", instances, m.byInstances(idleTime)),
+		idleProbe("idleBytes", "instance idle for 1 s beside 4 engines, between peers", "bytes", instances, m.byInstances(idleBytes)),
+		idleProbe("idleLogBytes", "instance idle for 1 s, reads of the log", "bytes", instances, m.byInstances(logBytes)),
+		idleProbe("idleEngineTime", "engine beside 2 idle instances for 1 s, stand-ins included", "µs", engines, m.byEngines(idleTime)),
+		idleProbe("idleEngineBytes", "engine beside 2 idle instances for 1 s, between peers", "bytes", engines, m.byEngines(idleBytes)),
+		idleProbe("idleLoadBytes", "engine for 1 s, load reports to its steward", "bytes", engines, m.byEngines(loadBytes)),
+		idleProbe("idleCacheBytes", "engine for 1 s, cache events to 2 instances", "bytes", engines, m.byEngines(cacheBytes)),
 	}
 }
 
+func idleProbe(name, item, unit string, sizes []int, cost func(context.Context, int, uint64) (float64, error)) Probe {
+	return Probe{Name: name, Item: item, Unit: unit, Source: "instance", Sizes: sizes, Repetitions: slowRepetitions, Cost: cost}
+}
+
 func requestTime(ctx context.Context, size int, seed uint64) (float64, error) {
 	return demo.MeasureWork(ctx, &demo.Work{Rate: float64(size), Seconds: workSeconds, Tokens: workTokens, Seed: seed})
 }
@@ -66,22 +74,24 @@
 	return measured, err
 }
 
-func (m memo) instanceTime(ctx context.Context, size int, seed uint64) (float64, error) {
-	i, err := m.idle(ctx, size, idleEngines, seed)
-	return i.Microseconds, err
-}
-
-func (m memo) instanceBytes(ctx context.Context, size int, seed uint64) (float64, error) {
-	i, err := m.idle(ctx, size, idleEngines, seed)
-	return i.Bytes, err
+// byInstances measures one part of what idle fleets of so many instances cost.
+func (m memo) byInstances(part func(demo.Idle) float64) func(context.Context, int, uint64) (float64, error) {
+	return func(ctx context.Context, size int, seed uint64) (float64, error) {
+		i, err := m.idle(ctx, size, idleEngines, seed)
+		return part(i), err
+	}
 }
 
-func (m memo) engineTime(ctx context.Context, size int, seed uint64) (float64, error) {
-	i, err := m.idle(ctx, idleInstances, size, seed)
-	return i.Microseconds, err
+// byEngines measures one part of what an idle fleet before so many engines costs.
+func (m memo) byEngines(part func(demo.Idle) float64) func(context.Context, int, uint64) (float64, error) {
+	return func(ctx context.Context, size int, seed uint64) (float64, error) {
+		i, err := m.idle(ctx, idleInstances, size, seed)
+		return part(i), err
+	}
 }
 
-func (m memo) engineBytes(ctx context.Context, size int, seed uint64) (float64, error) {
-	i, err := m.idle(ctx, idleInstances, size, seed)
-	return i.Bytes, err
-}
+func idleTime(i demo.Idle) float64   { return i.Microseconds }
+func idleBytes(i demo.Idle) float64  { return i.Bytes }
+func loadBytes(i demo.Idle) float64  { return i.Loads }
+func cacheBytes(i demo.Idle) float64 { return i.Caches }
+func logBytes(i demo.Idle) float64   { return i.Log }
--- a/experiment/demo/idle.go
+++ b/experiment/demo/idle.go
@@ -15,6 +15,9 @@
 type Idle struct {
 	Microseconds float64 // processor time of the whole process, stand-ins included
 	Bytes        float64 // between instances, each counted once where it is sent
+	Loads        float64 // bytes of engines' load reports, both ways
+	Caches       float64 // bytes of engines' cache events, both ways
+	Log          float64 // bytes of reads of the log, both ways
 }
 
 // MeasureIdle runs so many instances before so many engines of one entry without traffic.
@@ -27,11 +30,35 @@
 	}
 	defer func() { err = errors.Join(err, f.close()) }()
 	pause(ctx, workSettle)
-	before, bytes := ProcessorTime(), f.sent()
+	before := f.spent()
 	pause(ctx, time.Duration(seconds*float64(time.Second)))
-	idle.Microseconds = float64((ProcessorTime() - before).Microseconds()) / seconds
-	idle.Bytes = float64(f.sent()-bytes) / seconds
-	return idle, nil
+	after := f.spent()
+	return Idle{
+		Microseconds: (after.Microseconds - before.Microseconds) / seconds,
+		Bytes:        (after.Bytes - before.Bytes) / seconds,
+		Loads:        (after.Loads - before.Loads) / seconds,
+		Caches:       (after.Caches - before.Caches) / seconds,
+		Log:          (after.Log - before.Log) / seconds,
+	}, nil
+}
+
+// spent sums up what all instances have spent so far.
+func (f *fleet) spent() Idle {
+	total := Idle{Microseconds: float64(ProcessorTime().Microseconds()), Bytes: float64(f.sent())}
+	for _, n := range f.nodes {
+		for _, r := range n.instance.Usage().Requests {
+			bytes := float64(r.BytesIn + r.BytesOut)
+			switch r.Name {
+			case "endpoint.load":
+				total.Loads += bytes
+			case "endpoint.cache":
+				total.Caches += bytes
+			case "log.read":
+				total.Log += bytes
+			}
+		}
+	}
+	return total
 }
 
 // sent returns the bytes that instances have sent to each other.
