A subject that was removed can be published again as it was

Cause: an addition's id is derived from its content and base 0, so adding a removed subject again unchanged had the id of its first addition: Publish said accepted, with the old offset, while the catalogue did not have the subject. Change: such an addition takes the derived id with the former offset; a repeat of the command finds the same id. A wish with a base of its own stays as it was. Test: added and removed three times over with lost acknowledgements; without the change it fails (offset 1 in place of 3).

--- a/coordination/publication/publisher.go
+++ b/coordination/publication/publisher.go
@@ -133,6 +133,7 @@
 			return nil, err
 		}
 		c.ID = id
+		p.renew(wish, c)
 	}
 	if wish.Key == nil {
 		return c, nil
@@ -140,6 +141,22 @@
 	return c, c.Sign(wish.Key)
 }
 
+// renew gives the addition of a subject that was removed another id than its former addition had, as both say the same on the
+// same base; a repeat of the command finds the same id again.
+func (p *Publisher) renew(wish *Wish, c *catalogue.Change) {
+	if wish.Base != nil || c.Base != 0 || c.Removal != nil {
+		return
+	}
+	derived := c.ID
+	for {
+		former, ok := p.Table().Accepted(c)
+		if !ok {
+			return
+		}
+		c.ID = fmt.Sprintf("%s.%d", derived, former)
+	}
+}
+
 // append repeats the same bytes until they are read back; the fold takes only the first copy.
 func (p *Publisher) append(ctx context.Context, c *catalogue.Change, data []byte) (Accepted, error) {
 	var verdict catalogue.Verdict
--- a/coordination/publication/publisher_test.go
+++ b/coordination/publication/publisher_test.go
@@ -41,6 +41,24 @@
 		is.Equal(done.Offset, uint64(1))
 		is.Equal(log.Log.(*logtest.Log).Head(catalogue.Stream), uint64(1))
 	})
+	inTime(t, "addedAgainAfterRemoval", func(ctx context.Context, is *is.I, log *logtest.Link) {
+		p := New(log, catalogue.Rules{})
+		add, remove := workspace("islaget", 1), workspace("islaget", 1)
+		remove.Workspace = nil
+		for n := range 3 {
+			log.LoseAcknowledgements(1)
+			done, err := p.Publish(ctx, add)
+			is.NoErr(err)
+			is.Equal(done.Offset, uint64(2*n+1))
+			is.Equal(p.Table().View().RevisionOf(add.Subject), done.Offset)
+			again, err := New(log, catalogue.Rules{}).Publish(ctx, add)
+			is.NoErr(err)
+			is.True(again.Before)
+			is.Equal(again.Offset, done.Offset)
+			_, err = p.Publish(ctx, remove)
+			is.NoErr(err)
+		}
+	})
 	inTime(t, "appendLost", func(ctx context.Context, is *is.I, log *logtest.Link) {
 		log.DropAppends(3)
 		done, err := New(log, catalogue.Rules{}).Publish(ctx, workspace("islaget", 1))
