One wait and one jitter serve all loops

Cause: seven packages had the same wait that a context can cut, two the same jitter. Change: internal/wait; member, replica, lease, claim, instance and the control experiment call it.

--- a/coordination/claim/bench_test.go
+++ b/coordination/claim/bench_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/record"
 )
 
@@ -46,7 +47,7 @@
 }
 
 func (l *limitedLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
-	if err := pause(ctx, logLatency); err != nil {
+	if err := wait.For(ctx, logLatency); err != nil {
 		return 0, record.ErrOutcomeUnknown
 	}
 	if !l.take() {
--- a/coordination/claim/client.go
+++ b/coordination/claim/client.go
@@ -8,6 +8,8 @@
 
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
+
+	"dogwooddyke/internal/wait"
 )
 
 // Peers calls methods of other instances.
@@ -32,7 +34,7 @@
 // Claim asks for the right to run a call under a key, until the context ends; each try is a call of its own, and those that
 // came to nothing are abandoned. The id is for Settle; ErrNoClaim means that no try may run.
 func (c *Client) Claim(ctx context.Context, key, body Digest, born time.Time) (Grant, uuid.UUID, error) {
-	wait := retryMinimum
+	delay := retryMinimum
 	patience := time.Now().Add(repeatWait)
 	for {
 		call := uuid.New()
@@ -46,10 +48,10 @@
 		if err == nil && c.final(grant.State, patience) {
 			return grant, call, nil
 		}
-		if ctx.Err() != nil || pause(ctx, wait) != nil {
+		if ctx.Err() != nil || wait.For(ctx, delay) != nil {
 			return c.atDeadline(grant, err)
 		}
-		wait = min(2*wait, retryMaximum)
+		delay = min(2*delay, retryMaximum)
 	}
 }
 
@@ -120,15 +122,15 @@
 func (c *Client) settle(settlement Settlement) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), settleHorizon)
 	defer cancel()
-	wait := retryMinimum
+	delay := retryMinimum
 	for {
 		if taken, err := c.settleOnce(ctx, settlement); err == nil && taken {
 			return true
 		}
-		if pause(ctx, wait) != nil {
+		if wait.For(ctx, delay) != nil {
 			return false
 		}
-		wait = min(2*wait, retryMaximum)
+		delay = min(2*delay, retryMaximum)
 	}
 }
 
--- a/coordination/claim/fake_test.go
+++ b/coordination/claim/fake_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/matryer/is"
 
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/record"
 )
 
@@ -93,7 +94,7 @@
 }
 
 func (v *logView) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
-	if err := pause(ctx, logLatency); err != nil {
+	if err := wait.For(ctx, logLatency); err != nil {
 		return 0, record.ErrOutcomeUnknown
 	}
 	if v.log.down() {
@@ -116,7 +117,7 @@
 }
 
 func (v *logView) Read(ctx context.Context, stream string, from uint64, _ time.Time) (record.Page, error) {
-	if err := pause(ctx, logLatency); err != nil || v.log.down() {
+	if err := wait.For(ctx, logLatency); err != nil || v.log.down() {
 		return record.Page{}, record.ErrUnavailable
 	}
 	v.log.mutex.Lock()
@@ -162,7 +163,7 @@
 }
 
 func (m *member) Call(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
-	if err := pause(ctx, peerLatency); err != nil {
+	if err := wait.For(ctx, peerLatency); err != nil {
 		return err
 	}
 	raw, err := json.Marshal(params)
--- a/coordination/claim/worker.go
+++ b/coordination/claim/worker.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/record"
 )
 
@@ -57,7 +58,7 @@
 		return err
 	}
 	p.steward.observer.Committed(len(b.claims), len(b.settlements), time.Since(began))
-	return pause(ctx, p.steward.settings.interval()-time.Since(began))
+	return wait.For(ctx, p.steward.settings.interval()-time.Since(began))
 }
 
 // awaitWork returns when something waits for a record; an idle steward that should not be one ends.
@@ -109,7 +110,7 @@
 	p.putBack(b)
 	p.inFlight = nil
 	p.lock.Unlock()
-	return pause(ctx, max(retryMinimum, p.steward.settings.interval()))
+	return wait.For(ctx, max(retryMinimum, p.steward.settings.interval()))
 }
 
 // open reads the partition's stream and begins a stewardship.
@@ -188,20 +189,8 @@
 		p.lock.Lock()
 		done := p.phase != phaseOpen || (p.queue.empty() && p.inFlight == nil)
 		p.lock.Unlock()
-		if done || pause(ctx, flushPause) != nil {
+		if done || wait.For(ctx, flushPause) != nil {
 			return
 		}
 	}
 }
-
-// pause waits for the duration or until the context ends.
-func pause(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/coordination/claim/writing.go
+++ b/coordination/claim/writing.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/record"
 )
 
@@ -36,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	wait := retryMinimum
+	delay := retryMinimum
 	for {
 		err := p.write(ctx, data, func() bool { return p.table.writer == p.writer })
 		if err == nil && p.table.writer != p.writer {
@@ -45,10 +46,10 @@
 		if !errors.Is(err, record.ErrUnavailable) {
 			return err
 		}
-		if err := pause(ctx, wait); err != nil {
+		if err := wait.For(ctx, delay); err != nil {
 			return err
 		}
-		wait = min(2*wait, retryMaximum)
+		delay = min(2*delay, retryMaximum)
 	}
 }
 
@@ -56,7 +57,7 @@
 // is appended again, for a second copy has no effect. ErrUnavailable means that no copy can be in the log.
 func (p *partition) write(ctx context.Context, data []byte, there func() bool) error {
 	before := p.table.writer
-	wait := retryMinimum
+	delay := retryMinimum
 	for certain := true; ; {
 		offset, err := p.append(ctx, data)
 		if err == nil {
@@ -72,10 +73,10 @@
 		if there() || p.table.writer != before {
 			return nil
 		}
-		if err := pause(ctx, wait); err != nil {
+		if err := wait.For(ctx, delay); err != nil {
 			return err
 		}
-		wait = min(2*wait, retryMaximum)
+		delay = min(2*delay, retryMaximum)
 	}
 }
 
@@ -113,7 +114,7 @@
 		p.applyPage(record.Page{Records: []record.Record{{Offset: offset, Data: data}}})
 		return nil
 	}
-	wait := retryMinimum
+	delay := retryMinimum
 	for p.table.next <= offset {
 		if err := p.readAll(ctx); err != nil {
 			return err
@@ -121,17 +122,17 @@
 		if p.table.next > offset {
 			return nil
 		}
-		if err := pause(ctx, wait); err != nil {
+		if err := wait.For(ctx, delay); err != nil {
 			return err
 		}
-		wait = min(2*wait, retryMaximum)
+		delay = min(2*delay, retryMaximum)
 	}
 	return nil
 }
 
 // readAll reads to the log's end, as long as it takes.
 func (p *partition) readAll(ctx context.Context) error {
-	wait := retryMinimum
+	delay := retryMinimum
 	for {
 		count, err := p.readPage(ctx)
 		if err == nil && count == 0 {
@@ -140,10 +141,10 @@
 		if err == nil {
 			continue
 		}
-		if err := pause(ctx, wait); err != nil {
+		if err := wait.For(ctx, delay); err != nil {
 			return err
 		}
-		wait = min(2*wait, retryMaximum)
+		delay = min(2*delay, retryMaximum)
 	}
 }
 
--- a/coordination/lease/leases.go
+++ b/coordination/lease/leases.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"dogwooddyke/coordination/member"
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/record"
 )
 
@@ -132,7 +133,7 @@
 	l.mu.Unlock()
 	l.drain()
 	for ctx.Err() == nil && l.holds() {
-		pause(ctx, drainPoll)
+		_ = wait.For(ctx, drainPoll)
 	}
 }
 
@@ -152,12 +153,12 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 	// The first lists and heartbeats have to come before ranks mean anything.
-	pause(ctx, StartDelay)
+	_ = wait.For(ctx, StartDelay)
 	for ctx.Err() == nil {
 		for _, p := range l.choose() {
 			group.Go(func() { l.follow(ctx, p) })
 		}
-		pause(ctx, chooseEvery)
+		_ = wait.For(ctx, chooseEvery)
 	}
 }
 
@@ -193,7 +194,7 @@
 		next, err := l.read(ctx, partition, from)
 		switch {
 		case err != nil:
-			pause(ctx, retryInterval)
+			_ = wait.For(ctx, retryInterval)
 		case next == from:
 			l.act(ctx, partition)
 		}
@@ -309,12 +310,3 @@
 		l.keepers[partition].Retry(time.Now().Add(retryInterval))
 	}
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/coordination/member/loop.go
+++ b/coordination/member/loop.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/samber/oops"
 	"github.com/sourcegraph/conc"
+
+	"dogwooddyke/internal/wait"
 )
 
 // Peers calls other instances.
@@ -45,11 +46,11 @@
 // readLists paces this instance so that all together read the list three times a second or each once a second, whichever is less.
 func (l *Loops) readLists(ctx context.Context) {
 	for {
-		wait := max(ListInterval, time.Duration(len(l.Members.Live()))*listShare)
+		delay := max(ListInterval, time.Duration(len(l.Members.Live()))*listShare)
 		if l.readList(ctx) {
-			wait = ListInterval
+			delay = ListInterval
 		}
-		if !sleep(ctx, jitter(wait)) {
+		if wait.For(ctx, wait.Jitter(delay)) != nil {
 			return
 		}
 	}
@@ -81,7 +82,7 @@
 				l.beatOne(ctx, a)
 			})
 		}
-		if !sleep(ctx, newsGap) || !l.await(ctx) {
+		if wait.For(ctx, newsGap) != nil || !l.await(ctx) {
 			return
 		}
 	}
@@ -89,7 +90,7 @@
 
 // await returns at the next regular heartbeat or when there is news.
 func (l *Loops) await(ctx context.Context) bool {
-	timer := time.NewTimer(jitter(BeatInterval - newsGap))
+	timer := time.NewTimer(wait.Jitter(BeatInterval - newsGap))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -137,19 +138,3 @@
 		l.Observer.PositionsDiffer(from)
 	}
 }
-
-// jitter spreads a wait over half to one and a half of it.
-func jitter(wait time.Duration) time.Duration {
-	return wait/2 + rand.N(wait+1)
-}
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/coordination/replica/follow.go
+++ b/coordination/replica/follow.go
@@ -4,10 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"time"
 
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/catalogue"
 	"dogwooddyke/state/record"
 )
@@ -15,12 +15,12 @@
 // follow starts, then reads on; after each failure it looks for another way to the head.
 func (r *Replica) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait, err := r.step(ctx)
+		delay, err := r.step(ctx)
 		if err != nil {
 			r.fail(ctx, err)
-			wait = jitter(retryInterval)
+			delay = wait.Jitter(retryInterval)
 		}
-		r.pause(ctx, wait)
+		r.pause(ctx, delay)
 	}
 }
 
@@ -59,7 +59,7 @@
 	if seed {
 		return 0, nil
 	}
-	return jitter(PollInterval), nil
+	return wait.Jitter(PollInterval), nil
 }
 
 // fail moves the state according to the error and, without anything to serve from, asks peers.
@@ -176,11 +176,11 @@
 	return position < Seeds
 }
 
-func (r *Replica) pause(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
+func (r *Replica) pause(ctx context.Context, delay time.Duration) {
+	if delay <= 0 {
 		return
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -188,8 +188,3 @@
 	case <-r.wake:
 	}
 }
-
-// jitter spreads a wait over half to one and a half of it.
-func jitter(wait time.Duration) time.Duration {
-	return wait/2 + rand.N(wait+1)
-}
--- a/experiment/control/caller.go
+++ b/experiment/control/caller.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
+
+	"dogwooddyke/internal/wait"
 )
 
 // call sends requests to all instances at the rate until the context ends.
@@ -21,7 +23,7 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maximumOpen}}
 	defer client.CloseIdleConnections()
 	rate := o.Rate * float64(len(nodes))
-	for next := time.Now(); pause(ctx, time.Until(next)); {
+	for next := time.Now(); wait.For(ctx, time.Until(next)) == nil; {
 		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 		at := "http://" + nodes[random.IntN(len(nodes))].settings.Callers.String() + "/v1/completions"
 		body := fmt.Sprintf(`{"model":%q,"prompt":"%d tokens=%d","stream":true}`,
--- a/experiment/control/cost.go
+++ b/experiment/control/cost.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/catalogue"
 )
 
@@ -60,7 +61,7 @@
 		if err := f.add(ctx); err != nil {
 			return nil, err
 		}
-		pause(ctx, startPause)
+		_ = wait.For(ctx, startPause)
 	}
 	if err := f.await(ctx, readyTimeout, func(n *node) bool {
 		return n.instance.Ready() && n.instance.View().Offset >= operator.table.Offset()
@@ -80,7 +81,7 @@
 	if o.Changes > 0 {
 		group.Go(func() { operator.keepChanging(working, o, entries) })
 	}
-	pause(ctx, o.Settle)
+	_ = wait.For(ctx, o.Settle)
 	c := &Case{Instances: instances, Entries: entries, Endpoints: entries * endpointsPerEntry}
 	return c, f.windows(ctx, o, c, base)
 }
@@ -91,7 +92,7 @@
 		if err != nil {
 			return err
 		}
-		if !pause(ctx, o.Window) {
+		if wait.For(ctx, o.Window) != nil {
 			return ctx.Err()
 		}
 		after, err := f.read()
@@ -116,7 +117,7 @@
 	for _, n := range f.all() {
 		n.unlist()
 	}
-	pause(ctx, rosterLag+time.Second)
+	_ = wait.For(ctx, rosterLag+time.Second)
 }
 
 // prepare publishes the entries and workspaces and removes others.
@@ -168,7 +169,7 @@
 // keepChanging changes entries in turn until the context ends.
 func (s *session) keepChanging(ctx context.Context, o *CostOptions, entries int) {
 	random := rand.New(rand.NewPCG(o.Seed, 4))
-	for n := 0; pause(ctx, time.Duration(float64(time.Second)/o.Changes)); n++ {
+	for n := 0; wait.For(ctx, time.Duration(float64(time.Second)/o.Changes)) == nil; n++ {
 		number := n % entries
 		_ = s.publish(ctx, entryChange(number, s.engines[number*endpointsPerEntry:(number+1)*endpointsPerEntry], 1+random.IntN(10_000)))
 	}
--- a/experiment/control/fleet.go
+++ b/experiment/control/fleet.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"dogwooddyke/internal/wait"
 )
 
 // dataCentres are where instances start, in turn.
@@ -68,7 +70,7 @@
 		if all {
 			return nil
 		}
-		if time.Now().After(deadline) || !pause(ctx, pollPause) {
+		if time.Now().After(deadline) || wait.For(ctx, pollPause) != nil {
 			return errNotInTime
 		}
 	}
--- a/experiment/control/history.go
+++ b/experiment/control/history.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/catalogue"
 	"dogwooddyke/state/record"
 	"dogwooddyke/transport/platform"
@@ -40,7 +41,7 @@
 func (h *history) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		if _, err := h.read(ctx, time.Now().Add(followWait)); err != nil {
-			pause(ctx, pollPause)
+			_ = wait.For(ctx, pollPause)
 		}
 	}
 }
--- a/experiment/control/run.go
+++ b/experiment/control/run.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"dogwooddyke/internal/wait"
 )
 
 // run is one experiment in progress.
@@ -101,7 +103,7 @@
 // tell writes how far the run is.
 func (r *run) tell(ctx context.Context) {
 	for time.Since(r.started) < r.options.span() {
-		if !pause(ctx, progressPeriod) {
+		if wait.For(ctx, progressPeriod) != nil {
 			return
 		}
 		if r.options.Progress != nil {
--- a/experiment/control/script.go
+++ b/experiment/control/script.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"dogwooddyke/internal/wait"
 )
 
 // action is what a step of the script does.
@@ -48,7 +50,7 @@
 // play carries out the steps; replacements and ends of drains go on beside it.
 func (r *run) play(ctx context.Context, started time.Time) {
 	for _, s := range newScript(r.options) {
-		if !pause(ctx, time.Until(started.Add(s.at))) {
+		if wait.For(ctx, time.Until(started.Add(s.at))) != nil {
 			return
 		}
 		if err := r.step(ctx, &s); err != nil {
@@ -84,11 +86,11 @@
 			return
 		}
 		n.kill()
-		pause(ctx, noticePeriod)
+		_ = wait.For(ctx, noticePeriod)
 		n.unlist()
 	})
 	r.ends.Go(func() {
-		pause(ctx, replacePeriod)
+		_ = wait.For(ctx, replacePeriod)
 		if err := r.fleet.add(ctx); err != nil {
 			r.failed(err)
 		}
--- a/experiment/control/session.go
+++ b/experiment/control/session.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/catalogue"
 	"dogwooddyke/state/record"
 	"dogwooddyke/transport/platform"
@@ -41,7 +42,7 @@
 // run carries out the jobs at their times; one that is late starts at once.
 func (s *session) run(ctx context.Context, started time.Time, jobs []job) {
 	for i := range jobs {
-		if !pause(ctx, time.Until(started.Add(jobs[i].at))) {
+		if wait.For(ctx, time.Until(started.Add(jobs[i].at))) != nil {
 			return
 		}
 		s.do(ctx, &jobs[i])
@@ -59,7 +60,7 @@
 	} else {
 		next.change = s.change(j)
 	}
-	if !pause(ctx, j.edit) {
+	if wait.For(ctx, j.edit) != nil {
 		return
 	}
 	data, err := catalogue.Encode(catalogue.Record{Change: &next.change})
@@ -80,7 +81,7 @@
 			return true
 		}
 		known := errors.Is(err, record.ErrUnavailable) || errors.Is(err, record.ErrOutcomeUnknown)
-		if !known || !pause(ctx, publishPause/2+rand.N(publishPause)) {
+		if !known || wait.For(ctx, publishPause/2+rand.N(publishPause)) != nil {
 			return false
 		}
 	}
@@ -121,18 +122,3 @@
 		s.former[n] = former[max(len(former)-maximumOldBases, 0):]
 	}
 }
-
-// pause waits, unless the context ends.
-func pause(ctx context.Context, span time.Duration) bool {
-	if span <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/instance/core.go
+++ b/instance/core.go
@@ -20,6 +20,7 @@
 	"dogwooddyke/coordination/replica"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/coordination/share"
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/protocol/answer"
 	"dogwooddyke/protocol/call"
 	"dogwooddyke/protocol/order"
@@ -173,7 +174,7 @@
 		now := time.Now()
 		i.members.Drain(now)
 		i.shares.HandOver(ctx, now)
-		if err := sleep(ctx, i.settings.Notice); err != nil {
+		if err := wait.For(ctx, i.settings.Notice); err != nil {
 			return err
 		}
 		i.setState(stateDraining, stateNotice)
@@ -181,7 +182,7 @@
 		i.router.SetDraining(true, time.Now())
 	}
 	for i.handler.InFlight() > 0 {
-		if err := sleep(ctx, drainPoll); err != nil {
+		if err := wait.For(ctx, drainPoll); err != nil {
 			return err
 		}
 	}
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/endpoint"
 )
 
@@ -131,19 +132,7 @@
 
 // each calls the function at jittered intervals until the context ends.
 func each(ctx context.Context, interval time.Duration, do func(now time.Time)) {
-	for sleep(ctx, interval*3/4+rand.N(interval/2)) == nil {
+	for wait.For(ctx, interval*3/4+rand.N(interval/2)) == nil {
 		do(time.Now())
 	}
 }
-
-// sleep waits, or returns the context's error.
-func sleep(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
