--- a/coordination/lease/leases.go
+++ b/coordination/lease/leases.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"dogwooddyke/coordination/member"
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/record"
 )
 
@@ -42,6 +43,8 @@
 	members  Members
 	entries  Entries
 	observer Observer
+	drained  context.Context // ends when all leases are to be released, and with it the wait for records
+	drain    context.CancelFunc
 
 	mu       sync.Mutex // guards all below; taken before nothing else
 	keepers  map[int]*Keeper
@@ -53,13 +56,15 @@
 
 // New returns leases that follow nothing.
 func New(log record.Log, members Members, entries Entries, observer Observer) *Leases {
-	return &Leases{
+	l := &Leases{
 		log:      log,
 		members:  members,
 		entries:  entries,
 		observer: observer,
 		keepers:  map[int]*Keeper{},
 	}
+	l.drained, l.drain = context.WithCancel(context.Background())
+	return l
 }
 
 // PartitionOf returns the partition that an entry's lease is in.
@@ -126,8 +131,9 @@
 	l.mu.Lock()
 	l.draining = true
 	l.mu.Unlock()
+	l.drain()
 	for ctx.Err() == nil && l.holds() {
-		pause(ctx, drainPoll)
+		_ = wait.For(ctx, drainPoll)
 	}
 }
 
@@ -147,12 +153,12 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 	// The first lists and heartbeats have to come before ranks mean anything.
-	pause(ctx, StartDelay)
+	_ = wait.For(ctx, StartDelay)
 	for ctx.Err() == nil {
 		for _, p := range l.choose() {
 			group.Go(func() { l.follow(ctx, p) })
 		}
-		pause(ctx, chooseEvery)
+		_ = wait.For(ctx, chooseEvery)
 	}
 }
 
@@ -188,7 +194,7 @@
 		next, err := l.read(ctx, partition, from)
 		switch {
 		case err != nil:
-			pause(ctx, retryInterval)
+			_ = wait.For(ctx, retryInterval)
 		case next == from:
 			l.act(ctx, partition)
 		}
@@ -218,6 +224,9 @@
 	until := l.due(partition)
 	limited, cancel := context.WithDeadline(ctx, until.Add(readTimeout))
 	defer cancel()
+	if until.After(time.Now()) {
+		defer context.AfterFunc(l.drained, cancel)()
+	}
 	page, err := l.log.Read(limited, Stream(partition), from, until)
 	l.observer.LeaseRead(err)
 	if err != nil {
@@ -251,8 +260,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	due := l.keepers[partition].Due(l.rank(partition))
-	if latest := now.Add(longestWait); due.After(latest) {
+	k := l.keepers[partition]
+	due := k.Due(l.rank(partition))
+	if l.draining {
+		return now
+	}
+	latest := now.Add(longestWait)
+	if k.Fold().Released {
+		// Ranks change as the holder that released leaves.
+		latest = now.Add(chooseEvery)
+	}
+	if due.After(latest) {
 		return latest
 	}
 	if due.Before(now) {
@@ -292,12 +310,3 @@
 		l.keepers[partition].Retry(time.Now().Add(retryInterval))
 	}
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/endpoint"
 )
 
@@ -41,9 +42,23 @@
 	} else {
 		i.members.Ready(now, address)
 	}
+	if load.State == endpoint.StateEmpty {
+		i.hintOrders(address)
+	}
 	i.shares.UpdateLoad(address, load, now)
 }
 
+// hintOrders makes this instance look at once at the entries of an engine that came back empty, if it has their leases.
+func (i *Instance) hintOrders(address netip.AddrPort) {
+	for _, e := range i.View().Entries() {
+		for _, p := range e.Endpoints {
+			if p.Address == address {
+				i.orders.Hint(e.Name)
+			}
+		}
+	}
+}
+
 // cachePlace is how far an endpoint's cache events have been read.
 type cachePlace struct {
 	next uint64
@@ -93,8 +108,13 @@
 	return next
 }
 
+// watchLeaving follows what any source says of leaving endpoints, and of this instance itself, whose stop the platform may
+// announce on its list before it sends the signal.
 func (i *Instance) watchLeaving(ctx context.Context) {
-	each(ctx, leavingInterval, i.followLeaving)
+	each(ctx, leavingInterval, func(now time.Time) {
+		i.followLeaving(now)
+		i.handler.SetUnready(!i.running() || i.members.Leaving(i.settings.Peers))
+	})
 }
 
 // followLeaving stops new work to endpoints that any source says are leaving.
@@ -112,19 +132,7 @@
 
 // each calls the function at jittered intervals until the context ends.
 func each(ctx context.Context, interval time.Duration, do func(now time.Time)) {
-	for sleep(ctx, interval*3/4+rand.N(interval/2)) == nil {
+	for wait.For(ctx, interval*3/4+rand.N(interval/2)) == nil {
 		do(time.Now())
 	}
 }
-
-// sleep waits, or returns the context's error.
-func sleep(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
