A caller who comes back gets a replay also without its request

A caller who waits long for a retry's turn comes back at another instance, which has no request to replay and found the engine empty; and a new instance refused retries before its first answer could have finished. Change: the notice to the instance that began the answer returns the request, checked against the token's sum; in the first 10 s of a budget a retry waits for successes; a retry may wait up to a minute while successes come.

--- a/protocol/answer/budget.go
+++ b/protocol/answer/budget.go
@@ -40,11 +40,12 @@
 	waiting   int // retries that wait for their turn
 	successes [budgetSlots]int
 	slot      int64 // number of the current part of the window since the epoch
+	began     time.Time
 }
 
 // NewBudget returns a budget that allows a few retries before any success.
 func NewBudget(now time.Time) *Budget {
-	return &Budget{credit: budgetInitial * budgetCost, slot: slotOf(now)}
+	return &Budget{credit: budgetInitial * budgetCost, slot: slotOf(now), began: now}
 }
 
 // Succeeded adds a finished answer.
@@ -67,7 +68,7 @@
 	b.wait(1)
 	defer b.wait(-1)
 	for !at.IsZero() && !at.After(limit) {
-		if err := pause(ctx, max(time.Until(at), budgetPause)); err != nil {
+		if err := pause(ctx, min(max(time.Until(at), budgetPause), budgetLook)); err != nil {
 			return at, false
 		}
 		if at, taken = b.try(time.Now()); taken {
@@ -90,6 +91,9 @@
 		return now, true
 	}
 	recent := b.recent()
+	if recent == 0 && now.Sub(b.began) < budgetWindow {
+		return b.began.Add(budgetWindow), false // nothing can have succeeded yet
+	}
 	if recent == 0 {
 		return time.Time{}, false
 	}
--- a/protocol/answer/constants.go
+++ b/protocol/answer/constants.go
@@ -34,7 +34,7 @@
 	noticePause      = 200 * time.Millisecond
 	graceDefault     = 5 * time.Second
 	tokenLifeDefault = 10 * time.Minute
-	budgetWait       = 20 * time.Second // longest wait for a retry's turn
+	budgetWait       = time.Minute // longest wait for a retry's turn
 )
 
 // Progress deadlines.
@@ -59,6 +59,7 @@
 const (
 	budgetCost     = 10                    // successes for each retry
 	budgetPause    = 20 * time.Millisecond // shortest wait between looks at the budget
+	budgetLook     = time.Second           // longest one
 	budgetInitial  = 2                     // retries before any success
 	budgetWindow   = 10 * time.Second
 	budgetSlots    = 10   // parts of the window
--- a/protocol/answer/execution.go
+++ b/protocol/answer/execution.go
@@ -35,25 +35,29 @@
 	deadline    time.Time // of the next token
 	fruitless   int       // new connections since the last token
 	bodySum     []byte
-	otherBody   bool        // the body is not the one of the generation that the caller has a part of
-	resumed     bool        // reads a generation that another execution started
-	resumedFrom int         // tokens that the caller had when it came back
-	elsewhere   atomic.Bool // another instance goes on with the answer
+	otherBody   bool          // the body is not the one of the generation that the caller has a part of
+	resumed     bool          // reads a generation that another execution started
+	resumedFrom int           // tokens that the caller had when it came back
+	elsewhere   atomic.Bool   // another instance goes on with the answer
+	original    original      // never changed
+	former      original      // of an earlier execution of the same answer here, whose caller was not seen to leave
+	brought     chan original // the request, from whoever began the answer; closed when nothing more comes
 }
 
 func (r *Runner) newExecution(ctx context.Context, request *Request, sink Sink) *execution {
 	bounded, cancel := context.WithDeadline(ctx, request.Deadline)
 	e := &execution{
-		runner:  r,
-		request: request,
-		sink:    sink,
-		life:    newLife(request.ID, request.Entry, r.observer()),
-		pace:    r.paces.Of(request.Entry),
-		budget:  r.Budget.Of(request.Entry),
-		caller:  ctx,
-		ctx:     bounded,
-		cancel:  cancel,
-		bodySum: bodySum(request.Body),
+		runner:   r,
+		request:  request,
+		sink:     sink,
+		life:     newLife(request.ID, request.Entry, r.observer()),
+		pace:     r.paces.Of(request.Entry),
+		budget:   r.Budget.Of(request.Entry),
+		caller:   ctx,
+		ctx:      bounded,
+		cancel:   cancel,
+		bodySum:  bodySum(request.Body),
+		original: original{Path: request.Path, Body: request.Body},
 	}
 	r.register(e)
 	return e
--- a/protocol/answer/left.go
+++ b/protocol/answer/left.go
@@ -1,6 +1,7 @@
 package answer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/netip"
@@ -19,6 +20,12 @@
 	ID string `json:"id"`
 }
 
+// original is the request of an answer as the instance has it that began it; a reader at another instance needs it for a replay.
+type original struct {
+	Path string `json:"path,omitempty"`
+	Body []byte `json:"body,omitempty"`
+}
+
 // place is where a generation runs.
 type place struct {
 	endpoint   netip.AddrPort
@@ -27,8 +34,9 @@
 
 // linger is an answer whose caller left and may come back.
 type linger struct {
-	slot  Slot
-	taken chan struct{} // closed when the answer goes on
+	slot     Slot
+	original original
+	taken    chan struct{} // closed when the answer goes on
 }
 
 // leave keeps the generation for the grace period where the caller can come back, and cancels it at once otherwise.
@@ -44,7 +52,7 @@
 		return
 	}
 	kept := !e.request.Whole && e.evidence.delivered > 0
-	if kept && e.runner.linger(e.request.ID, e.slot, e.place) {
+	if kept && e.runner.linger(e, e.place) {
 		e.slot = nil
 		return
 	}
@@ -53,8 +61,9 @@
 }
 
 // linger waits for the caller to come back; false means that too many are waited for.
-func (r *Runner) linger(id string, slot Slot, left place) bool {
-	l := &linger{slot: slot, taken: make(chan struct{})}
+func (r *Runner) linger(e *execution, left place) bool {
+	id := e.request.ID
+	l := &linger{slot: e.slot, original: e.original, taken: make(chan struct{})}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if len(r.lingering) >= maximumLingering || r.lingering[id] != nil {
@@ -98,15 +107,15 @@
 	return true
 }
 
-// adopt returns the place of an answer whose caller came back to this instance; nil if there is none.
-func (r *Runner) adopt(id string) Slot {
+// adopt ends the wait for an answer whose caller came back to this instance or to another one; nil if there is none.
+func (r *Runner) adopt(id string) *linger {
 	r.lock.Lock()
 	l := r.lingering[id]
 	r.lock.Unlock()
 	if l == nil || !r.take(id, l) {
 		return nil
 	}
-	return l.slot
+	return l
 }
 
 // ServeResumed serves MethodResumed: it keeps an answer from being cancelled here.
@@ -115,31 +124,67 @@
 	if err := json.Unmarshal(params, &resumed); err != nil {
 		return nil, oops.Wrapf(err, "%s", MethodResumed)
 	}
+	var begun original
 	r.lock.Lock()
 	if e := r.active[resumed.ID]; e != nil {
 		e.elsewhere.Store(true)
+		begun = e.original
 	}
 	r.lock.Unlock()
-	if slot := r.adopt(resumed.ID); slot != nil {
-		slot.Release(routing.OutcomeCancelled, time.Now())
+	if l := r.adopt(resumed.ID); l != nil {
+		begun = l.original
+		if l.slot != nil {
+			l.slot.Release(routing.OutcomeCancelled, time.Now())
+		}
 	}
-	return struct{}{}, nil
+	return begun, nil
 }
 
-// noticeLater tells the instance that signed a token that the answer goes on here.
-func (r *Runner) noticeLater(origin netip.AddrPort, id string) {
+// noticeLater tells the instance that signed a token that the answer goes on here, and takes the request from it.
+func (r *Runner) noticeLater(e *execution, origin netip.AddrPort) {
 	if r.Peers == nil || !origin.IsValid() || origin == r.Self {
+		close(e.brought)
 		return
 	}
+	id, brought := e.request.ID, e.brought
 	r.background.Go(func() {
+		defer close(brought)
 		for range noticeTries {
+			var begun original
 			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
-			err := r.Peers.Call(ctx, origin, MethodResumed, resumedParams{ID: id}, &struct{}{})
+			err := r.Peers.Call(ctx, origin, MethodResumed, resumedParams{ID: id}, &begun)
 			cancel()
 			if err == nil {
+				brought <- begun
 				return
 			}
 			time.Sleep(noticePause)
 		}
 	})
 }
+
+// takeBrought completes the request of a caller who came back without it, from the instance that began the answer.
+func (e *execution) takeBrought() {
+	ctx, cancel := context.WithTimeout(e.ctx, noticeTimeout)
+	defer cancel()
+	for !e.replayable() {
+		select {
+		case begun, more := <-e.brought:
+			if !more {
+				return
+			}
+			e.complete(begun)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// complete takes the request if it is the one that the caller's tokens came from.
+func (e *execution) complete(begun original) {
+	if !bytes.Equal(bodySum(begun.Body), e.bodySum) {
+		return
+	}
+	e.request.Path, e.request.Body = begun.Path, begun.Body
+	e.otherBody = false
+}
--- a/protocol/answer/resume.go
+++ b/protocol/answer/resume.go
@@ -19,8 +19,13 @@
 	}
 	e.resumed = true
 	e.resumedFrom = token.Delivered
-	e.slot = e.runner.adopt(e.request.ID)
-	e.runner.noticeLater(token.Origin, e.request.ID)
+	e.brought = make(chan original, 3) // one place for each of its sources
+	e.brought <- e.former
+	if l := e.runner.adopt(e.request.ID); l != nil {
+		e.slot = l.slot
+		e.brought <- l.original
+	}
+	e.runner.noticeLater(e, token.Origin)
 	e.progress = time.Now()
 	err := e.reopen(errReturned)
 	if err == nil {
--- a/protocol/answer/retry.go
+++ b/protocol/answer/retry.go
@@ -53,6 +53,9 @@
 	if e.lost >= maximumAttempts {
 		return time.Time{}, cause
 	}
+	if e.evidence.delivered > 0 && e.request.Repeatable && !e.replayable() && e.brought != nil {
+		e.takeBrought()
+	}
 	if e.evidence.delivered > 0 && !e.replayable() {
 		return time.Time{}, cause
 	}
--- a/protocol/answer/runner.go
+++ b/protocol/answer/runner.go
@@ -114,6 +114,7 @@
 	}
 	if former := r.active[e.request.ID]; former != nil {
 		former.elsewhere.Store(true)
+		e.former = former.original
 	}
 	r.active[e.request.ID] = e
 }
