--- a/instance/wire.go
+++ b/instance/wire.go
@@ -23,18 +23,21 @@
 	i.log = platform.NewLog(i.settings.Log, client)
 	i.table = catalogue.NewTable(catalogue.Rules{
 		Operators:          i.settings.OperatorKeys,
+		FormerOperators:    i.settings.FormerOperatorKeys,
 		SnapshotKey:        i.settings.PeerKeys[0],
 		FormerSnapshotKeys: i.settings.PeerKeys[1:],
 	})
 	i.empty = i.table.View()
 	i.view.Store(i.empty)
 	i.members = member.New(i.settings.Peers, i.table)
+	i.peers = evidence{node: i.node, members: i.members}
 	i.replica = replica.New(replica.Options{
-		Table:    i.table,
-		Log:      i.log,
-		Members:  i.members,
-		Peers:    i.node,
-		Observer: &replicaObserver{instance: i},
+		Table:            i.table,
+		Log:              i.log,
+		Members:          i.members,
+		Peers:            i.peers,
+		Observer:         &replicaObserver{instance: i},
+		SnapshotInterval: i.settings.SnapshotInterval,
 	})
 	i.loops = &member.Loops{
 		Members:  i.members,
@@ -56,7 +59,7 @@
 		Subset:     i.settings.Subset,
 		Observer:   &routingObserver{instance: i},
 	})
-	i.shares = share.NewExchange(i.node, i.members, i.router)
+	i.shares = share.NewExchange(i.peers, i.members, i.router)
 	i.loads = endpoint.NewLoads(i.clients)
 	i.node.Handle(share.Method, i.shares.Serve)
 }
@@ -73,7 +76,7 @@
 		Budget:    &answer.Budgets{},
 		Tokens:    signer,
 		Observer:  &answerObserver{metrics: i.metrics, ring: i.ring},
-		Peers:     i.node,
+		Peers:     i.peers,
 		Self:      i.settings.Peers,
 		Grace:     i.settings.Grace,
 		TokenLife: i.settings.ResumeWindow,
@@ -105,7 +108,7 @@
 		return err
 	}
 	i.steward = steward
-	i.claims = claim.NewClient(steward, i.node)
+	i.claims = claim.NewClient(steward, i.peers)
 	i.calls = &call.Runner{
 		Services: endpoint.NewServices(i.clients),
 		Router:   &slots{instance: i},
