Calls to plain services are not refused for engines' slots

Cause: the expected wait of a call to a plain service was worked out from slots that only engines have; with some calls in progress a short deadline was refused at once. Change: plain services have no expected wait.

--- a/coordination/routing/core_test.go
+++ b/coordination/routing/core_test.go
@@ -242,3 +242,16 @@
 		c.Token(f, now.Add(time.Duration(n)*20*time.Millisecond))
 	}
 }
+
+func TestServiceNeverWaitsForSlots(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := NewCore(Config{Instances: 8, Random: rand.New(rand.NewPCG(1, 2))})
+	c.SetEntry(&catalogue.Entry{Name: "e", Kind: catalogue.KindService, Endpoints: engines(2)}, now)
+	for range 20 {
+		f := c.Submit(&Ask{Entry: "e", Workspace: "w", Deadline: now.Add(100 * time.Millisecond)}, now)
+		is.Equal(f.Refusal(), nil)
+		is.Equal(len(c.Admit(now)), 1)
+	}
+	is.Equal(c.order[0].running(), 10) // the pair's least in flight
+}
--- a/coordination/routing/estimate.go
+++ b/coordination/routing/estimate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"dogwooddyke/state/catalogue"
 )
 
 // slots gives the generations that an endpoint's share leaves to this instance.
@@ -42,6 +44,9 @@
 
 // expectedWait gives how long a new request is expected to wait for its start.
 func (c *Core) expectedWait(f *Flight, now time.Time) time.Duration {
+	if f.pool.entry.Kind == catalogue.KindService {
+		return 0 // plain services have no slots to wait for
+	}
 	ahead := f.decision.Ahead
 	if ahead == 0 && c.room(f, now) {
 		return 0
