--- a/cmd/dykectl/demo.go
+++ b/cmd/dykectl/demo.go
@@ -31,6 +31,7 @@
 	Hold      bool    `long:"hold" description:"send no traffic and keep running until interrupted"`
 	Addresses string  `long:"addresses" value-name:"FILE" description:"with --hold: write where everything listens, and the keys, as JSON, once all is ready"`
 	Faults    bool    `long:"faults" description:"one deployment as it is today (7 instances, 9 and 4 engines) for 60 s, with faults of every kind, beside a naive proxy"`
+	OneEngine bool    `long:"oneEngine" description:"with --faults: only one engine dies, and no proxy"`
 	Seed      uint64  `long:"seed" value-name:"N" default:"1" description:"seed of the traffic"`
 	Rate      float64 `long:"rate" value-name:"N" description:"requests/s of each deployment (default: 25, with --faults 60)"`
 	Seconds   float64 `long:"seconds" value-name:"N" description:"length of the traffic (default: 15, with --faults 60)"`
@@ -65,6 +66,9 @@
 		o.Layout, o.Profiles, o.Script, o.Baseline = demo.Today(), []string{"islaget"}, demo.FaultScript(), true
 		o.Rate, o.Seconds = faultRate, faultTime
 	}
+	if c.Faults && c.OneEngine {
+		o.Script, o.Baseline = demo.OneEngineScript(), false
+	}
 	if c.Rate != 0 {
 		o.Rate = c.Rate
 	}
--- a/experiment/demo/script.go
+++ b/experiment/demo/script.go
@@ -26,6 +26,11 @@
 	}
 }
 
+// OneEngineScript has one engine die and come back.
+func OneEngineScript() []Step {
+	return []Step{killEngine(20*time.Second, "isoraklet", 0, 10*time.Second)}
+}
+
 // FaultScript lets nearly everything fail in the course of a minute, some of it together.
 func FaultScript() []Step {
 	return []Step{
