--- a/instance/core.go
+++ b/instance/core.go
@@ -20,6 +20,7 @@
 	"dogwooddyke/coordination/replica"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/coordination/share"
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/protocol/answer"
 	"dogwooddyke/protocol/call"
 	"dogwooddyke/protocol/order"
@@ -169,11 +170,11 @@
 func (i *Instance) Drain(ctx context.Context) error {
 	if i.setState(stateNotice, stateRunning) {
 		i.logger.Info("draining", "inFlight", i.handler.InFlight())
-		i.handler.Unready()
+		i.handler.SetUnready(true)
 		now := time.Now()
 		i.members.Drain(now)
 		i.shares.HandOver(ctx, now)
-		if err := sleep(ctx, i.settings.Notice); err != nil {
+		if err := wait.For(ctx, i.settings.Notice); err != nil {
 			return err
 		}
 		i.setState(stateDraining, stateNotice)
@@ -181,7 +182,7 @@
 		i.router.SetDraining(true, time.Now())
 	}
 	for i.handler.InFlight() > 0 {
-		if err := sleep(ctx, drainPoll); err != nil {
+		if err := wait.For(ctx, drainPoll); err != nil {
 			return err
 		}
 	}
@@ -228,9 +229,14 @@
 
 // Ready tells whether the balancer should send work here.
 func (i *Instance) Ready() bool {
+	return i.running() && i.Able()
+}
+
+// running tells whether no drain has begun.
+func (i *Instance) running() bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	return i.state == stateRunning && i.Able()
+	return i.state == stateRunning
 }
 
 // Able tells whether there is a catalogue to serve by; during a drain's notice period the instance is able, but not ready.
