An endpoint that comes back is used again; plain services are not polled as engines

Cause: Router.Leaving was never taken back, so an engine that had said that it was leaving, or an address that was reused, got no work until the next change of its entry. Change: SetLeaving follows the member table both ways; Demands lists engines, Endpoints lists all.

--- a/coordination/routing/account.go
+++ b/coordination/routing/account.go
@@ -12,6 +12,7 @@
 	address     netip.AddrPort
 	dataCentre  string
 	entries     int  // that use the endpoint
+	service     bool // a plain service, which reports no load and is not shared out
 	marked      bool // leaving, by the catalogue
 	left        bool // leaving, by evidence
 	load        endpoint.Load
--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -107,10 +107,8 @@
 			c.accounts[e.Address] = a
 		}
 		a.entries++
+		a.service = entry.Kind == catalogue.KindService
 		a.dataCentre = e.DataCentre
-		if a.marked && !e.Leaving {
-			a.left = false
-		}
 		a.marked = e.Leaving
 		p.accounts = append(p.accounts, a)
 	}
@@ -169,10 +167,10 @@
 	}
 }
 
-// Leaving notes that an endpoint takes no new work, from whatever source.
-func (c *Core) Leaving(address netip.AddrPort) {
+// SetLeaving says whether any source but the catalogue and the endpoint's load calls it leaving; it then takes no new work.
+func (c *Core) SetLeaving(address netip.AddrPort, leaving bool) {
 	if a := c.accounts[address]; a != nil {
-		a.left = true
+		a.left = leaving
 	}
 }
 
--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -76,9 +76,9 @@
 	r.with(now, func(c *Core) { c.UpdateCache(address, events) })
 }
 
-// Leaving notes that an endpoint takes no new work.
-func (r *Router) Leaving(address netip.AddrPort, now time.Time) {
-	r.with(now, func(c *Core) { c.Leaving(address) })
+// SetLeaving says whether any source but the catalogue and the endpoint's load calls it leaving; it then takes no new work.
+func (r *Router) SetLeaving(address netip.AddrPort, leaving bool, now time.Time) {
+	r.with(now, func(c *Core) { c.SetLeaving(address, leaving) })
 }
 
 // SetShare replaces this instance's share of an endpoint.
@@ -91,7 +91,14 @@
 	r.with(now, func(c *Core) { c.SetLimitShare(key, share) })
 }
 
-// Demands calls the function, under the router's lock, for each endpoint that the instance works with.
+// Endpoints returns the endpoints that the instance works with, engines and plain services.
+func (r *Router) Endpoints() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Endpoints()
+}
+
+// Demands calls the function, under the router's lock, for each engine that the instance works with.
 func (r *Router) Demands(now time.Time, take func(address netip.AddrPort, demand endpoint.Demand)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/coordination/routing/router_test.go
+++ b/coordination/routing/router_test.go
@@ -109,11 +109,15 @@
 	t.Run("leaving", func(t *testing.T) {
 		is := is.New(t)
 		r := newRouter(2, 4)
-		r.Leaving(address(1), time.Now())
+		r.SetLeaving(address(1), true, time.Now())
 		for range 4 {
 			slot, err := r.Acquire(context.Background(), ask("w", time.Minute))
 			is.NoErr(err)
 			is.Equal(slot.Endpoint(), address(2))
 		}
+		r.SetLeaving(address(1), false, time.Now())
+		slot, err := r.Acquire(context.Background(), ask("w", time.Minute))
+		is.NoErr(err)
+		is.Equal(slot.Endpoint(), address(1))
 	})
 }
--- a/coordination/routing/shares.go
+++ b/coordination/routing/shares.go
@@ -14,7 +14,16 @@
 	}
 }
 
-// Demands calls the function for each endpoint that the instance works with.
+// Endpoints returns the endpoints that the instance works with, engines and plain services.
+func (c *Core) Endpoints() []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(c.order))
+	for _, a := range c.order {
+		addresses = append(addresses, a.address)
+	}
+	return addresses
+}
+
+// Demands calls the function for each engine that the instance works with.
 func (c *Core) Demands(now time.Time, take func(address netip.AddrPort, demand endpoint.Demand)) {
 	waiting := make(map[*account]waitingDemand, len(c.accounts))
 	need := make(map[*account]int, len(c.accounts))
@@ -32,6 +41,9 @@
 		}
 	}
 	for _, a := range c.order {
+		if a.service {
+			continue
+		}
 		a.foresee(now)
 		w := waiting[a]
 		take(a.address, endpoint.Demand{
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -117,16 +117,10 @@
 	})
 }
 
-// followLeaving stops new work to endpoints that any source says are leaving.
+// followLeaving stops new work to endpoints that any source says are leaving, and lets it go on to those that came back.
 func (i *Instance) followLeaving(now time.Time) {
-	var leaving []netip.AddrPort
-	i.router.Demands(now, func(address netip.AddrPort, _ endpoint.Demand) {
-		if i.members.Leaving(address) {
-			leaving = append(leaving, address)
-		}
-	})
-	for _, a := range leaving {
-		i.router.Leaving(a, now)
+	for _, a := range i.router.Endpoints() {
+		i.router.SetLeaving(a, i.members.Leaving(a), now)
 	}
 }
 
