--- a/coordination/claim/constants.go
+++ b/coordination/claim/constants.go
@@ -12,7 +12,6 @@
 	maximumWaiting     = 4096      // repeats that wait for a result
 	maximumCachedBytes = 4 << 20   // results kept in memory; older ones are read back from the log
 	maximumCached      = 65536     // number of them
-	maximumStateBytes  = 16        // of a state's name in messages
 	streamPrefix       = "claims."
 )
 
--- a/experiment/capacity/design.go
+++ b/experiment/capacity/design.go
@@ -2,16 +2,15 @@
 
 // The size to design for; see DEVELOPERS.md.
 const (
-	designInstances   = 1600
-	designEndpoints   = 4600
-	designEntries     = 40 // 33 models, and plain services beside them
-	designWorkspaces  = 1400
-	designRequests    = 37_000    // requests/s at the peak
-	designTokens      = 8_300_000 // tokens/s at the peak
-	designChanges     = 6000      // catalogue changes a day
-	designFailures    = 79        // instances that fail in a day
-	designReplaced    = 780       // instances restarted or replaced in a day
-	designDataCentres = 7
+	designInstances  = 1600
+	designEndpoints  = 4600
+	designEntries    = 40 // 33 models, and plain services beside them
+	designWorkspaces = 1400
+	designRequests   = 37_000    // requests/s at the peak
+	designTokens     = 8_300_000 // tokens/s at the peak
+	designChanges    = 6000      // catalogue changes a day
+	designFailures   = 79        // instances that fail in a day
+	designReplaced   = 780       // instances restarted or replaced in a day
 )
 
 // The budget of one node for control.
--- a/experiment/demo/audit.go
+++ b/experiment/demo/audit.go
@@ -32,7 +32,7 @@
 }
 
 // audit asks the endpoints what ran.
-func audit(b *backends, traffic []Traffic) Audit {
+func audit(b *endpoints, traffic []Traffic) Audit {
 	var a Audit
 	ledgers := make(map[string]*ledger)
 	for _, t := range traffic {
@@ -57,7 +57,7 @@
 	return a
 }
 
-func (a *Audit) take(b *backends, r *load.Record, ledgers map[string]*ledger) {
+func (a *Audit) take(b *endpoints, r *load.Record, ledgers map[string]*ledger) {
 	if r.Key == "" {
 		a.generation(b, r)
 		return
@@ -74,7 +74,7 @@
 }
 
 // suspect counts what engines started under no id that callers know; where requests were refused without an id, those may be theirs.
-func (a *Audit) suspect(b *backends, traffic []Traffic) {
+func (a *Audit) suspect(b *endpoints, traffic []Traffic) {
 	started, traced, nameless := 0, 0, 0
 	for _, g := range b.groups {
 		for _, e := range g.engines {
@@ -95,7 +95,7 @@
 }
 
 // starts returns how many generations engines started for an answer.
-func starts(b *backends, r *load.Record) int {
+func starts(b *endpoints, r *load.Record) int {
 	g, ok := b.find(r.Entry)
 	if !ok || r.Answer == "" {
 		return 0
@@ -110,7 +110,7 @@
 }
 
 // generation looks for the attempts of an answer that was told not to have run.
-func (a *Audit) generation(b *backends, r *load.Record) {
+func (a *Audit) generation(b *endpoints, r *load.Record) {
 	g, ok := b.find(r.Entry)
 	if !ok || g.service.Entry.Kind != catalogue.KindEngine || r.Outcome != load.OutcomeNotRun {
 		return
@@ -125,7 +125,7 @@
 }
 
 // check compares the runs of a key with what its callers were told.
-func (a *Audit) check(b *backends, key string, l *ledger) {
+func (a *Audit) check(b *endpoints, key string, l *ledger) {
 	runs := 0
 	if g, ok := b.find(l.entry); ok {
 		for _, s := range g.services {
--- a/experiment/demo/audit_test.go
+++ b/experiment/demo/audit_test.go
@@ -11,11 +11,11 @@
 	"dogwooddyke/state/catalogue"
 )
 
-// testBackends starts one engine and one plain service.
-func testBackends(t *testing.T) *backends {
+// testEndpoints starts one engine and one plain service.
+func testEndpoints(t *testing.T) *endpoints {
 	t.Helper()
 	is := is.New(t)
-	b, err := startBackends(&Layout{Services: []Service{
+	b, err := startEndpoints(&Layout{Services: []Service{
 		engines("model", "owner", "class", 1, true),
 		plain("actions", "owner", "class", 1, catalogue.KeyRuleRequired),
 	}})
@@ -25,7 +25,7 @@
 }
 
 // send posts to the first endpoint of an entry past any instance.
-func send(t *testing.T, b *backends, entry, path, header, value, body string) {
+func send(t *testing.T, b *endpoints, entry, path, header, value, body string) {
 	t.Helper()
 	is := is.New(t)
 	g, ok := b.find(entry)
@@ -43,7 +43,7 @@
 }
 
 func TestAudit(t *testing.T) {
-	b := testBackends(t)
+	b := testEndpoints(t)
 	for _, key := range []string{"once", "twice", "twice", "denied"} {
 		send(t, b, "actions", "/do", "Idempotency-Key", key, "{}")
 	}
--- a/experiment/demo/changes.go
+++ b/experiment/demo/changes.go
@@ -27,7 +27,7 @@
 	before, bytes := ProcessorTime(), f.sent()
 	revision := uint64(0)
 	for i := range changes {
-		e := f.backends.groups[0].entry()
+		e := f.endpoints.groups[0].entry()
 		e.Limits.Concurrency = 1000 + i
 		if revision, err = f.publisher.entry(ctx, e); err != nil {
 			return Idle{}, err
--- a/experiment/demo/check.go
+++ b/experiment/demo/check.go
@@ -43,7 +43,7 @@
 			m := &t.Report.Mixes[i]
 			sent += m.Sent + m.Repeats
 			all += m.Whole()
-			if g, ok := r.fleet.backends.find(m.Entry); ok && g.service.Entry.Repeatable {
+			if g, ok := r.fleet.endpoints.find(m.Entry); ok && g.service.Entry.Repeatable {
 				accepted += m.Accepted()
 				finished += m.Whole()
 			}
--- a/experiment/demo/backend.go
+++ b/experiment/demo/endpoints.go
@@ -23,8 +23,8 @@
 	addresses []netip.AddrPort
 }
 
-// backends is all endpoints of a layout.
-type backends struct {
+// endpoints is all endpoints of a layout.
+type endpoints struct {
 	groups []*group
 }
 
@@ -32,9 +32,9 @@
 	return netip.MustParseAddrPort("127.0.0.1:0")
 }
 
-// startBackends starts the endpoints of a layout on ports that the system picks.
-func startBackends(l *Layout) (*backends, error) {
-	b := &backends{}
+// startEndpoints starts the endpoints of a layout on ports that the system picks.
+func startEndpoints(l *Layout) (*endpoints, error) {
+	b := &endpoints{}
 	for i := range l.Services {
 		g := &group{service: &l.Services[i]}
 		b.groups = append(b.groups, g)
@@ -72,7 +72,7 @@
 }
 
 // find returns the endpoints of an entry.
-func (b *backends) find(entry string) (*group, bool) {
+func (b *endpoints) find(entry string) (*group, bool) {
 	for _, g := range b.groups {
 		if g.service.Entry.Name == entry {
 			return g, true
@@ -81,7 +81,7 @@
 	return nil, false
 }
 
-func (b *backends) close() error {
+func (b *endpoints) close() error {
 	var faults []error
 	for _, g := range b.groups {
 		for _, e := range g.engines {
--- a/experiment/demo/fleet.go
+++ b/experiment/demo/fleet.go
@@ -13,7 +13,7 @@
 // fleet is instances, the platform and the endpoints, all in this process.
 type fleet struct {
 	site      *site
-	backends  *backends
+	endpoints *endpoints
 	publisher *publisher
 	nodes     []*node
 	profiles  []*load.Profile
@@ -41,7 +41,7 @@
 	if f.site, err = startSite(); err != nil {
 		return err
 	}
-	if f.backends, err = startBackends(&o.Layout); err != nil {
+	if f.endpoints, err = startEndpoints(&o.Layout); err != nil {
 		return err
 	}
 	f.publisher = newPublisher(f.site)
@@ -61,7 +61,7 @@
 
 // publishAll publishes the entries of the layout and the workspaces of the profiles.
 func (f *fleet) publishAll(ctx context.Context) error {
-	for _, g := range f.backends.groups {
+	for _, g := range f.endpoints.groups {
 		if _, err := f.publisher.entry(ctx, g.entry()); err != nil {
 			return err
 		}
@@ -124,7 +124,7 @@
 		a.Instances = append(a.Instances, n.callers())
 		a.Operators = append(a.Operators, n.operators())
 	}
-	for _, g := range f.backends.groups {
+	for _, g := range f.endpoints.groups {
 		for _, at := range g.addresses {
 			a.Endpoints[g.service.Entry.Name] = append(a.Endpoints[g.service.Entry.Name], "http://"+at.String())
 		}
@@ -142,8 +142,8 @@
 		n.kill()
 	}
 	var faults []error
-	if f.backends != nil {
-		faults = append(faults, f.backends.close())
+	if f.endpoints != nil {
+		faults = append(faults, f.endpoints.close())
 	}
 	if f.site != nil {
 		faults = append(faults, f.site.close())
--- a/experiment/demo/memory.go
+++ b/experiment/demo/memory.go
@@ -55,14 +55,14 @@
 		return nil, err
 	}
 	m.IdleAgain = liveMemory()
-	if m.InstanceOpen, m.Instance, err = withOpen(ctx, s.fleet.addresses().Instances, s.fleet.backends, streams, seed); err != nil {
+	if m.InstanceOpen, m.Instance, err = withOpen(ctx, s.fleet.addresses().Instances, s.fleet.endpoints, streams, seed); err != nil {
 		return nil, err
 	}
 	return m, nil
 }
 
 // withOpen opens streams, measures and lets them go.
-func withOpen(ctx context.Context, targets []string, b *backends, streams int, seed uint64) (open int, bytes uint64, err error) {
+func withOpen(ctx context.Context, targets []string, b *endpoints, streams int, seed uint64) (open int, bytes uint64, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var run conc.WaitGroup
 	run.Go(func() {
@@ -84,7 +84,7 @@
 }
 
 // reset makes all engines lose their state, as they go on with what nobody reads any more.
-func (b *backends) reset() error {
+func (b *endpoints) reset() error {
 	var faults []error
 	for _, g := range b.groups {
 		for _, e := range g.engines {
@@ -95,7 +95,7 @@
 }
 
 // running returns the generations that the engines decode now.
-func (b *backends) running() int {
+func (b *endpoints) running() int {
 	count := 0
 	for _, g := range b.groups {
 		for _, e := range g.engines {
--- a/experiment/demo/overhead.go
+++ b/experiment/demo/overhead.go
@@ -76,7 +76,7 @@
 type stage struct {
 	fleet    *fleet
 	baseline *baseline
-	direct   *backends
+	direct   *endpoints
 }
 
 func startStage(ctx context.Context, l Layout, logger *slog.Logger) (*stage, error) {
@@ -88,7 +88,7 @@
 	if s.baseline, err = startBaseline(&l); err != nil {
 		return nil, errors.Join(err, s.close())
 	}
-	if s.direct, err = startBackends(&l); err != nil {
+	if s.direct, err = startEndpoints(&l); err != nil {
 		return nil, errors.Join(err, s.close())
 	}
 	return s, nil
@@ -106,7 +106,7 @@
 }
 
 // urls returns the base URLs of all endpoints.
-func (b *backends) urls() []string {
+func (b *endpoints) urls() []string {
 	var all []string
 	for _, g := range b.groups {
 		for _, a := range g.addresses {
--- a/experiment/demo/run.go
+++ b/experiment/demo/run.go
@@ -37,9 +37,9 @@
 		return nil, err
 	}
 	report.Events = r.events
-	report.Audit = audit(r.fleet.backends, report.Traffic)
+	report.Audit = audit(r.fleet.endpoints, report.Traffic)
 	if r.baseline != nil {
-		a := audit(r.baseline.backends, report.Baseline)
+		a := audit(r.baseline.endpoints, report.Baseline)
 		report.BaselineAudit = &a
 	}
 	report.Checks = r.checks(report.Traffic, report.Audit)
--- a/experiment/demo/run_test.go
+++ b/experiment/demo/run_test.go
@@ -33,7 +33,7 @@
 			}},
 		}}}
 	}
-	r := &runner{options: &Options{Layout: Layout{LeastWhole: 0.9}}, fleet: &fleet{backends: testBackends(t)}}
+	r := &runner{options: &Options{Layout: Layout{LeastWhole: 0.9}}, fleet: &fleet{endpoints: testEndpoints(t)}}
 	t.Run("held", func(t *testing.T) {
 		is := is.New(t)
 		is.Equal(failing(&Report{Checks: r.checks(finished(load.Verdict{Tokens: 1}), Audit{})}), nil)
--- a/experiment/demo/runner.go
+++ b/experiment/demo/runner.go
@@ -36,11 +36,11 @@
 
 // baseline is a naive proxy before endpoints of its own.
 type baseline struct {
-	backends *backends
-	proxy    *naive.Proxy
-	server   *http.Server
-	url      string
-	served   conc.WaitGroup
+	endpoints *endpoints
+	proxy     *naive.Proxy
+	server    *http.Server
+	url       string
+	served    conc.WaitGroup
 }
 
 // Traffic is what one load tool saw.
@@ -57,7 +57,7 @@
 		s := &checked.Services[i]
 		s.Entry.Repeatable = s.Entry.Kind == catalogue.KindEngine
 	}
-	b, err := startBackends(&checked)
+	b, err := startEndpoints(&checked)
 	if err != nil {
 		return nil, err
 	}
@@ -70,7 +70,7 @@
 		return nil, errors.Join(err, b.close())
 	}
 	p := naive.New(entries)
-	s := &baseline{backends: b, proxy: p, server: &http.Server{Handler: p, ReadHeaderTimeout: readyTimeout}}
+	s := &baseline{endpoints: b, proxy: p, server: &http.Server{Handler: p, ReadHeaderTimeout: readyTimeout}}
 	s.url = "http://" + listener.Addr().String()
 	s.served.Go(func() { _ = s.server.Serve(listener) })
 	return s, nil
@@ -80,13 +80,13 @@
 	_ = b.server.Close()
 	b.served.Wait()
 	b.proxy.Close()
-	return b.backends.close()
+	return b.endpoints.close()
 }
 
-func (r *runner) allBackends() []*backends {
-	all := []*backends{r.fleet.backends}
+func (r *runner) allEndpoints() []*endpoints {
+	all := []*endpoints{r.fleet.endpoints}
 	if r.baseline != nil {
-		all = append(all, r.baseline.backends)
+		all = append(all, r.baseline.endpoints)
 	}
 	return all
 }
--- a/experiment/demo/script.go
+++ b/experiment/demo/script.go
@@ -78,7 +78,7 @@
 
 // faultAll brings a fault to one endpoint of the fleet and to its like behind the baseline.
 func (r *runner) faultAll(entry string, number int, f standin.Fault) error {
-	for _, b := range r.allBackends() {
+	for _, b := range r.allEndpoints() {
 		g, ok := b.find(entry)
 		if !ok || number >= len(g.addresses) {
 			return fmt.Errorf("no endpoint %d of %s", number, entry)
@@ -124,7 +124,7 @@
 // changeCatalogue publishes a change of the first entry and waits, in the background, for it to be in force everywhere.
 func changeCatalogue(at time.Duration) Step {
 	return Step{at, "catalogue change published", func(ctx context.Context, r *runner) error {
-		e := r.fleet.backends.groups[0].entry()
+		e := r.fleet.endpoints.groups[0].entry()
 		e.Limits.RequestsPerSecond = maximumRate
 		revision, err := r.fleet.publisher.entry(ctx, e)
 		if err != nil {
