--- a/transport/endpoint/constants.go
+++ b/transport/endpoint/constants.go
@@ -17,6 +17,7 @@
 	reportIdleTimeout   = 10 * time.Second // beyond the intervals at which reports are read
 	idlePerEndpoint     = 8
 	maximumHeaderBytes  = 64 << 10
+	eventBufferBytes    = 1 << 10 // of each stream's reader of events
 	streamBufferBytes   = 1 << 10
 	expectContinueBound = time.Second
 )
--- a/transport/endpoint/stream.go
+++ b/transport/endpoint/stream.go
@@ -4,12 +4,10 @@
 	"context"
 	"errors"
 	"io"
-	"iter"
 
 	"github.com/samber/oops"
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/sjson"
-	"github.com/tmaxmax/go-sse"
 
 	"dogwooddyke/protocol/answer"
 )
@@ -21,14 +19,12 @@
 type stream struct {
 	body   io.Closer
 	cancel context.CancelFunc
-	next   func() (sse.Event, error, bool)
-	stop   func()
+	events *events
 	done   bool
 }
 
 func newStream(body io.ReadCloser, cancel context.CancelFunc) *stream {
-	next, stop := iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maximumEventBytes}))
-	return &stream{body: body, cancel: cancel, next: next, stop: stop}
+	return &stream{body: body, cancel: cancel, events: newEvents(body)}
 }
 
 // Next returns the next event, io.EOF after the engine's end mark, or the context's error, after which the stream is of no more use.
@@ -40,40 +36,23 @@
 		return answer.Token{}, err
 	}
 	stop := context.AfterFunc(ctx, s.cancel)
-	event, err := s.nextData()
+	data, err := s.events.next()
 	if !stop() {
 		return answer.Token{}, ctx.Err()
 	}
 	if err != nil {
-		return answer.Token{}, err
+		return answer.Token{}, oops.Wrapf(err, "read stream")
 	}
-	if event.Data == doneData {
+	if data == doneData {
 		s.done = true
 		return answer.Token{}, io.EOF
 	}
-	return parseChunk(event.Data)
-}
-
-// nextData returns the next event that has data, passing over others such as comments.
-func (s *stream) nextData() (sse.Event, error) {
-	for {
-		event, err, more := s.next()
-		if err != nil {
-			return sse.Event{}, oops.Wrapf(err, "read stream")
-		}
-		if !more {
-			return sse.Event{}, io.ErrUnexpectedEOF
-		}
-		if event.Data != "" {
-			return event, nil
-		}
-	}
+	return parseChunk(data)
 }
 
 // Close ends the connection; the generation goes on.
 func (s *stream) Close() error {
 	s.cancel()
-	s.stop()
 	return s.body.Close()
 }
 
