--- a/cmd/dykectl/demo.go
+++ b/cmd/dykectl/demo.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"strings"
 	"syscall"
 
@@ -36,7 +36,7 @@
 	Rate      float64 `long:"rate" value-name:"N" description:"requests/s of each deployment (default: 25, with --faults 60)"`
 	Seconds   float64 `long:"seconds" value-name:"N" description:"length of the traffic (default: 15, with --faults 60)"`
 	JSON      string  `long:"json" value-name:"FILE" description:"write the report as JSON"`
-	Out       string  `long:"out" value-name:"DIR" description:"with --faults: write the report to DIR/faults.md and DIR/faults.json"`
+	Out       string  `long:"out" value-name:"DIR" description:"with --faults: write the report to DIR/faults.md and DIR/faults.json, or with --oneEngine to files of that name"`
 	Verbose   bool    `long:"verbose" description:"show the instances' logs"`
 }
 
@@ -120,16 +120,11 @@
 
 // publish writes the report where results are kept.
 func (c *demoCommand) publish(report *demo.Report) error {
-	if c.Out == "" {
-		return nil
-	}
-	page, err := os.Create(filepath.Join(c.Out, "faults.md"))
-	if err != nil {
-		return err
-	}
-	defer page.Close()
-	if err := report.Page(page, "dykectl demo "+strings.Join(os.Args[2:], " ")); err != nil {
-		return err
+	name := "faults"
+	if c.OneEngine {
+		name = "oneEngine"
 	}
-	return writeJSON(filepath.Join(c.Out, "faults.json"), report)
+	return writeResults(c.Out, name, report, func(page io.Writer) error {
+		return report.Page(page, "dykectl demo "+strings.Join(os.Args[2:], " "))
+	})
 }
--- a/cmd/dykectl/overhead.go
+++ b/cmd/dykectl/overhead.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"runtime"
 	"strings"
 	"syscall"
@@ -63,22 +62,14 @@
 
 // publish writes the report where results are kept.
 func (c *overheadCommand) publish(r *overheadReport) error {
-	if c.Out == "" {
-		return nil
-	}
-	page, err := os.Create(filepath.Join(c.Out, "overhead.md"))
-	if err != nil {
-		return err
-	}
-	defer page.Close()
-	fmt.Fprintf(page, "# %s\n\nSeed %d, %s, %d processors.\n\n```\n", r.Command, c.Seed, r.Started.Format(time.RFC3339), r.CPUs)
-	if err := r.table(page); err != nil {
-		return err
-	}
-	if _, err := fmt.Fprintln(page, "```"); err != nil {
+	return writeResults(c.Out, "overhead", r, func(page io.Writer) error {
+		fmt.Fprintf(page, "# %s\n\nSeed %d, %s, %d processors.\n\n```\n", r.Command, c.Seed, r.Started.Format(time.RFC3339), r.CPUs)
+		if err := r.table(page); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintln(page, "```")
 		return err
-	}
-	return writeJSON(filepath.Join(c.Out, "overhead.json"), r)
+	})
 }
 
 func (r *overheadReport) table(w io.Writer) error {
