Checks of experiments have a package of their own

Cause: the demo and the control experiment each had the type, the judgement and the table of checks. Change: experiment/check serves both.

--- a/experiment/control/check.go
+++ b/experiment/control/check.go
@@ -4,12 +4,13 @@
 	"fmt"
 	"strings"
 
+	"dogwooddyke/experiment/check"
 	"dogwooddyke/state/catalogue"
 )
 
 // checks judges a run; live are the instances that lived to its end.
-func (r *run) checks(j *judgement, live []*node, settled error) []Check {
-	list := []Check{
+func (r *run) checks(j *judgement, live []*node, settled error) []check.Check {
+	list := []check.Check{
 		{Name: "all live instances ended on the log's revision and digest", Held: settled == nil && r.alike(live), Seen: r.ending(live)},
 		none(fmt.Sprintf("each accepted change in force on every live instance within %s", r.options.Limit), j.late),
 		none("no catalogue, entry or workspace went back", j.reverted),
@@ -23,7 +24,7 @@
 }
 
 // published judges what became of what the operators sent.
-func (r *run) published() []Check {
+func (r *run) published() []check.Check {
 	var failed, absent, wrong, accepted, refused int
 	verdicts := r.history.verdicts()
 	for _, s := range r.sessions {
@@ -42,7 +43,7 @@
 			}
 		}
 	}
-	return []Check{
+	return []check.Check{
 		{Name: "every change was published", Held: failed == 0, Seen: fmt.Sprintf("%d given up", failed)},
 		{Name: "every published change is in the log", Held: absent == 0, Seen: fmt.Sprintf("%d absent", absent)},
 		{Name: "every change was accepted or conflicted", Held: wrong == 0, Seen: fmt.Sprintf("%d otherwise", wrong)},
@@ -52,7 +53,7 @@
 }
 
 // once checks that no change id was accepted twice.
-func (r *run) once() Check {
+func (r *run) once() check.Check {
 	r.history.mutex.Lock()
 	defer r.history.mutex.Unlock()
 	counts := make(map[string]int)
@@ -69,7 +70,7 @@
 			repeated++
 		}
 	}
-	return Check{Name: "no change took effect twice", Held: twice == 0, Seen: fmt.Sprintf("%d twice; %d repeats without effect", twice, repeated)}
+	return check.Check{Name: "no change took effect twice", Held: twice == 0, Seen: fmt.Sprintf("%d twice; %d repeats without effect", twice, repeated)}
 }
 
 func (r *run) alike(live []*node) bool {
@@ -91,11 +92,11 @@
 	return fmt.Sprintf("%d instances, revision %d, digest %s", len(live), last.revision, last.digest)
 }
 
-func none(name string, seen []string) Check {
+func none(name string, seen []string) check.Check {
 	if len(seen) == 0 {
-		return Check{Name: name, Held: true, Seen: "0"}
+		return check.Check{Name: name, Held: true, Seen: "0"}
 	}
-	return Check{Name: name, Seen: strings.Join(seen, "; ")}
+	return check.Check{Name: name, Seen: strings.Join(seen, "; ")}
 }
 
 func lines(faults []error) []string {
--- a/experiment/control/report.go
+++ b/experiment/control/report.go
@@ -8,16 +8,10 @@
 	"text/tabwriter"
 	"time"
 
+	"dogwooddyke/experiment/check"
 	"dogwooddyke/state/catalogue"
 )
 
-// Check is one thing that must hold, and whether it did.
-type Check struct {
-	Name string `json:"name"`
-	Held bool   `json:"held"`
-	Seen string `json:"seen"`
-}
-
 // Count is how many changes had one outcome.
 type Count struct {
 	Wish    string `json:"wish"`
@@ -48,17 +42,12 @@
 	Lived     int           `json:"lived"` // instances that became ready
 	Samples   int           `json:"samples"`
 	Delays    Delays        `json:"delays"`
-	Checks    []Check       `json:"checks"`
+	Checks    []check.Check `json:"checks"`
 }
 
 // Held tells whether every check held.
 func (r *Report) Held() bool {
-	for _, c := range r.Checks {
-		if !c.Held {
-			return false
-		}
-	}
-	return len(r.Checks) > 0
+	return check.Held(r.Checks)
 }
 
 // report judges the run; live are the instances that lived to its end.
@@ -138,16 +127,7 @@
 	d := r.Delays
 	fmt.Fprintf(w, "\nfrom append until in force on an instance: p50 %.0f ms, p99 %.0f ms, most %.0f ms (%d changes on instances, %d samples)\n\nchecks:\n",
 		milliseconds(d.Median), milliseconds(d.P99), milliseconds(d.Most), d.Count, r.Samples)
-	for _, c := range r.Checks {
-		mark := "held  "
-		if !c.Held {
-			mark = "FAILED"
-		}
-		if _, err := fmt.Fprintf(w, "  %s  %s (%s)\n", mark, c.Name, c.Seen); err != nil {
-			return err
-		}
-	}
-	return nil
+	return check.Write(w, r.Checks)
 }
 
 func milliseconds(span time.Duration) float64 { return span.Seconds() * 1000 }
--- a/experiment/demo/check.go
+++ b/experiment/demo/check.go
@@ -3,20 +3,14 @@
 import (
 	"fmt"
 
+	"dogwooddyke/experiment/check"
 	"dogwooddyke/experiment/load"
 )
 
-// Check is one thing that must hold, and whether it did.
-type Check struct {
-	Name string `json:"name"`
-	Held bool   `json:"held"`
-	Seen string `json:"seen"`
-}
-
 // checks judges a run by what callers saw and what the endpoints know.
-func (r *runner) checks(traffic []Traffic, a Audit) []Check {
+func (r *runner) checks(traffic []Traffic, a Audit) []check.Check {
 	s := sum(traffic)
-	list := []Check{
+	list := []check.Check{
 		none("no token lost, doubled or crossed in a finished answer", s.text.Lost+s.text.Doubled+s.text.Crossed),
 		none("no action ran twice under its key", a.DoubledRuns),
 		none("nothing ran that was told not to have run", a.FalseNotRun),
@@ -36,7 +30,7 @@
 }
 
 // whole judges how many requests finished: of those accepted by repeatable entries, and of all.
-func (r *runner) whole(traffic []Traffic) []Check {
+func (r *runner) whole(traffic []Traffic) []check.Check {
 	var accepted, finished, sent, all int
 	for _, t := range traffic {
 		for i := range t.Report.Mixes {
@@ -49,14 +43,14 @@
 			}
 		}
 	}
-	return []Check{
+	return []check.Check{
 		least("answers of repeatable entries that finished whole", finished, accepted, r.options.Layout.LeastWhole),
 		least("requests of all kinds that finished whole", all, sent, leastAny),
 	}
 }
 
-func least(name string, count, of int, share float64) Check {
-	return Check{
+func least(name string, count, of int, share float64) check.Check {
+	return check.Check{
 		Name: fmt.Sprintf("at least %g%% of %s", 100*share, name),
 		Held: of > 0 && float64(count) >= share*float64(of),
 		Seen: fmt.Sprintf("%d of %d", count, of),
@@ -64,22 +58,22 @@
 }
 
 // planned judges the drains and the catalogue changes of the script.
-func (r *runner) planned() []Check {
+func (r *runner) planned() []check.Check {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	var list []Check
+	var list []check.Check
 	for _, err := range r.faults {
-		list = append(list, Check{Name: "every step of the script was carried out", Seen: err.Error()})
+		list = append(list, check.Check{Name: "every step of the script was carried out", Seen: err.Error()})
 	}
 	for _, err := range r.drains {
 		seen := "all requests in progress finished"
 		if err != nil {
 			seen = err.Error()
 		}
-		list = append(list, Check{Name: "a drained instance finished its work", Held: err == nil, Seen: seen})
+		list = append(list, check.Check{Name: "a drained instance finished its work", Held: err == nil, Seen: seen})
 	}
 	for _, after := range r.forced {
-		list = append(list, Check{
+		list = append(list, check.Check{
 			Name: fmt.Sprintf("a catalogue change was in force everywhere within %s", forceTimeout),
 			Held: after <= forceTimeout, Seen: fmt.Sprintf("%.0f ms", after.Seconds()*1000),
 		})
@@ -87,8 +81,8 @@
 	return list
 }
 
-func none(name string, count int) Check {
-	return Check{Name: name, Held: count == 0, Seen: fmt.Sprintf("%d", count)}
+func none(name string, count int) check.Check {
+	return check.Check{Name: name, Held: count == 0, Seen: fmt.Sprintf("%d", count)}
 }
 
 // total sums up several load tools.
--- a/experiment/demo/report.go
+++ b/experiment/demo/report.go
@@ -7,29 +7,25 @@
 	"text/tabwriter"
 	"time"
 
+	"dogwooddyke/experiment/check"
 	"dogwooddyke/experiment/load"
 )
 
 // Report is what came of a run.
 type Report struct {
-	Seed          uint64    `json:"seed"`
-	Started       time.Time `json:"started"`
-	Events        []string  `json:"events"`
-	Traffic       []Traffic `json:"traffic"`
-	Audit         Audit     `json:"audit"`
-	Baseline      []Traffic `json:"baseline,omitempty"`
-	BaselineAudit *Audit    `json:"baselineAudit,omitempty"`
-	Checks        []Check   `json:"checks"`
+	Seed          uint64        `json:"seed"`
+	Started       time.Time     `json:"started"`
+	Events        []string      `json:"events"`
+	Traffic       []Traffic     `json:"traffic"`
+	Audit         Audit         `json:"audit"`
+	Baseline      []Traffic     `json:"baseline,omitempty"`
+	BaselineAudit *Audit        `json:"baselineAudit,omitempty"`
+	Checks        []check.Check `json:"checks"`
 }
 
 // Held tells whether every check held.
 func (r *Report) Held() bool {
-	for _, c := range r.Checks {
-		if !c.Held {
-			return false
-		}
-	}
-	return len(r.Checks) > 0
+	return check.Held(r.Checks)
 }
 
 // Table writes the report for people.
@@ -89,16 +85,7 @@
 
 func (r *Report) verdicts(w io.Writer) error {
 	fmt.Fprintln(w, "\nchecks:")
-	for _, c := range r.Checks {
-		mark := "held  "
-		if !c.Held {
-			mark = "FAILED"
-		}
-		if _, err := fmt.Fprintf(w, "  %s  %s (%s)\n", mark, c.Name, c.Seen); err != nil {
-			return err
-		}
-	}
-	return nil
+	return check.Write(w, r.Checks)
 }
 
 // Page writes the report as a page of results.
