--- a/cmd/dykectl/control.go
+++ b/cmd/dykectl/control.go
@@ -48,19 +48,7 @@
 	if err != nil {
 		return err
 	}
-	if err := report.Table(os.Stdout); err != nil {
-		return err
-	}
-	if err := writeJSON(c.JSON, report); err != nil {
-		return err
-	}
-	if err := c.page(report); err != nil {
-		return err
-	}
-	if !report.Held() {
-		return &exitError{exitFailed, errChecks}
-	}
-	return nil
+	return conclude(report, c.JSON, func() error { return c.page(report) })
 }
 
 func (c *controlCommand) page(report *control.Report) error {
--- a/cmd/dykectl/demo.go
+++ b/cmd/dykectl/demo.go
@@ -103,19 +103,7 @@
 	if err != nil {
 		return err
 	}
-	if err := report.Table(os.Stdout); err != nil {
-		return err
-	}
-	if err := writeJSON(c.JSON, report); err != nil {
-		return err
-	}
-	if err := c.publish(report); err != nil {
-		return err
-	}
-	if !report.Held() {
-		return &exitError{exitFailed, errChecks}
-	}
-	return nil
+	return conclude(report, c.JSON, func() error { return c.publish(report) })
 }
 
 // publish writes the report where results are kept.
--- a/cmd/dykectl/results.go
+++ b/cmd/dykectl/results.go
@@ -27,3 +27,26 @@
 	}
 	return writeJSON(filepath.Join(directory, name+".json"), report)
 }
+
+// judged is a report of an experiment that checks what must hold.
+type judged interface {
+	Table(w io.Writer) error
+	Held() bool
+}
+
+// conclude shows a report, writes it where the user wants it, and fails if a check did.
+func conclude(report judged, jsonFile string, publish func() error) error {
+	if err := report.Table(os.Stdout); err != nil {
+		return err
+	}
+	if err := writeJSON(jsonFile, report); err != nil {
+		return err
+	}
+	if err := publish(); err != nil {
+		return err
+	}
+	if !report.Held() {
+		return &exitError{exitFailed, errChecks}
+	}
+	return nil
+}
