One ledger serves shares of endpoints and of limits

Change: a generic ledger that both embed; opening it drops what has lapsed and tells whether there is room.

--- a/coordination/share/endpoints.go
+++ b/coordination/share/endpoints.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -12,53 +11,13 @@
 
 // endpointLedger is a steward's account of one endpoint.
 type endpointLedger struct {
-	holders []endpointHolder // by address
-	load    endpoint.Load
-	loaded  time.Time
-	opened  time.Time
-	asked   time.Time
+	ledger[endpoint.Demand, endpoint.Share]
+	load   endpoint.Load
+	loaded time.Time
 }
 
 // endpointHolder is one instance that works with the endpoint.
-type endpointHolder struct {
-	instance netip.AddrPort
-	demand   endpoint.Demand
-	share    endpoint.Share
-	seen     time.Time
-}
-
-func (l *endpointLedger) find(instance netip.AddrPort) (int, bool) {
-	return slices.BinarySearchFunc(l.holders, instance, func(h endpointHolder, a netip.AddrPort) int {
-		return h.instance.Compare(a)
-	})
-}
-
-// note records an instance's demand and what it holds, and returns its place.
-func (l *endpointLedger) note(instance netip.AddrPort, demand endpoint.Demand, held endpoint.Share, now time.Time) int {
-	i, found := l.find(instance)
-	if !found {
-		l.holders = slices.Insert(l.holders, i, endpointHolder{instance: instance, share: held})
-	}
-	h := &l.holders[i]
-	h.demand, h.seen = demand, now
-	if held.Until.After(h.share.Until) {
-		h.share = held
-	}
-	return i
-}
-
-func (l *endpointLedger) forget(instance netip.AddrPort) {
-	if i, found := l.find(instance); found {
-		l.holders = slices.Delete(l.holders, i, i+1)
-	}
-}
-
-// expire drops instances that did not ask again and hold nothing any more.
-func (l *endpointLedger) expire(now time.Time) {
-	l.holders = slices.DeleteFunc(l.holders, func(h endpointHolder) bool {
-		return now.After(h.share.Until) && now.Sub(h.seen) > grantSpan
-	})
-}
+type endpointHolder = holder[endpoint.Demand, endpoint.Share]
 
 // busy tells whether an instance uses the endpoint or lately did.
 func (l *endpointLedger) busy(now time.Time) bool {
--- a/coordination/share/limits.go
+++ b/coordination/share/limits.go
@@ -1,8 +1,6 @@
 package share
 
 import (
-	"net/netip"
-	"slices"
 	"time"
 
 	"dogwooddyke/state/catalogue"
@@ -11,48 +9,8 @@
 
 // limitLedger is a steward's account of one workspace's limits.
 type limitLedger struct {
-	limits  catalogue.Limits
-	holders []limitHolder // by address
-	opened  time.Time
-	asked   time.Time
-}
-
-type limitHolder struct {
-	instance netip.AddrPort
-	demand   workspace.Demand
-	share    workspace.Share
-	seen     time.Time
-}
-
-func (l *limitLedger) find(instance netip.AddrPort) (int, bool) {
-	return slices.BinarySearchFunc(l.holders, instance, func(h limitHolder, a netip.AddrPort) int {
-		return h.instance.Compare(a)
-	})
-}
-
-func (l *limitLedger) note(instance netip.AddrPort, demand workspace.Demand, held workspace.Share, now time.Time) int {
-	i, found := l.find(instance)
-	if !found {
-		l.holders = slices.Insert(l.holders, i, limitHolder{instance: instance, share: held})
-	}
-	h := &l.holders[i]
-	h.demand, h.seen = demand, now
-	if held.Until.After(h.share.Until) {
-		h.share = held
-	}
-	return i
-}
-
-func (l *limitLedger) forget(instance netip.AddrPort) {
-	if i, found := l.find(instance); found {
-		l.holders = slices.Delete(l.holders, i, i+1)
-	}
-}
-
-func (l *limitLedger) expire(now time.Time) {
-	l.holders = slices.DeleteFunc(l.holders, func(h limitHolder) bool {
-		return now.After(h.share.Until) && now.Sub(h.seen) > grantSpan
-	})
+	ledger[workspace.Demand, workspace.Share]
+	limits catalogue.Limits
 }
 
 // grant decides the share of the instance at the place.
--- a/coordination/share/steward.go
+++ b/coordination/share/steward.go
@@ -100,12 +100,11 @@
 		if len(s.endpoints) >= maximumLedgers {
 			return nil
 		}
-		l = &endpointLedger{opened: now}
+		l = &endpointLedger{}
+		l.opened = now
 		s.endpoints[address] = l
 	}
-	l.asked = now
-	l.expire(now)
-	if len(l.holders) >= maximumHolders {
+	if !l.open(now) {
 		return nil
 	}
 	return l
@@ -118,12 +117,11 @@
 		if len(s.limits) >= maximumLedgers {
 			return nil
 		}
-		l = &limitLedger{opened: now}
+		l = &limitLedger{}
+		l.opened = now
 		s.limits[key] = l
 	}
-	l.asked = now
-	l.expire(now)
-	if len(l.holders) >= maximumHolders {
+	if !l.open(now) {
 		return nil
 	}
 	return l
--- a/state/endpoint/share.go
+++ b/state/endpoint/share.go
@@ -10,6 +10,9 @@
 	Until  time.Time `cbor:"4,keyasint,omitzero" json:"until"`
 }
 
+// Ends returns when the share ends.
+func (s Share) Ends() time.Time { return s.Until }
+
 // Demand is what an instance tells an endpoint's steward about its use of the endpoint.
 type Demand struct {
 	Running  int     `cbor:"1,keyasint,omitzero" json:"running"`  // its generations in progress there
--- a/state/workspace/limiter.go
+++ b/state/workspace/limiter.go
@@ -14,6 +14,9 @@
 	Until       time.Time `cbor:"4,keyasint,omitzero" json:"until"`
 }
 
+// Ends returns when the share ends.
+func (s Share) Ends() time.Time { return s.Until }
+
 // Demand is what an instance tells the steward of a workspace's limits about its use of them.
 type Demand struct {
 	Running  int     `cbor:"1,keyasint,omitzero" json:"running"`
