Runs leave a reclaimed engine one after the other, each as it hears that those before have left

Cause: copies off an engine that leaves queue on its link. Turns were spaced by an estimate (1.4 times the time of a near copy), so several whole copies were in the queue at once and each run's last part waited behind them: pauses of 0.4 to 1.1 s, or lost. Now each instance reports when its runs have left, and the next begins; where far copies would not fit into the notice, targets are near ones only. The chosen candidate is always in a decision's list (it was left out where more than eight were judged). Ruled out: stopping at once where time is short; it made all runs of a crowded engine late.

--- a/coordination/evacuation/turn.go
+++ b/coordination/evacuation/turn.go
@@ -19,7 +19,7 @@
 type Link struct {
 	TokenBytes int
 	Bits       float64 // per second
-	Distance   float64 // times that a copy takes longer than within a data centre, on average
+	Distance   float64 // times that a copy takes longer than within a data centre
 }
 
 // Span is how long a copy of so many tokens takes.
@@ -31,30 +31,38 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// Plan is when an instance's runs may leave.
+// Plan is when an instance's runs leave.
 type Plan struct {
-	Begin   time.Time // of the first copy
-	Crowded bool      // the time is too short for all runs of the endpoint
+	Begin time.Time // of the first copy, at the latest; earlier once those before have left
+	Near  bool      // there is only time for copies within the data centre
 }
 
 // Turn plans the departure of an instance's runs. It answers the load pattern of an endpoint that is reclaimed with runs of
 // several instances on it: when all begin at once, each run's last part waits behind the whole of all others, and none has moved
 // before the endpoint is gone. So they go one after the other, in an order that each instance works out alike from the endpoint's
-// name, and those that go first are safe. Who would come too late begins at the latest time all the same.
+// name, each as soon as it hears that those before it have left. Who hears nothing begins when they must have left.
 func Turn(self netip.AddrPort, own int, parties []Party, endpoint string, link Link, noticed, latest time.Time) Plan {
-	before, total := 0, own
-	mine := rank(self, endpoint)
+	before := Before(self, parties, endpoint)
+	total := own
 	for _, p := range parties {
 		total += p.Memory
+	}
+	return Plan{
+		Begin: noticed.Add(link.Span(before)),
+		Near:  noticed.Add(link.Span(total)).After(latest),
+	}
+}
+
+// Before counts the tokens of the runs that leave the endpoint before an instance's own.
+func Before(self netip.AddrPort, parties []Party, endpoint string) int {
+	before := 0
+	mine := rank(self, endpoint)
+	for _, p := range parties {
 		if r := rank(p.Instance, endpoint); r < mine || r == mine && p.Instance.Compare(self) < 0 {
 			before += p.Memory
 		}
 	}
-	begin := noticed.Add(link.Span(before))
-	if begin.After(latest) {
-		begin = latest
-	}
-	return Plan{Begin: begin, Crowded: noticed.Add(link.Span(total)).After(latest)}
+	return before
 }
 
 func rank(instance netip.AddrPort, endpoint string) uint64 {
--- a/coordination/routing/choice.go
+++ b/coordination/routing/choice.go
@@ -26,9 +26,7 @@
 	for i := range accounts {
 		a := accounts[(offset+i)%len(accounts)]
 		candidate := c.assess(f, a, &own, length, now)
-		if len(f.decision.Candidates) < maximumCandidates {
-			f.decision.Candidates = append(f.decision.Candidates, candidate)
-		}
+		f.decision.note(candidate)
 		if candidate.Verdict == VerdictMemory || candidate.Verdict == VerdictExcluded {
 			slotless = false
 		}
@@ -38,6 +36,7 @@
 		fits++
 		if candidate.Score < least {
 			best, least = a, candidate.Score
+			f.decision.keep(candidate)
 		}
 		if fits == c.config.Sample {
 			break
--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -29,6 +29,20 @@
 	VerdictMemory   Verdict = "memory"
 )
 
+// note keeps a candidate for an explanation, if there is room.
+func (d *Decision) note(candidate Candidate) {
+	if len(d.Candidates) < maximumCandidates {
+		d.Candidates = append(d.Candidates, candidate)
+	}
+}
+
+// keep keeps the best candidate so far, in the place of the latest one if there is no room.
+func (d *Decision) keep(candidate Candidate) {
+	if last := len(d.Candidates) - 1; d.Candidates[last].Endpoint != candidate.Endpoint {
+		d.Candidates[last] = candidate
+	}
+}
+
 // Chosen gives the candidate that the request went to; it is empty where none was judged.
 func (d *Decision) Chosen() Candidate {
 	for _, c := range d.Candidates {
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -26,7 +26,7 @@
 	shareLife       = 2 * time.Second         // of what others left of an engine
 	registerPause   = 500 * time.Millisecond  // between tries to write to the log
 	topicInstances  = "keyed.instances"
-	copyDistance    = 1.4                    // times that copies take longer than within a data centre, as they are spread
+	copyDistance    = 2.0                    // times that a copy to another data centre takes longer
 	promptWeight    = 3.0                    // of the wait behind other prompts: engines here read them between the tokens of all others
 	catchUpInterval = 250 * time.Millisecond // between looks at what other instances know
 	learnTimeout    = time.Second
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -84,7 +84,7 @@
 	i.exchange = newExchange(i)
 	i.node = peer.NewNode(peer.Config{Address: i.exchange.self, Keys: [][]byte{[]byte(settings.PeerKey)}})
 	i.node.Handle(methodKnown, i.serveKnown)
-	i.turns = newTurns(i.exchange.self, i.exchange.parties)
+	i.turns = newTurns(i.exchange.self, i.exchange.parties, i.exchange.poke)
 	i.observer.admitted = i.exchange.poke
 	i.runner = &relay.Runner{
 		Endpoints: platform.NewEngines(),
--- a/instance/hosted/turns.go
+++ b/instance/hosted/turns.go
@@ -15,10 +15,11 @@
 	parties func(endpoint netip.AddrPort) []evacuation.Party
 	mutex   sync.Mutex
 	runs    map[netip.AddrPort]map[string]func() int // memory by the run's id
+	left    func()                                   // called when a run has left an endpoint that is leaving
 }
 
-func newTurns(self netip.AddrPort, parties func(endpoint netip.AddrPort) []evacuation.Party) *turns {
-	return &turns{self: self, parties: parties, runs: make(map[netip.AddrPort]map[string]func() int)}
+func newTurns(self netip.AddrPort, parties func(endpoint netip.AddrPort) []evacuation.Party, left func()) *turns {
+	return &turns{self: self, parties: parties, left: left, runs: make(map[netip.AddrPort]map[string]func() int)}
 }
 
 // Enter notes a run; leave forgets it.
@@ -30,16 +31,27 @@
 	}
 	t.runs[at.Address][id] = memory
 	return func() {
-		t.mutex.Lock()
-		defer t.mutex.Unlock()
-		delete(t.runs[at.Address], id)
-		if len(t.runs[at.Address]) == 0 {
-			delete(t.runs, at.Address)
+		if t.forget(at.Address, id) && at.Leaving() {
+			t.left()
 		}
 	}
 }
 
-// Turn gives when a run may begin to be copied off its endpoint.
+// forget drops a run and tells whether it was known.
+func (t *turns) forget(address netip.AddrPort, id string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if _, known := t.runs[address][id]; !known {
+		return false
+	}
+	delete(t.runs[address], id)
+	if len(t.runs[address]) == 0 {
+		delete(t.runs, address)
+	}
+	return true
+}
+
+// Turn plans when a run is copied off its endpoint.
 func (t *turns) Turn(r *relay.Request, from relay.Place, noticed, latest time.Time) evacuation.Plan {
 	link := evacuation.Link{TokenBytes: r.Engine.TokenBytes, Bits: r.Engine.LinkBits, Distance: copyDistance}
 	own, before := t.own(from.Address, r.ID)
@@ -48,6 +60,12 @@
 	return plan
 }
 
+// Clear tells whether all runs that go before one have left its endpoint.
+func (t *turns) Clear(r *relay.Request, from relay.Place) bool {
+	_, before := t.own(from.Address, r.ID)
+	return before == 0 && evacuation.Before(t.self, t.parties(from.Address), from.ID) == 0
+}
+
 // own gives the tokens that this instance's runs hold at an endpoint, and those of the runs that go before the given one.
 func (t *turns) own(address netip.AddrPort, id string) (all, before int) {
 	t.mutex.Lock()
--- a/protocol/relay/constants.go
+++ b/protocol/relay/constants.go
@@ -17,6 +17,8 @@
 	quickCopy       = 40 * time.Millisecond   // of a copy behind which no other one waits
 	latestStop      = 1200 * time.Millisecond // after the notice; the shortest notice is 1.5 s
 	farMove         = 1.0                     // seconds that a copy to another data centre takes longer
+	lostMove        = 30.0                    // seconds that it costs where there is no time for it
+	turnLook        = 8 * time.Millisecond    // between looks at whether the runs before have left
 	maximumRestores = 4                       // times that one request goes on from a backup
 	dropTimeout     = time.Second             // of freeing a copy that is not used
 	usualDistance   = 1.3                     // times that a copy takes longer than within a data centre
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -22,6 +22,7 @@
 	cancel context.CancelFunc
 	moved  *move
 	leave  func()
+	near   bool // there is only time for copies within the data centre
 
 	handover handover
 }
@@ -40,11 +41,24 @@
 	if c.request.Engine == nil || !c.request.Engine.Moves || c.request.Route.Resumable {
 		return m
 	}
-	m.leave = c.runner.Turns.Enter(d.Place, c.request.ID, func() int { return c.request.Prompt + int(c.passed.Load()) })
-	m.group.Go(func() { m.run(ctx) })
+	m.leave = c.runner.Turns.Enter(d.Place, c.request.ID, c.memory)
+	m.group.Go(func() {
+		m.run(ctx)
+		if m.from.Leaving() {
+			m.leave()
+		}
+	})
 	return m
 }
 
+// memory gives the tokens that the run holds at its endpoint; none before it has begun.
+func (c *course) memory() int {
+	if passed := int(c.passed.Load()); passed > 0 {
+		return c.request.Prompt + passed
+	}
+	return 0
+}
+
 // finish ends the mover with its run. Where the run broke off while its last part was copied, that is waited for.
 func (m *mover) finish(whole bool) *move {
 	close(m.ended)
@@ -84,10 +98,10 @@
 	m.handover.noticed = time.Now()
 	latest := m.handover.noticed.Add(latestStop)
 	plan := m.course.runner.Turns.Turn(m.course.request, m.from, m.handover.noticed, latest)
+	m.near = plan.Near
 	if err := m.await(ctx, plan.Begin); err != nil {
 		return
 	}
-	m.handover.crowded = plan.Crowded
 	tried := []netip.AddrPort{m.from.Address}
 	for range moveTries {
 		if m.over() || ctx.Err() != nil {
@@ -112,18 +126,20 @@
 	}
 }
 
-// await waits until the turn, or for the run's end.
-func (m *mover) await(ctx context.Context, turn time.Time) error {
-	timer := time.NewTimer(time.Until(turn))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-m.ended:
-		return errEnded
-	case <-ctx.Done():
-		return ctx.Err()
+// await waits until all before the run have left or must have left, or for the run's end.
+func (m *mover) await(ctx context.Context, latest time.Time) error {
+	ticker := time.NewTicker(turnLook)
+	defer ticker.Stop()
+	for !m.course.runner.Turns.Clear(m.course.request, m.from) && time.Now().Before(latest) {
+		select {
+		case <-ticker.C:
+		case <-m.ended:
+			return errEnded
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
+	return nil
 }
 
 // target finds the endpoint that bears the run best.
@@ -131,6 +147,9 @@
 	ask := m.course.ask
 	ask.Exclude = slices.Clone(tried)
 	ask.Near, ask.FarCost = m.from.DataCentre, farMove
+	if m.near {
+		ask.FarCost = lostMove
+	}
 	ask.PromptTokens += int(m.course.passed.Load())
 	slot, err := m.course.runner.Router.Place(&ask)
 	if err != nil {
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -39,6 +39,16 @@
 	Notice     <-chan struct{} // closed when the endpoint is leaving
 }
 
+// Leaving tells whether the endpoint is known to be leaving.
+func (p Place) Leaving() bool {
+	select {
+	case <-p.Notice:
+		return true
+	default:
+		return false
+	}
+}
+
 // Copy names the memory of a run that another endpoint can go on from.
 type Copy struct {
 	Source  netip.AddrPort
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -32,8 +32,10 @@
 type Turns interface {
 	// Enter notes a run with a function that tells the tokens that it holds; leave forgets it.
 	Enter(at Place, id string, memory func() int) (leave func())
-	// Turn gives when a run may begin to be copied.
+	// Turn plans when a run is copied.
 	Turn(r *Request, from Place, noticed, latest time.Time) evacuation.Plan
+	// Clear tells whether all runs that go before one have left.
+	Clear(r *Request, from Place) bool
 }
 
 // Observer hears of decisions; its methods must be quick.
