Reports tell of runs at endpoints that are already off the list

Ruled out: late notice; all instances knew within 6 ms. Silence of those before counts only after 1.4 times their copies.

--- a/coordination/evacuation/turn.go
+++ b/coordination/evacuation/turn.go
@@ -9,6 +9,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// silenceMargin is the factor on the time of the copies before, after which they are taken as done though nobody said so.
+const silenceMargin = 1.4
+
 // Party is an instance with runs at the endpoint that leaves.
 type Party struct {
 	Instance netip.AddrPort
@@ -40,15 +43,16 @@
 // Turn plans the departure of an instance's runs. It answers the load pattern of an endpoint that is reclaimed with runs of
 // several instances on it: when all begin at once, each run's last part waits behind the whole of all others, and none has moved
 // before the endpoint is gone. So they go one after the other, in an order that each instance works out alike from the endpoint's
-// name, each as soon as it hears that those before it have left. Who hears nothing begins when they must have left.
-func Turn(self netip.AddrPort, own int, parties []Party, endpoint string, link Link, noticed, latest time.Time) Plan {
-	before := Before(self, parties, endpoint)
+// name, each as soon as it hears that those before it have left. Who hears nothing begins when they must have left. Own are the
+// tokens of the instance's runs, and ownBefore those of them that go before the one that the plan is for.
+func Turn(self netip.AddrPort, own, ownBefore int, parties []Party, endpoint string, link Link, noticed, latest time.Time) Plan {
+	before := ownBefore + Before(self, parties, endpoint)
 	total := own
 	for _, p := range parties {
 		total += p.Memory
 	}
 	return Plan{
-		Begin: noticed.Add(link.Span(before)),
+		Begin: noticed.Add(time.Duration(silenceMargin * float64(link.Span(before)))),
 		Near:  noticed.Add(link.Span(total)).After(latest),
 	}
 }
--- a/instance/hosted/exchange.go
+++ b/instance/hosted/exchange.go
@@ -104,12 +104,17 @@
 	if table := x.instance.table.Load(); table != nil {
 		r.Catalogue = table.Version
 	}
+	held := x.instance.turns.held()
 	x.instance.router.Demands(now, func(address netip.AddrPort, d endpoint.Demand) {
 		if d.Running > 0 || d.Memory > 0 || d.Samples > 0 {
-			held, _ := x.instance.turns.own(address, "")
-			r.Uses = append(r.Uses, gossip.Use{Endpoint: address, Running: d.Running, Memory: d.Memory, Held: held, Prompts: d.Prompts, Interval: d.Interval, Samples: d.Samples})
+			r.Uses = append(r.Uses, gossip.Use{Endpoint: address, Running: d.Running, Memory: d.Memory, Held: held[address], Prompts: d.Prompts, Interval: d.Interval, Samples: d.Samples})
+			delete(held, address)
 		}
 	})
+	for address, tokens := range held {
+		// The router has forgotten the endpoint, since it is leaving.
+		r.Uses = append(r.Uses, gossip.Use{Endpoint: address, Held: tokens})
+	}
 	x.mutex.Lock()
 	x.sequence++
 	r.Sequence = x.sequence
--- a/instance/hosted/turns.go
+++ b/instance/hosted/turns.go
@@ -55,9 +55,7 @@
 func (t *turns) Turn(r *relay.Request, from relay.Place, noticed, latest time.Time) evacuation.Plan {
 	link := evacuation.Link{TokenBytes: r.Engine.TokenBytes, Bits: r.Engine.LinkBits, Distance: copyDistance}
 	own, before := t.own(from.Address, r.ID)
-	plan := evacuation.Turn(t.self, own, t.parties(from.Address), from.ID, link, noticed, latest)
-	plan.Begin = plan.Begin.Add(link.Span(before))
-	return plan
+	return evacuation.Turn(t.self, own, before, t.parties(from.Address), from.ID, link, noticed, latest)
 }
 
 // Clear tells whether all runs that go before one have left its endpoint.
@@ -66,6 +64,19 @@
 	return before == 0 && evacuation.Before(t.self, t.parties(from.Address), from.ID) == 0
 }
 
+// held gives the tokens that this instance's runs hold at each endpoint.
+func (t *turns) held() map[netip.AddrPort]int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	sums := make(map[netip.AddrPort]int, len(t.runs))
+	for address, runs := range t.runs {
+		for _, memory := range runs {
+			sums[address] += memory()
+		}
+	}
+	return sums
+}
+
 // own gives the tokens that this instance's runs hold at an endpoint, and those of the runs that go before the given one.
 func (t *turns) own(address netip.AddrPort, id string) (all, before int) {
 	t.mutex.Lock()
