A generation too many at an engine costs 1 s instead of 2 s

Cause: evacuation saves more runs than when the cost was set, so slow engines took runs that fast ones could have borne.

--- a/coordination/routing/constants.go
+++ b/coordination/routing/constants.go
@@ -16,7 +16,7 @@
 	ageStep               = 4 * time.Second // waiting that raises a request by one priority
 	pickAttempts          = 6               // heads of lines tried for an entry before the rest of them waits
 	remoteSeconds         = 0.010           // cost of an endpoint in another data centre
-	crowdSeconds          = 2.0             // cost of a generation that an endpoint could not hand on at short notice
+	crowdSeconds          = 1.0             // cost of a generation that an endpoint could not hand on at short notice
 	defaultPromptWeight   = 1.0
 	priorPrefill          = 0.0003 // seconds for a prompt token that is not cached
 	prefillDecay          = 0.95
