Few instances read the list of endpoints for all; reports hold only what has changed

Now the eight that come first among those that lately read do so for all; the others watch the newest change that anyone knows and read when they missed one. Reports hold changed uses, twice, and all of them each 2 s; changes of endpoints are told in three reports, those leaving in whole ones. An instance expires after two reports missed.

--- a/coordination/gossip/constants.go
+++ b/coordination/gossip/constants.go
@@ -3,9 +3,16 @@
 import "time"
 
 const (
-	expiry          = 2 * time.Second        // after which an instance that is not heard from has nothing in progress
+	leastExpiry     = 2 * time.Second        // after which an instance that is not heard from has nothing in progress
+	missedReports   = 2                      // reports of an instance that may be lost before it expires
+	goneExpiries    = 10                     // expiries after which nothing is sent to an instance any more
 	leastInterval   = 150 * time.Millisecond // between two reports to one instance
 	reportsPerSec   = 60.0                   // that an instance sends at most, to all others
+	wholeInterval   = 2 * time.Second        // between two reports that hold all uses
+	tellings        = 2                      // reports that hold a change of a use
+	likeness        = 0.1                    // part by which memory may differ, and speed, before it is told
+	readers         = 8                      // instances that read the list of endpoints for all others
+	readFresh       = time.Second            // age of a reader's latest read above which another takes its place
 	maximumPeers    = 4096
 	maximumLeaving  = 64
 	maximumReported = 512 // endpoints in a report
--- a/coordination/gossip/peers.go
+++ b/coordination/gossip/peers.go
@@ -13,6 +13,7 @@
 
 type peer struct {
 	report *Report
+	uses   map[netip.AddrPort]Use
 	heard  time.Time // zero: named by the log only
 	named  time.Time
 }
@@ -36,15 +37,13 @@
 
 // Fresh gives the uses of a report whose speeds were observed anew since the latest report of the instance.
 func (p *Peers) Fresh(r *Report) []Use {
-	former := make(map[netip.AddrPort]int)
+	var former map[netip.AddrPort]Use
 	if k := p.known[r.From]; k != nil && k.report != nil && k.report.Start == r.Start {
-		for _, u := range k.report.Uses {
-			former[u.Endpoint] = u.Samples
-		}
+		former = k.uses
 	}
 	var fresh []Use
 	for _, u := range r.Uses {
-		if u.Samples > former[u.Endpoint] && u.Interval > 0 {
+		if u.Samples > former[u.Endpoint].Samples && u.Interval > 0 {
 			fresh = append(fresh, u)
 		}
 	}
@@ -67,18 +66,42 @@
 	if f := k.report; f != nil && (r.Start < f.Start || r.Start == f.Start && r.Sequence <= f.Sequence) {
 		return false
 	}
+	k.merge(r)
 	k.report, k.heard = r, now
 	return true
 }
 
+// merge takes in the uses of a newer report.
+func (k *peer) merge(r *Report) {
+	if !r.Partial || k.report == nil || k.report.Start != r.Start {
+		k.uses = make(map[netip.AddrPort]Use, len(r.Uses))
+	}
+	for _, u := range r.Uses {
+		if u.none() {
+			delete(k.uses, u.Endpoint)
+			continue
+		}
+		if len(k.uses) < maximumReported {
+			k.uses[u.Endpoint] = u
+		}
+	}
+}
+
 // live tells whether an instance counts as running.
-func (k *peer) live(now time.Time) bool { return k.report != nil && now.Sub(k.heard) <= expiry }
+func (p *Peers) live(k *peer, now time.Time) bool {
+	return k.report != nil && now.Sub(k.heard) <= p.expiry()
+}
+
+// expiry is the time after which an instance that is not heard from has nothing in progress.
+func (p *Peers) expiry() time.Duration {
+	return max(leastExpiry, missedReports*p.Interval())
+}
 
 // Live counts the other instances that were heard from lately.
 func (p *Peers) Live(now time.Time) int {
 	count := 0
 	for _, k := range p.known {
-		if k.live(now) {
+		if p.live(k, now) {
 			count++
 		}
 	}
@@ -89,7 +112,7 @@
 func (p *Peers) Addresses(now time.Time) []netip.AddrPort {
 	addresses := make([]netip.AddrPort, 0, len(p.known))
 	for a, k := range p.known {
-		if k.live(now) || now.Sub(k.named) <= expiry || now.Sub(k.heard) <= 10*expiry {
+		if p.live(k, now) || now.Sub(k.named) <= p.expiry() || now.Sub(k.heard) <= goneExpiries*p.expiry() {
 			addresses = append(addresses, a)
 		}
 	}
@@ -100,10 +123,10 @@
 func (p *Peers) Uses(now time.Time) map[netip.AddrPort]Use {
 	sums := make(map[netip.AddrPort]Use)
 	for _, k := range p.known {
-		if !k.live(now) {
+		if !p.live(k, now) {
 			continue
 		}
-		for _, u := range k.report.Uses {
+		for _, u := range k.uses {
 			s := sums[u.Endpoint]
 			s.Running += u.Running
 			s.Memory += u.Memory
@@ -118,13 +141,11 @@
 func (p *Peers) At(endpoint netip.AddrPort, now time.Time) map[netip.AddrPort]Use {
 	uses := make(map[netip.AddrPort]Use)
 	for a, k := range p.known {
-		if !k.live(now) {
+		if !p.live(k, now) {
 			continue
 		}
-		for _, u := range k.report.Uses {
-			if u.Endpoint == endpoint && u.Held > 0 {
-				uses[a] = u
-			}
+		if u := k.uses[endpoint]; u.Held > 0 {
+			uses[a] = u
 		}
 	}
 	return uses
@@ -135,7 +156,7 @@
 	var best netip.AddrPort
 	version := int64(0)
 	for a, k := range p.known {
-		if k.live(now) && k.report.Catalogue > version {
+		if p.live(k, now) && k.report.Catalogue > version {
 			best, version = a, k.report.Catalogue
 		}
 	}
--- /dev/null
+++ b/coordination/gossip/readers.go
@@ -0,0 +1,44 @@
+package gossip
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Reads tells whether this instance is one of the few that read the list of endpoints for all. It answers the load pattern of a
+// large fleet that polls one log: the calls would grow with the fleet. The readers are those that come first by a hash of their
+// address among the instances that have lately read; one that the log turns away is replaced as soon as its reports say so.
+func (p *Peers) Reads(now time.Time) bool {
+	before := 0
+	mine := rank(p.self)
+	for a, k := range p.known {
+		if p.live(k, now) && k.report.Read >= 0 && k.report.Read <= readFresh && rank(a) < mine {
+			before++
+		}
+	}
+	return before < readers
+}
+
+// Readers gives the number of instances, this one included, that share the reading.
+func (p *Peers) Readers(now time.Time) int { return min(p.Live(now)+1, readers) }
+
+// Latest gives the offset of the newest change of an endpoint that any other instance knows.
+func (p *Peers) Latest(now time.Time) int64 {
+	latest := int64(0)
+	for _, k := range p.known {
+		if p.live(k, now) {
+			latest = max(latest, k.report.Latest)
+		}
+	}
+	return latest
+}
+
+func rank(address netip.AddrPort) uint64 {
+	raw, err := address.MarshalBinary()
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(raw)
+}
--- a/coordination/gossip/report.go
+++ b/coordination/gossip/report.go
@@ -18,8 +18,11 @@
 	Sequence  uint64          `cbor:"3,keyasint"` // of the report, from 1 in each start
 	Catalogue int64           `cbor:"4,keyasint"` // version in force; 0: none
 	Uses      []Use           `cbor:"5,keyasint"`
-	Leaving   []string        `cbor:"6,keyasint,omitempty"` // endpoints known to be leaving or gone
-	News      []roster.Change `cbor:"9,keyasint,omitempty"` // changes of endpoints that the instance has just read of
+	Leaving   []string        `cbor:"6,keyasint,omitempty"`  // endpoints known to be leaving or gone
+	News      []roster.Change `cbor:"9,keyasint,omitempty"`  // changes of endpoints that the instance has just read of
+	Partial   bool            `cbor:"10,keyasint,omitempty"` // uses that are not listed are as before
+	Read      time.Duration   `cbor:"11,keyasint,omitempty"` // since the list of endpoints was read from the log; negative: never
+	Latest    int64           `cbor:"12,keyasint,omitempty"` // offset of the newest change of an endpoint that the instance knows
 }
 
 // Use is what an instance has in progress at one endpoint.
@@ -33,6 +36,9 @@
 	Samples  int            `cbor:"6,keyasint,omitempty"` // times that it has observed that
 }
 
+// none tells whether the use says that there is nothing at its endpoint.
+func (u Use) none() bool { return u == Use{Endpoint: u.Endpoint} }
+
 // Encode writes a report.
 func Encode(r *Report) ([]byte, error) {
 	data, err := cbor.Marshal(r)
@@ -55,7 +61,7 @@
 		return nil, oops.In("gossip").Errorf("report is too large")
 	}
 	negative := func(u Use) bool {
-		return u.Running < 0 || u.Memory < 0 || u.Held < 0 || u.Prompts < 0 || u.Interval < 0 || u.Interval > time.Minute
+		return u.Samples < 0 || u.Running < 0 || u.Memory < 0 || u.Held < 0 || u.Prompts < 0 || u.Interval < 0 || u.Interval > time.Minute
 	}
 	if slices.ContainsFunc(r.Uses, negative) {
 		return nil, oops.In("gossip").Errorf("a use is negative")
--- a/instance/hosted/catchup.go
+++ b/instance/hosted/catchup.go
@@ -59,7 +59,7 @@
 // silent tells whether the list of endpoints has not been heard of for longer than its endpoints' heartbeats allow.
 func (i *Instance) silent(now time.Time) bool {
 	heard := i.heard.Load()
-	return heard == nil || now.Sub(*heard) > i.settings.Heartbeat+mostListPause/2
+	return heard == nil || now.Sub(*heard) > i.settings.Heartbeat+silentMargin
 }
 
 func (i *Instance) version() int64 {
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -57,7 +57,9 @@
 	node      *peer.Node
 	table     atomic.Pointer[route.Table]
 	catalogue atomic.Pointer[catalogueRecord]
-	heard     atomic.Pointer[time.Time] // when the log last told of endpoints; nil: never
+	heard     atomic.Pointer[time.Time] // when the log last told of endpoints, this instance or another; nil: never
+	read      atomic.Pointer[time.Time] // when it last told this instance; nil: never
+	listEnd   atomic.Int64              // offset up to which this instance has read the list of endpoints
 	listed    atomic.Bool               // the list of endpoints was read once
 	known     chan struct{}             // closed once the catalogue and the endpoints are known
 	knowing   sync.Once
--- a/instance/hosted/exchange.go
+++ b/instance/hosted/exchange.go
@@ -27,37 +27,39 @@
 
 	mutex    sync.Mutex
 	peers    *gossip.Peers
+	changes  *gossip.Changes
 	sequence uint64
 	told     []told
 }
 
-// told is a change of an endpoint that the others are told of for a while.
+// told is a change of an endpoint that the next reports hold.
 type told struct {
 	change roster.Change
-	until  time.Time
+	left   int // reports
 }
 
 // tell has the others hear of a change.
-func (x *exchange) tell(c roster.Change, now time.Time) {
+func (x *exchange) tell(c roster.Change) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	x.told = append(x.told, told{c, now.Add(newsLife)})
+	x.told = append(x.told, told{c, newsTellings})
 	x.told = x.told[max(len(x.told)-maximumNews, 0):]
 }
 
-// tellable gives the changes that are still told; the mutex is held.
-func (x *exchange) tellable(now time.Time) []roster.Change {
-	x.told = slices.DeleteFunc(x.told, func(t told) bool { return now.After(t.until) })
+// tellable gives the changes that the next report holds; the mutex is held.
+func (x *exchange) tellable() []roster.Change {
 	changes := make([]roster.Change, 0, len(x.told))
-	for _, t := range x.told {
-		changes = append(changes, t.change)
+	for n := range x.told {
+		changes = append(changes, x.told[n].change)
+		x.told[n].left--
 	}
+	x.told = slices.DeleteFunc(x.told, func(t told) bool { return t.left <= 0 })
 	return changes
 }
 
 func newExchange(i *Instance) *exchange {
 	self := netip.AddrPortFrom(i.settings.Address, uint16(i.settings.FirstPeerPort))
-	return &exchange{instance: i, self: self, start: time.Now().UnixNano(), news: make(chan struct{}, 1), peers: gossip.NewPeers(self)}
+	return &exchange{instance: i, self: self, start: time.Now().UnixNano(), news: make(chan struct{}, 1), peers: gossip.NewPeers(self), changes: gossip.NewChanges()}
 }
 
 // open binds the socket.
@@ -100,25 +102,19 @@
 // report sends one report to all others.
 func (x *exchange) report() {
 	now := time.Now()
-	r := &gossip.Report{From: x.self, Start: x.start, Leaving: x.instance.leaving()}
+	r := &gossip.Report{From: x.self, Start: x.start, Read: x.instance.readAge(now), Latest: x.instance.roster.Latest()}
 	if table := x.instance.table.Load(); table != nil {
 		r.Catalogue = table.Version
 	}
-	held := x.instance.turns.held()
-	x.instance.router.Demands(now, func(address netip.AddrPort, d endpoint.Demand) {
-		if d.Running > 0 || d.Memory > 0 || d.Samples > 0 {
-			r.Uses = append(r.Uses, gossip.Use{Endpoint: address, Running: d.Running, Memory: d.Memory, Held: held[address], Prompts: d.Prompts, Interval: d.Interval, Samples: d.Samples})
-			delete(held, address)
-		}
-	})
-	for address, tokens := range held {
-		// The router has forgotten the endpoint, since it is leaving.
-		r.Uses = append(r.Uses, gossip.Use{Endpoint: address, Held: tokens})
-	}
+	uses := x.own(now)
 	x.mutex.Lock()
 	x.sequence++
 	r.Sequence = x.sequence
-	r.News = x.tellable(now)
+	r.Uses, r.Partial = x.changes.Pick(uses, now)
+	if !r.Partial {
+		r.Leaving = x.instance.leaving()
+	}
+	r.News = x.tellable()
 	addresses := x.peers.Addresses(now)
 	x.mutex.Unlock()
 	data, err := gossip.Encode(r)
@@ -133,6 +129,23 @@
 	}
 }
 
+// own gives what this instance has at each endpoint.
+func (x *exchange) own(now time.Time) []gossip.Use {
+	var uses []gossip.Use
+	held := x.instance.turns.held()
+	x.instance.router.Demands(now, func(address netip.AddrPort, d endpoint.Demand) {
+		if d.Running > 0 || d.Memory > 0 || d.Samples > 0 {
+			uses = append(uses, gossip.Use{Endpoint: address, Running: d.Running, Memory: d.Memory, Held: held[address], Prompts: d.Prompts, Interval: d.Interval, Samples: d.Samples})
+			delete(held, address)
+		}
+	})
+	for address, tokens := range held {
+		// The router has forgotten the endpoint, since it is leaving.
+		uses = append(uses, gossip.Use{Endpoint: address, Held: tokens})
+	}
+	return uses
+}
+
 // receive takes the others' reports until the socket is closed.
 func (x *exchange) receive() {
 	x.socket.Receive(func(message []byte) {
@@ -153,6 +166,7 @@
 			x.instance.router.ObserveElsewhere(u.Endpoint, u.Interval, now)
 		}
 		x.instance.takeNews(r)
+		x.instance.takeRead(r, now)
 	})
 }
 
@@ -170,6 +184,20 @@
 	return x.peers.Uses(now)
 }
 
+// reads tells whether this instance reads the list of endpoints, and between how many the reading is shared.
+func (x *exchange) reads(now time.Time) (bool, int) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.peers.Reads(now), x.peers.Readers(now)
+}
+
+// latest gives the offset of the newest change of an endpoint that others know.
+func (x *exchange) latest(now time.Time) int64 {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.peers.Latest(now)
+}
+
 // newest gives the instance to learn from, and the version of its catalogue.
 func (x *exchange) newest(now time.Time) (netip.AddrPort, int64) {
 	x.mutex.Lock()
@@ -226,6 +254,17 @@
 	i.balance(time.Now())
 }
 
+// takeRead notes that the log told another instance of the endpoints.
+func (i *Instance) takeRead(r *gossip.Report, now time.Time) {
+	if r.Read < 0 || r.Latest > i.covered() {
+		return
+	}
+	at := now.Add(-r.Read)
+	if heard := i.heard.Load(); heard != nil && heard.Before(at) {
+		i.heard.Store(&at)
+	}
+}
+
 // balance gives the router what the other instances leave of each engine.
 func (i *Instance) balance(now time.Time) {
 	table := i.table.Load()
--- a/instance/hosted/follow.go
+++ b/instance/hosted/follow.go
@@ -18,10 +18,11 @@
 type follower struct {
 	instance *Instance
 	topic    string
-	pause    func() time.Duration // between two reads; nil: none
+	pause    func(ctx context.Context) error // waits between two reads; nil: not at all
 	list     func(records []platform.Record, end int64)
 	take     func(records []platform.Record)
-	failed   time.Time // latest failure of a call
+	reached  func(offset int64) // called with the offset up to which all records were taken; nil: not
+	failed   time.Time          // latest failure of a call
 	failures int
 }
 
@@ -55,7 +56,10 @@
 		if len(records) > 0 {
 			f.take(records)
 		}
-		if f.pause != nil && wait.For(ctx, f.pause()) != nil {
+		if f.reached != nil {
+			f.reached(next)
+		}
+		if f.pause != nil && f.pause(ctx) != nil {
 			return
 		}
 	}
@@ -124,10 +128,11 @@
 }
 
 func (i *Instance) followEndpoints(ctx context.Context) {
-	f := &follower{instance: i, topic: platform.TopicEndpoints, pause: i.listPause}
+	f := &follower{instance: i, topic: platform.TopicEndpoints, pause: i.pauseList, reached: i.listEnd.Store}
 	f.list = func(records []platform.Record, end int64) {
 		now := time.Now()
 		i.heard.Store(&now)
+		i.read.Store(&now)
 		changes := i.decode(records)
 		i.roster.Replace(changes, end, settleGrace, now)
 		i.listed.Store(true)
@@ -136,6 +141,7 @@
 	f.take = func(records []platform.Record) {
 		now := time.Now()
 		i.heard.Store(&now)
+		i.read.Store(&now)
 		changed := false
 		for _, c := range i.decode(records) {
 			if c.Endpoint == nil && now.Sub(f.failed) < settleGrace {
@@ -144,7 +150,7 @@
 			}
 			if i.roster.Apply(c, now) {
 				changed = true
-				i.exchange.tell(c, now)
+				i.exchange.tell(c)
 				i.observer.endpointChanged(c, "log")
 			}
 		}
@@ -156,11 +162,46 @@
 	f.run(ctx)
 }
 
-// listPause is the time between two reads of the list of endpoints. Whoever reads of a change first tells the others, so that each
-// instance reads more seldom the more there are.
-func (i *Instance) listPause() time.Duration {
-	pause := min(max(time.Duration(i.exchange.live())*listPauseEach, leastListPause), mostListPause)
-	return pause*4/5 + rand.N(pause*2/5)
+// pauseList waits between two reads of the list of endpoints. A few instances read for all and tell the others of each change; one
+// that does not read waits until it has to, or until others know of a change that it has missed.
+func (i *Instance) pauseList(ctx context.Context) error {
+	reads, among := i.exchange.reads(time.Now())
+	pause := max(time.Duration(among)*listPauseEach, leastListPause)
+	if err := wait.For(ctx, pause*4/5+rand.N(pause*2/5)); err != nil || reads {
+		return err
+	}
+	missed := time.Time{} // since when others know of a change that this instance does not
+	longest := time.Now().Add(longestUnread)
+	for time.Now().Before(longest) {
+		now := time.Now()
+		if reads, _ := i.exchange.reads(now); reads {
+			return nil
+		}
+		switch {
+		case i.exchange.latest(now) <= i.covered():
+			missed = time.Time{}
+		case missed.IsZero():
+			missed = now
+		case now.Sub(missed) >= missedGrace:
+			return nil
+		}
+		if err := wait.For(ctx, readLook); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// covered gives the offset up to which this instance knows of each change of an endpoint.
+func (i *Instance) covered() int64 { return max(i.roster.Latest(), i.listEnd.Load()) }
+
+// readAge tells how long ago this instance read the list of endpoints; negative if it has not.
+func (i *Instance) readAge(now time.Time) time.Duration {
+	read := i.read.Load()
+	if read == nil {
+		return -1
+	}
+	return now.Sub(*read)
 }
 
 // decode reads records of the list; one that can't be read names no endpoint to use.
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -39,6 +39,7 @@
 type Table struct {
 	mutex   sync.Mutex
 	entries map[string]*known
+	latest  int64 // offset of the newest change of who takes work
 }
 
 // NewTable returns an empty table.
@@ -74,6 +75,9 @@
 	if c.Endpoint.Leaving {
 		k.leave()
 	}
+	if !same {
+		t.latest = max(t.latest, c.Offset)
+	}
 	return !same
 }
 
@@ -82,6 +86,7 @@
 		return false
 	}
 	k.gone, k.offset, k.forget = true, offset, now.Add(forgetAfter)
+	t.latest = max(t.latest, offset)
 	k.leave()
 	return true
 }
@@ -181,6 +186,13 @@
 	return changes
 }
 
+// Latest returns the offset of the newest change of who takes work.
+func (t *Table) Latest() int64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.latest
+}
+
 // Gone returns the ids of endpoints that left lately, with those that are leaving.
 func (t *Table) Gone() []string {
 	t.mutex.Lock()
