Reports cross to another data centre once; a moved generation counts on where it goes on

Now one instance there, another for each report, passes it on to the rest. A generation that had been moved was taken for a new one at its new engine: its expected length and its prompt were counted again, and lengths were learnt without what was made before.

--- a/coordination/gossip/constants.go
+++ b/coordination/gossip/constants.go
@@ -11,6 +11,7 @@
 	wholeInterval   = 2 * time.Second        // between two reports that hold all uses
 	tellings        = 2                      // reports that hold a change of a use
 	likeness        = 0.1                    // part by which memory may differ, and speed, before it is told
+	leastForwarded  = 5                      // instances of another data centre that a report is sent to by one of them
 	readers         = 8                      // instances that read the list of endpoints for all others
 	readFresh       = time.Second            // age of a reader's latest read above which another takes its place
 	maximumPeers    = 4096
--- a/coordination/gossip/peers.go
+++ b/coordination/gossip/peers.go
@@ -108,17 +108,6 @@
 	return count
 }
 
-// Addresses returns where reports are sent: to the live instances, and to those that were named and not heard from yet.
-func (p *Peers) Addresses(now time.Time) []netip.AddrPort {
-	addresses := make([]netip.AddrPort, 0, len(p.known))
-	for a, k := range p.known {
-		if p.live(k, now) || now.Sub(k.named) <= p.expiry() || now.Sub(k.heard) <= goneExpiries*p.expiry() {
-			addresses = append(addresses, a)
-		}
-	}
-	return addresses
-}
-
 // Uses adds up what the other live instances have at each endpoint.
 func (p *Peers) Uses(now time.Time) map[netip.AddrPort]Use {
 	sums := make(map[netip.AddrPort]Use)
--- a/coordination/gossip/peers_test.go
+++ b/coordination/gossip/peers_test.go
@@ -153,6 +153,69 @@
 	})
 }
 
+// Seventy instances in four data centres: told directly, each report crosses between them 52 times.
+func TestTargets(t *testing.T) {
+	const size, places = 70, 4
+	place := func(n int) string { return string(rune('a' + n%places)) }
+	instance := func(n int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(n)}), 7200)
+	}
+	peers := func(self, size int) *Peers {
+		p := NewPeers(instance(self))
+		for n := range size {
+			p.Take(&Report{From: instance(n), Start: 1, Sequence: 1, Place: place(n)}, now)
+		}
+		return p
+	}
+	t.Run("each hears once, and few reports cross", func(t *testing.T) {
+		is := is.New(t)
+		heard, crossed := map[netip.AddrPort]int{}, 0
+		for _, target := range peers(0, size).Targets(place(0), 1, now) {
+			heard[target.Address]++
+			at := int(target.Address.Addr().As4()[3])
+			if place(at) == place(0) {
+				continue
+			}
+			crossed++
+			is.True(target.Forward)
+			for _, a := range peers(at, size).Around(place(at), now) {
+				heard[a]++
+			}
+		}
+		is.Equal(crossed, places-1)
+		is.Equal(len(heard), size-1)
+		for _, times := range heard {
+			is.Equal(times, 1)
+		}
+	})
+	t.Run("the one that passes on changes", func(t *testing.T) {
+		is := is.New(t)
+		seen := map[netip.AddrPort]bool{}
+		for sequence := range uint64(20) {
+			for _, target := range peers(0, size).Targets(place(0), sequence, now) {
+				seen[target.Address] = seen[target.Address] || target.Forward
+			}
+		}
+		passing := 0
+		for _, forward := range seen {
+			if forward {
+				passing++
+			}
+		}
+		is.True(passing >= 3*(places-1))
+	})
+	t.Run("small fleets and unknown instances directly", func(t *testing.T) {
+		is := is.New(t)
+		p := peers(0, 8)
+		p.Name(instance(99), now)
+		targets := p.Targets(place(0), 1, now)
+		is.Equal(len(targets), 8)
+		for _, target := range targets {
+			is.True(!target.Forward)
+		}
+	})
+}
+
 func TestInterval(t *testing.T) {
 	is := is.New(t)
 	p := NewPeers(self)
--- a/coordination/routing/ask.go
+++ b/coordination/routing/ask.go
@@ -14,6 +14,7 @@
 	Priority      int // 0 is served first
 	PromptTokens  int
 	MaximumTokens int              // limit on output that the caller set; zero: none
+	Made          int              // tokens of output that the generation has made elsewhere
 	Prefix        []uint64         // chained hashes of the prompt's blocks, see endpoint.Blocks
 	Movable       int              // generations that can leave an endpoint at short notice; zero: any number
 	Prefer        netip.AddrPort   // endpoint that Place takes if it may
--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -180,17 +180,12 @@
 
 // Submit queues a request, or refuses it; the flight's Refusal tells. Admit decides when it starts.
 func (c *Core) Submit(ask *Ask, now time.Time) *Flight {
-	f := &Flight{ask: ask, submitted: now}
-	f.decision = Decision{ID: ask.ID, Entry: ask.Entry, Workspace: ask.Workspace, Submitted: now}
-	p := c.pools[ask.Entry]
+	f := c.newFlight(ask, now)
+	p := f.pool
 	if p == nil {
 		c.refuse(f, ReasonNoEndpoint, time.Time{}, now)
 		return f
 	}
-	f.pool = p
-	f.groups = c.lengths.Groups(f.lengthKey())
-	f.lengths = f.groups.Best()
-	f.decision.Length = f.remaining()
 	p.count(now)
 	if reason, retry := c.judge(f, now); reason != "" {
 		c.refuse(f, reason, retry, now)
--- a/coordination/routing/flight.go
+++ b/coordination/routing/flight.go
@@ -51,6 +51,16 @@
 // Running tells whether the request was admitted and has not ended.
 func (f *Flight) Running() bool { return f.phase == phaseRunning }
 
+// newFlight returns a request that is neither queued nor running.
+func (c *Core) newFlight(ask *Ask, now time.Time) *Flight {
+	f := &Flight{ask: ask, submitted: now, pool: c.pools[ask.Entry], counted: ask.Made}
+	f.emitted.Store(int32(ask.Made))
+	f.groups = c.lengths.Groups(f.lengthKey())
+	f.lengths = f.groups.Best()
+	f.decision = Decision{ID: ask.ID, Entry: ask.Entry, Workspace: ask.Workspace, Submitted: now, Length: f.remaining()}
+	return f
+}
+
 func (f *Flight) prompt() int {
 	if f.ask.PromptTokens > 0 {
 		return f.ask.PromptTokens
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -8,16 +8,11 @@
 // Place starts a request at once on the endpoint that bears it best, also where none has room. It answers the load pattern of an
 // engine that is reclaimed while the others are full: what ran there goes on elsewhere at a price, and waiting would end it.
 func (c *Core) Place(ask *Ask, now time.Time) *Flight {
-	f := &Flight{ask: ask, submitted: now}
-	f.decision = Decision{ID: ask.ID, Entry: ask.Entry, Workspace: ask.Workspace, Submitted: now}
-	f.pool = c.pools[ask.Entry]
+	f := c.newFlight(ask, now)
 	if f.pool == nil {
 		c.refuse(f, ReasonNoEndpoint, time.Time{}, now)
 		return f
 	}
-	f.groups = c.lengths.Groups(f.lengthKey())
-	f.lengths = f.groups.Best()
-	f.decision.Length = f.remaining()
 	a := c.preferred(f, now)
 	if a == nil {
 		a = c.choose(f, now)
--- a/instance/hosted/exchange.go
+++ b/instance/hosted/exchange.go
@@ -102,7 +102,7 @@
 // report sends one report to all others.
 func (x *exchange) report() {
 	now := time.Now()
-	r := &gossip.Report{From: x.self, Start: x.start, Read: x.instance.readAge(now), Latest: x.instance.roster.Latest()}
+	r := &gossip.Report{From: x.self, Start: x.start, Place: x.instance.settings.DataCentre, Read: x.instance.readAge(now), Latest: x.instance.roster.Latest()}
 	if table := x.instance.table.Load(); table != nil {
 		r.Catalogue = table.Version
 	}
@@ -115,16 +115,37 @@
 		r.Leaving = x.instance.leaving()
 	}
 	r.News = x.tellable()
-	addresses := x.peers.Addresses(now)
+	targets := x.peers.Targets(r.Place, r.Sequence, now)
 	x.mutex.Unlock()
 	data, err := gossip.Encode(r)
 	if err != nil {
 		x.instance.logger.Error("report not sent", "error", err.Error())
 		return
 	}
+	for _, t := range targets {
+		x.pass(t.Address, data, t.Forward)
+	}
+}
+
+// pass sends an encoded report to one instance, which is to pass it on or not.
+func (x *exchange) pass(to netip.AddrPort, report []byte, forward bool) {
+	mark := byte(0)
+	if forward {
+		mark = 1
+	}
+	if err := x.socket.Send(to, append([]byte{mark}, report...)); err != nil {
+		x.instance.observer.unsent(to, err)
+	}
+}
+
+// forward passes a report from elsewhere on to the other instances of this data centre.
+func (x *exchange) forward(from netip.AddrPort, report []byte) {
+	x.mutex.Lock()
+	addresses := x.peers.Around(x.instance.settings.DataCentre, time.Now())
+	x.mutex.Unlock()
 	for _, a := range addresses {
-		if err := x.socket.Send(a, data); err != nil {
-			x.instance.observer.unsent(a, err)
+		if a != from {
+			x.pass(a, report, false)
 		}
 	}
 }
@@ -149,6 +170,10 @@
 // receive takes the others' reports until the socket is closed.
 func (x *exchange) receive() {
 	x.socket.Receive(func(message []byte) {
+		if len(message) == 0 {
+			return
+		}
+		forward, message := message[0] != 0, message[1:]
 		r, err := gossip.Decode(message)
 		if err != nil {
 			x.instance.observer.unreadable("report", err)
@@ -162,6 +187,9 @@
 		if !fresh {
 			return
 		}
+		if forward {
+			x.forward(r.From, message)
+		}
 		for _, u := range observed {
 			x.instance.router.ObserveElsewhere(u.Endpoint, u.Interval, now)
 		}
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -150,7 +150,7 @@
 	if m.near {
 		ask.FarCost = lostMove
 	}
-	ask.PromptTokens += int(m.course.passed.Load())
+	ask.Made = int(m.course.passed.Load())
 	slot, err := m.course.runner.Router.Place(&ask)
 	if err != nil {
 		return nil, Place{}, false
--- a/protocol/relay/restore.go
+++ b/protocol/relay/restore.go
@@ -27,6 +27,7 @@
 	}
 	ask := c.ask
 	ask.Prefer = d.Backup
+	ask.Made = int(c.passed.Load())
 	ask.Exclude = append(ask.Exclude[:len(ask.Exclude):len(ask.Exclude)], d.Place.Address)
 	slot, err := c.runner.Router.Place(&ask)
 	if err != nil {
