dykectl soak: real processes broken in overlapping series, promises checked from outside

Instances run as processes of their own before stand-ins for log, engines and callers, behind loopback links that delay, reset, silence or cut one way; kills, stops, freezes, reloads, engines reclaimed at 1.7 s notice, crashes, a log that is down, silent or forgetful, catalogue changes, drawn from a seed. Checked: no write or stream runs twice, no refusal of what has run, each answer is its engine's, each that an engine ran is whole unless a fault explains it, all is served again afterwards.

--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -54,6 +54,7 @@
 		{"overhead", "Measure what an instance adds to the first token, and its memory", "Sends the same requests to stand-in engines direct, through a naive proxy and through an instance, all in this process, and compares the time to the first token and the memory of open streams.", &overheadCommand{}},
 		{"capacity", "Measure what each role costs, and work out the size to design for", "Measures the slopes behind docs/CAPACITY.md afresh and rewrites its tables.", &capacityCommand{}},
 		{"standin", "Run a stand-in of an endpoint or of the platform", standinLong, &standinCommand{}},
+		{"soak", "Break instances that run as processes, and check that the promises hold", "Starts instances as processes before stand-ins on loopback, kills, stops and freezes them, harms their links, log and engines in overlapping series drawn from a seed, and checks each answer all the while. Exit code 1 if a promise was broken.", &soakCommand{}},
 		{"bench", "compare policies of routing", "Compares policies of routing on modelled engines in synthetic time.", &benchCommand{}},
 	}
 }
--- /dev/null
+++ b/cmd/dykectl/soak.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"dogwooddyke/experiment/soak"
+)
+
+// soakCommand breaks instances that run as processes, and checks that the promises hold.
+type soakCommand struct {
+	Binary    string  `long:"binary" value-name:"FILE" description:"dogwooddyke's; beside this program if left out"`
+	Seed      uint64  `long:"seed" value-name:"N" default:"1" description:"of faults and requests"`
+	Runs      int     `long:"runs" value-name:"N" default:"1" description:"runs, each with the next seed"`
+	Seconds   float64 `long:"seconds" value-name:"N" default:"15" description:"of traffic in a run"`
+	Instances int     `long:"instances" value-name:"N" default:"5" description:"instances, each a process"`
+	Engines   int     `long:"engines" value-name:"N" default:"6" description:"stand-in engines"`
+	Callers   int     `long:"callers" value-name:"N" default:"24" description:"callers that send one request after the other"`
+	Keep      string  `long:"keep" value-name:"DIRECTORY" description:"where settings and logs of failed runs are kept"`
+}
+
+// errBroken reports that a promise did not hold.
+var errBroken = errors.New("a promise was broken")
+
+// Execute runs the command.
+func (c *soakCommand) Execute(arguments []string) error {
+	if len(arguments) > 0 {
+		return &exitError{exitBadInput, fmt.Errorf("unexpected %q", arguments[0])}
+	}
+	if c.Binary == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		c.Binary = filepath.Join(filepath.Dir(own), "dogwooddyke")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	broken := 0
+	for n := range uint64(max(c.Runs, 1)) {
+		held, err := c.once(ctx, c.Seed+n)
+		if err != nil {
+			return err
+		}
+		if !held {
+			broken++
+		}
+	}
+	fmt.Printf("%d runs, %d broken\n", max(c.Runs, 1), broken)
+	if broken > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// once plays one seed and tells whether all promises held.
+func (c *soakCommand) once(ctx context.Context, seed uint64) (bool, error) {
+	directory, err := os.MkdirTemp(c.Keep, fmt.Sprint("soak-", seed, "-"))
+	if err != nil {
+		return false, err
+	}
+	options := &soak.Options{
+		Binary: c.Binary, Directory: directory, Seed: seed, Seconds: c.Seconds, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers,
+	}
+	if err := options.Check(); err != nil {
+		return false, &exitError{exitBadInput, errors.Join(err, os.RemoveAll(directory))}
+	}
+	report, err := soak.Run(ctx, options)
+	if err != nil {
+		return false, fmt.Errorf("seed %d, files in %s: %w", seed, directory, err)
+	}
+	if err := report.Print(os.Stdout); err != nil {
+		return false, err
+	}
+	if len(report.Broken) > 0 {
+		fmt.Println("  files in", directory)
+		return false, nil
+	}
+	return true, os.RemoveAll(directory)
+}
--- /dev/null
+++ b/experiment/soak/caller.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"dogwooddyke/internal/wait"
+	"dogwooddyke/platform/standin"
+)
+
+// Routes of the stand-in's catalogue.
+const (
+	routeLong  = "long"
+	routeShort = "short"
+	routeWrite = "write"
+	routeRead  = "read"
+)
+
+// caller sends requests one after the other, over connections that it keeps.
+type caller struct {
+	number int
+	random *rand.Rand
+	client *http.Client
+	nodes  []*node
+	ledger *ledger
+	sent   int
+}
+
+func newCaller(number int, seed uint64, nodes []*node, l *ledger) *caller {
+	return &caller{
+		number: number, random: rand.New(rand.NewPCG(seed, uint64(number))), nodes: nodes, ledger: l,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+	}
+}
+
+// run sends until the context ends; what is open then is seen to its end.
+func (c *caller) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		pause := c.call(c.random.IntN(len(c.nodes)), c.pick())
+		_ = wait.For(ctx, pause+time.Duration(c.random.Int64N(int64(thinkMost)))) // an ended context ends the loop
+	}
+}
+
+func (c *caller) pick() string {
+	switch pick := c.random.IntN(10); {
+	case pick < 4:
+		return routeLong
+	case pick < 5:
+		return routeShort
+	case pick < 8:
+		return routeWrite
+	default:
+		return routeRead
+	}
+}
+
+// call sends one request to its end and returns how long to wait before the next.
+func (c *caller) call(instance int, route string) time.Duration {
+	c.sent++
+	r := record{id: fmt.Sprintf("c%d-%d", c.number, c.sent), route: route, instance: instance, began: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	pause := c.exchange(ctx, &r)
+	r.ended = time.Now()
+	c.ledger.record(r)
+	return pause
+}
+
+// exchange sends the request and notes how it ends.
+func (c *caller) exchange(ctx context.Context, r *record) time.Duration {
+	method, events := http.MethodGet, 0
+	switch r.route {
+	case routeWrite:
+		method = http.MethodPost
+	case routeShort:
+		method, events = http.MethodPost, shortEvents
+	case routeLong:
+		method, events = http.MethodPost, leastEvents+c.random.IntN(mostEvents-leastEvents)
+	}
+	path := "/" + r.route + "/" + r.id
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.nodes[r.instance].callers+path, strings.NewReader("body of "+r.id))
+	if err != nil {
+		r.outcome, r.why = outcomeWrong, err.Error()
+		return 0
+	}
+	request.Host = standin.Host
+	request.GetBody = nil // the client must not send it again by itself
+	request.Header.Set(standin.HeaderRequest, r.id)
+	request.Header.Set(standin.HeaderDeadline, strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	request.Header.Set(standin.HeaderKey, standin.Key)
+	if events > 0 {
+		request.Header.Set(standin.HeaderTokens, fmt.Sprint(promptTokens, ",", events))
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		r.outcome, r.why = outcomeBroken, err.Error()
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return refused(r, response)
+	}
+	if events > 0 {
+		r.outcome, r.why = readEvents(response.Body, r.id, events)
+		return 0
+	}
+	r.outcome, r.why = readWhole(response, method, path)
+	return 0
+}
+
+// refused notes an answer other than a success.
+func refused(r *record, response *http.Response) time.Duration {
+	r.outcome, r.why = outcomeUnknown, response.Status
+	if response.StatusCode != http.StatusServiceUnavailable && response.StatusCode != http.StatusTooManyRequests {
+		return 0
+	}
+	r.outcome = outcomeRefused
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if err != nil {
+		r.outcome, r.why = outcomeWrong, "refused without a time to return: "+response.Status
+	}
+	return min(time.Duration(seconds*float64(time.Second)), retryMost)
+}
+
+// readWhole checks that an answer is the one of the engine that signed it.
+func readWhole(response *http.Response, method, path string) (outcome, string) {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return outcomeBroken, err.Error()
+	}
+	engine := strings.TrimPrefix(response.Header.Get(standin.HeaderSignature), "signed-by-")
+	if want := fmt.Sprintf("answer of %s to %s %s", engine, method, path); string(body) != want {
+		return outcomeWrong, fmt.Sprintf("body %q", body)
+	}
+	return outcomeServed, ""
+}
+
+// readEvents checks that a stream has each event once and in order, and ends as whole only after the last.
+func readEvents(body io.Reader, id string, count int) (outcome, string) {
+	lines := bufio.NewScanner(body)
+	last := 0
+	for lines.Scan() {
+		text, found := strings.CutPrefix(lines.Text(), "data: ")
+		if !found {
+			continue
+		}
+		last++
+		if text != fmt.Sprintf("%s-%d", id, last) {
+			return outcomeWrong, fmt.Sprintf("event %q in the place of %d", text, last)
+		}
+	}
+	switch err := lines.Err(); {
+	case err != nil && last == count:
+		return outcomeBroken, "end missing"
+	case err != nil:
+		return outcomeBroken, fmt.Sprintf("after %d of %d events: %v", last, count, errors.Unwrap(err))
+	case last != count:
+		return outcomeWrong, fmt.Sprintf("ends as whole after %d of %d events", last, count)
+	}
+	return outcomeServed, ""
+}
--- /dev/null
+++ b/experiment/soak/constants.go
@@ -0,0 +1,37 @@
+package soak
+
+import "time"
+
+const (
+	quietLead     = 1500 * time.Millisecond // without faults at the start
+	quietTail     = 4 * time.Second         // without new faults at the end
+	leastPause    = 60 * time.Millisecond   // between two faults
+	mostPause     = 600 * time.Millisecond
+	leastFault    = 200 * time.Millisecond
+	mostFault     = 2500 * time.Millisecond
+	shortNotice   = 1700 * time.Millisecond // from an engine's notice until it is gone
+	lapse         = 900 * time.Millisecond  // from an engine's death until it is off the list
+	engineMargin  = 3 * time.Second         // after an engine's fault in which requests may still end by it
+	grace         = 8 * time.Second         // from SIGTERM until SIGKILL
+	readyWait     = 60 * time.Second
+	callTimeout   = 20 * time.Second
+	linkDelay     = 300 * time.Millisecond
+	retryMost     = time.Second // that a caller waits after a refusal
+	thinkMost     = 40 * time.Millisecond
+	leastEvents   = 40 // of a long generation
+	mostEvents    = 500
+	shortEvents   = 6
+	promptTokens  = 900
+	heartbeat     = 400 * time.Millisecond
+	mostInstances = 200
+	maximumShown  = 20 // broken promises that are printed
+)
+
+// Services and data centres of the stand-ins.
+const (
+	serviceModel = "model"
+	serviceDesk  = "desk"
+	serviceOther = "other"
+)
+
+var dataCentres = []string{"a", "b", "c"}
--- /dev/null
+++ b/experiment/soak/fault.go
@@ -0,0 +1,112 @@
+package soak
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"dogwooddyke/internal/wait"
+)
+
+// carry makes one fault happen; it returns once the fault has begun.
+func (s *site) carry(ctx context.Context, p step) {
+	s.pending.Go(func() {
+		t := trouble{step: p, began: time.Now()}
+		if s.happen(context.WithoutCancel(ctx), p) {
+			t.ended = time.Now()
+			s.ledger.trouble(t)
+		}
+	})
+}
+
+// happen carries a fault to its end; false means that it did not take place.
+func (s *site) happen(ctx context.Context, p step) bool {
+	switch p.kind {
+	case kindKill, kindStop, kindFreeze, kindReload:
+		return s.harm(ctx, p)
+	case kindLogDown:
+		s.log.Refuse(refuseAll)
+		defer s.log.Refuse(0)
+	case kindLogSilent:
+		s.log.Silence(true)
+		defer s.log.Silence(false)
+	case kindLogForget:
+		s.log.ExpireAll()
+		return true
+	case kindLogLink:
+		l := s.nodes[p.target%len(s.nodes)].log
+		l.set(p.mode)
+		defer l.set(modePass)
+	case kindEngine:
+		l := s.any(p.target).link
+		l.set(p.mode)
+		defer l.set(modePass)
+	case kindReclaim, kindCrash:
+		return s.lose(ctx, p)
+	case kindCatalogue:
+		s.publish()
+		return true
+	}
+	return wait.For(ctx, p.last) == nil
+}
+
+// harm is a fault of an instance's process; kill and stop end with the process's next start.
+func (s *site) harm(ctx context.Context, p step) bool {
+	n := s.hold(p.target)
+	if n == nil {
+		return false
+	}
+	defer s.free(n)
+	switch p.kind {
+	case kindReload:
+		n.signal(syscall.SIGHUP)
+		return true
+	case kindFreeze:
+		n.signal(syscall.SIGSTOP)
+		defer n.signal(syscall.SIGCONT)
+		return wait.For(ctx, p.last) == nil
+	case kindStop:
+		n.signal(syscall.SIGTERM)
+		if !n.over(grace) {
+			n.end()
+		}
+	default:
+		n.end()
+	}
+	if wait.For(ctx, p.last/2) != nil {
+		return false
+	}
+	return n.start() == nil
+}
+
+// lose takes an engine away, with notice or without, and starts another in its place.
+func (s *site) lose(ctx context.Context, p step) bool {
+	m := s.take(p.target)
+	if m == nil {
+		return false
+	}
+	if p.kind == kindReclaim {
+		s.announce(m, p.target)
+		if wait.For(ctx, shortNotice) != nil {
+			return false
+		}
+	}
+	m.link.set(modeReset)
+	m.engine.Close()
+	if p.kind == kindCrash {
+		if wait.For(ctx, lapse) != nil {
+			return false
+		}
+		s.announce(m, 0)
+	}
+	return s.add(serviceModel) == nil
+}
+
+// announce tells that an engine is leaving: some say so, of others the entry is just removed.
+func (s *site) announce(m *member, number int) {
+	if number%2 == 1 {
+		s.list(m, "draining")
+		return
+	}
+	s.log.Drop(m.engine.ID)
+}
--- /dev/null
+++ b/experiment/soak/ledger_test.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestJudge(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	request := func(route string, o outcome) record {
+		return record{id: "r", route: route, instance: 1, began: at(10), ended: at(12), outcome: o}
+	}
+	fault := func(k kind, target int) trouble {
+		return trouble{step: step{kind: k, target: target}, began: at(11), ended: at(12)}
+	}
+	for name, c := range map[string]struct {
+		record  record
+		ran     int
+		trouble []trouble
+		broken  string // empty: none
+	}{
+		"served":                        {request(routeWrite, outcomeServed), 1, nil, ""},
+		"refused and not run":           {request(routeWrite, outcomeRefused), 0, nil, ""},
+		"refused and run":               {request(routeWrite, outcomeRefused), 1, nil, "said not to have run"},
+		"run twice":                     {request(routeLong, outcomeServed), 2, nil, "run twice"},
+		"repeatable run twice":          {request(routeRead, outcomeServed), 2, nil, ""},
+		"wrong":                         {request(routeRead, outcomeWrong), 1, nil, "wrong answer"},
+		"broken without a cause":        {request(routeLong, outcomeBroken), 1, nil, "not answered"},
+		"broken and never run":          {request(routeLong, outcomeBroken), 0, nil, ""},
+		"its instance killed":           {request(routeLong, outcomeBroken), 1, []trouble{fault(kindKill, 1)}, ""},
+		"another instance killed":       {request(routeLong, outcomeBroken), 1, []trouble{fault(kindKill, 2)}, "not answered"},
+		"its instance asked to end":     {request(routeLong, outcomeBroken), 1, []trouble{fault(kindStop, 1)}, "not answered"},
+		"engine reclaimed":              {request(routeLong, outcomeBroken), 1, []trouble{fault(kindReclaim, 0)}, "not answered"},
+		"engine crashed":                {request(routeLong, outcomeBroken), 1, []trouble{fault(kindCrash, 0)}, ""},
+		"log away":                      {request(routeWrite, outcomeUnknown), 1, []trouble{fault(kindLogDown, 0)}, "not answered"},
+		"killed, and run twice for all": {request(routeWrite, outcomeBroken), 2, []trouble{fault(kindKill, 1)}, "run twice"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := &ledger{records: []record{c.record}, troubles: c.trouble}
+			broken := l.judge(3, func(string) int { return c.ran })
+			if c.broken == "" {
+				is.Equal(broken, nil)
+				return
+			}
+			is.Equal(len(broken), 1)
+			is.True(strings.HasPrefix(broken[0], c.broken))
+		})
+	}
+}
+
+func TestPlan(t *testing.T) {
+	t.Run("same seed, same faults", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(plan(7, time.Minute), plan(7, time.Minute))
+	})
+	t.Run("all kinds, within the time", func(t *testing.T) {
+		is := is.New(t)
+		seen := map[kind]bool{}
+		for _, s := range plan(1, 2*time.Minute) {
+			seen[s.kind] = true
+			is.True(s.at >= quietLead && s.at < 2*time.Minute-quietTail)
+			is.True(s.mode > modePass && s.mode <= modeOneWay)
+		}
+		is.Equal(len(seen), len(shares))
+	})
+}
+
+func TestReadEvents(t *testing.T) {
+	for name, c := range map[string]struct {
+		body string
+		want outcome
+	}{
+		"whole":   {"id: 1\ndata: r-1\n\nid: 2\ndata: r-2\n\n", outcomeServed},
+		"twice":   {"data: r-1\n\ndata: r-1\n\n", outcomeWrong},
+		"missing": {"data: r-2\n\n", outcomeWrong},
+		"short":   {"data: r-1\n\n", outcomeWrong},
+		"other's": {"data: q-1\n\ndata: q-2\n\n", outcomeWrong},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, _ := readEvents(strings.NewReader(c.body), "r", 2)
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
--- /dev/null
+++ b/experiment/soak/options.go
@@ -0,0 +1,40 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+)
+
+// Options says what one run does.
+type Options struct {
+	Binary    string // of dogwooddyke
+	Directory string // for settings and logs
+	Seed      uint64
+	Seconds   float64 // of traffic
+	Instances int
+	Engines   int
+	Callers   int
+}
+
+// Check lists what is wrong with the options.
+func (o *Options) Check() error {
+	var faults []error
+	if _, err := os.Stat(o.Binary); err != nil {
+		faults = append(faults, fmt.Errorf("--binary: %w", err))
+	}
+	if least := (quietLead + quietTail + time.Second).Seconds(); o.Seconds < least {
+		faults = append(faults, fmt.Errorf("--seconds: %g is less than %g", o.Seconds, least))
+	}
+	if o.Instances < 1 || o.Instances > mostInstances {
+		faults = append(faults, fmt.Errorf("--instances: %d is not within 1 to %d", o.Instances, mostInstances))
+	}
+	if o.Engines < 2 {
+		faults = append(faults, fmt.Errorf("--engines: %d is less than 2", o.Engines))
+	}
+	if o.Callers < 1 {
+		faults = append(faults, fmt.Errorf("--callers: %d is less than 1", o.Callers))
+	}
+	return errors.Join(faults...)
+}
--- /dev/null
+++ b/experiment/soak/plan.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// kind is what goes wrong.
+type kind string
+
+const (
+	kindKill      kind = "kill"      // an instance ends without notice and starts again
+	kindStop      kind = "stop"      // an instance is asked to end, and starts again
+	kindFreeze    kind = "freeze"    // an instance stands still for a while
+	kindReload    kind = "reload"    // an instance is told that its settings have changed
+	kindLogDown   kind = "logDown"   // the log refuses all calls
+	kindLogSilent kind = "logSilent" // the log does not answer
+	kindLogForget kind = "logForget" // the log forgets its history
+	kindLogLink   kind = "logLink"   // one instance's way to the log is harmed
+	kindReclaim   kind = "reclaim"   // an engine is taken away at short notice
+	kindCrash     kind = "crash"     // an engine ends without notice
+	kindEngine    kind = "engine"    // the way to an engine is harmed
+	kindCatalogue kind = "catalogue" // a new version moves a route
+)
+
+// shares are the weights of the kinds.
+var shares = []struct {
+	kind   kind
+	weight int
+}{
+	{kindKill, 2},
+	{kindStop, 3},
+	{kindFreeze, 2},
+	{kindReload, 1},
+	{kindLogDown, 1},
+	{kindLogSilent, 1},
+	{kindLogForget, 1},
+	{kindLogLink, 3},
+	{kindReclaim, 8},
+	{kindCrash, 1},
+	{kindEngine, 1},
+	{kindCatalogue, 3},
+}
+
+// step is one fault of a run.
+type step struct {
+	at     time.Duration // from the start of traffic
+	kind   kind
+	target int           // counted round the instances or engines
+	mode   mode          // of a link
+	last   time.Duration // how long it lasts
+}
+
+// plan draws the faults of a run; the same seed gives the same ones.
+func plan(seed uint64, span time.Duration) []step {
+	random := rand.New(rand.NewPCG(seed, 0x50a4))
+	total := 0
+	for _, s := range shares {
+		total += s.weight
+	}
+	var steps []step
+	for at := quietLead; at < span-quietTail; at += between(random, leastPause, mostPause) {
+		s := step{at: at, target: random.IntN(1 << 16), mode: mode(1 + random.IntN(int(modeOneWay))), last: between(random, leastFault, mostFault)}
+		pick := random.IntN(total)
+		for _, share := range shares {
+			if pick -= share.weight; pick < 0 {
+				s.kind = share.kind
+				break
+			}
+		}
+		steps = append(steps, s)
+	}
+	return steps
+}
+
+func between(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(most-least)))
+}
--- /dev/null
+++ b/experiment/soak/site.go
@@ -0,0 +1,207 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"dogwooddyke/platform"
+	"dogwooddyke/platform/standin"
+)
+
+// site is the instances of a run, and the stand-ins of all that they meet.
+type site struct {
+	options *Options
+	log     *standin.Log
+	engines *standin.Engines
+	nodes   []*node
+	ledger  *ledger
+	pending conc.WaitGroup // faults that have not ended
+
+	mutex   sync.Mutex
+	fleet   []*member // engines that serve
+	gone    []*member
+	started int
+	version int
+	busy    map[*node]bool // a fault has its process
+}
+
+// member is one engine with the link to it.
+type member struct {
+	engine  *standin.Engine
+	link    *link
+	service string
+	place   string
+}
+
+func newSite(o *Options) (*site, error) {
+	s := &site{options: o, log: standin.NewLog(), engines: standin.NewEngines(), ledger: &ledger{}, busy: make(map[*node]bool)}
+	s.publish()
+	for range o.Engines {
+		if err := s.add(serviceModel); err != nil {
+			return s, err
+		}
+	}
+	for _, name := range []string{serviceDesk, serviceOther} {
+		if err := s.add(name); err != nil {
+			return s, err
+		}
+	}
+	for n := range o.Instances {
+		log, err := newLink(s.log.Address())
+		if err != nil {
+			return s, err
+		}
+		started, err := newNode(o, n, log)
+		if err != nil {
+			return s, err
+		}
+		s.nodes = append(s.nodes, started)
+		if err := started.start(); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+// publish puts a new version of the catalogue in force, which sends writes to another service than the one before.
+func (s *site) publish() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version++
+	writes := serviceDesk
+	if s.version%2 == 0 {
+		writes = serviceOther
+	}
+	s.log.Put(platform.TopicOperator, platform.KeyCatalogue, standin.Catalogue(s.version, writes))
+}
+
+// add starts an engine and lists it.
+func (s *site) add(service string) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.started++
+	m := &member{engine: s.engines.Start(fmt.Sprint("e-", s.started)), service: service, place: dataCentres[s.started%len(dataCentres)]}
+	l, err := newLink(m.engine.Address())
+	if err != nil {
+		return err
+	}
+	m.link = l
+	s.engines.Announce(m.engine, l.address())
+	s.fleet = append(s.fleet, m)
+	s.list(m, "ready")
+	return nil
+}
+
+func (s *site) list(m *member, state string) {
+	s.log.Put(platform.TopicEndpoints, m.engine.ID, m.engine.Entry(m.service, m.place, state))
+}
+
+// take removes a generating engine from those that serve, if others are left.
+func (s *site) take(number int) *member {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var models []int
+	for i, m := range s.fleet {
+		if m.service == serviceModel {
+			models = append(models, i)
+		}
+	}
+	if len(models) < 2 {
+		return nil
+	}
+	at := models[number%len(models)]
+	m := s.fleet[at]
+	s.fleet = append(s.fleet[:at:at], s.fleet[at+1:]...)
+	s.gone = append(s.gone, m)
+	return m
+}
+
+// any gives one of the engines that serve.
+func (s *site) any(number int) *member {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.fleet[number%len(s.fleet)]
+}
+
+// hold reserves an instance's process for a fault.
+func (s *site) hold(number int) *node {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	n := s.nodes[number%len(s.nodes)]
+	if s.busy[n] {
+		return nil
+	}
+	s.busy[n] = true
+	return n
+}
+
+func (s *site) free(n *node) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.busy, n)
+}
+
+// beat writes the engines' heartbeats until the channel is closed.
+func (s *site) beat(over <-chan struct{}) {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-over:
+			return
+		case <-ticker.C:
+		}
+		s.mutex.Lock()
+		for _, m := range s.fleet {
+			s.list(m, "ready")
+		}
+		s.mutex.Unlock()
+	}
+}
+
+// ready waits until all instances take work.
+func (s *site) ready() error {
+	limit := time.Now().Add(readyWait)
+	for _, n := range s.nodes {
+		for !n.isReady() {
+			if time.Now().After(limit) {
+				return errors.New(n.name + " is not ready")
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// heal ends all that may still be wrong.
+func (s *site) heal() {
+	s.pending.Wait()
+	s.log.Refuse(0)
+	s.log.Silence(false)
+}
+
+func (s *site) close() {
+	for _, n := range s.nodes {
+		n.signal(syscall.SIGCONT)
+		n.end()
+		n.log.close()
+		_ = n.output.Close()
+	}
+	s.mutex.Lock()
+	members := append(s.fleet, s.gone...)
+	s.mutex.Unlock()
+	for _, m := range members {
+		m.link.close()
+		m.engine.Close()
+	}
+	s.log.Close()
+}
+
+// refuseAll is what the log answers while it is down.
+const refuseAll = http.StatusServiceUnavailable
