--- a/experiment/control/caller.go
+++ b/experiment/control/caller.go
@@ -25,7 +25,7 @@
 	rate := o.Rate * float64(len(nodes))
 	for next := time.Now(); wait.For(ctx, time.Until(next)) == nil; {
 		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
-		at := "http://" + nodes[random.IntN(len(nodes))].settings.Callers.String() + "/v1/completions"
+		at := "http://" + nodes[random.IntN(len(nodes))].Settings.Callers.String() + "/v1/completions"
 		body := fmt.Sprintf(`{"model":%q,"prompt":"%d tokens=%d","stream":true}`,
 			entryName(random.IntN(entries)), random.Uint64(), 1+random.IntN(2*meanTokens))
 		key := workspaceKey(workspaceName(random.IntN(workspaceCount)))
--- a/experiment/control/check.go
+++ b/experiment/control/check.go
@@ -76,7 +76,7 @@
 func (r *run) alike(live []*node) bool {
 	last, known := r.history.at(r.history.head())
 	for _, n := range live {
-		view := n.instance.View()
+		view := n.Instance.View()
 		if !known || view.Revision != last.revision || view.Digest != last.digest {
 			return false
 		}
--- a/experiment/control/constants.go
+++ b/experiment/control/constants.go
@@ -63,9 +63,8 @@
 	killPeriod     = 6 * time.Second // mean between two deaths
 	noticePeriod   = 3 * time.Second // until the platform notices a death
 	replacePeriod  = time.Second     // until it starts a new instance
-	drainTimeout   = 30 * time.Second
-	headTime       = time.Second // before the first and after the last step of the script
-	maximumSamples = 1 << 17     // of one instance
+	headTime       = time.Second     // before the first and after the last step of the script
+	maximumSamples = 1 << 17         // of one instance
 	progressPeriod = 10 * time.Second
 	maximumFaults  = 16 // kept of one kind
 )
--- a/experiment/control/cost.go
+++ b/experiment/control/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	crypto "crypto/rand"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -64,7 +65,7 @@
 		_ = wait.For(ctx, startPause)
 	}
 	if err := f.await(ctx, readyTimeout, func(n *node) bool {
-		return n.instance.Ready() && n.instance.View().Offset >= operator.table.Offset()
+		return n.Instance.Ready() && n.Instance.View().Offset >= operator.table.Offset()
 	}); err != nil {
 		return nil, err
 	}
@@ -115,7 +116,7 @@
 func (f *fleet) dissolve(ctx context.Context) {
 	f.close()
 	for _, n := range f.all() {
-		n.unlist()
+		n.Unlist()
 	}
 	_ = wait.For(ctx, rosterLag+time.Second)
 }
@@ -154,7 +155,7 @@
 	s.read(ctx)
 	subject, _ := c.Subject()
 	c.Operator, c.Base, c.Seen = owner, s.table.View().RevisionOf(subject), s.table.Offset()
-	c.ID = newKey() // the same content may be published again after a removal
+	c.ID = crypto.Text() // the same content may be published again after a removal
 	data, err := catalogue.Encode(catalogue.Record{Change: &c})
 	if err != nil {
 		return err
--- a/experiment/control/fleet.go
+++ b/experiment/control/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"dogwooddyke/experiment/member"
 	"dogwooddyke/internal/wait"
 )
 
@@ -17,7 +18,7 @@
 // fleet is the instances of a run, those that have ended included.
 type fleet struct {
 	site   *site
-	key    string
+	keys   member.Keys
 	logger *slog.Logger
 
 	mutex sync.Mutex // guards nodes; taken before a node's own
@@ -25,7 +26,7 @@
 }
 
 func newFleet(s *site, logger *slog.Logger) *fleet {
-	return &fleet{site: s, key: newKey(), logger: logger}
+	return &fleet{site: s, keys: member.NewKeys(), logger: logger}
 }
 
 // add starts one instance.
@@ -33,7 +34,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	number := len(f.nodes)
-	n, err := startNode(ctx, f.site, fmt.Sprintf("instance%d", number), dataCentres[number%len(dataCentres)], f.key, f.logger)
+	n, err := startNode(ctx, f.site, fmt.Sprintf("instance%d", number), dataCentres[number%len(dataCentres)], f.keys, f.logger)
 	if err != nil {
 		return err
 	}
--- a/experiment/control/meter.go
+++ b/experiment/control/meter.go
@@ -29,7 +29,7 @@
 		most: make(map[string]float64),
 	}
 	for _, n := range f.live() {
-		u := n.instance.Usage()
+		u := n.Instance.Usage()
 		peers := float64(u.PeerBytesIn + u.PeerBytesOut)
 		r.bytes[kindFrames] += peers
 		r.most[n.name] += peers
--- a/experiment/control/run.go
+++ b/experiment/control/run.go
@@ -61,7 +61,7 @@
 	}
 	head := r.history.head()
 	settled := r.fleet.await(ctx, r.options.Limit, func(n *node) bool {
-		view := n.instance.View()
+		view := n.Instance.View()
 		return view.Offset >= head
 	})
 	live := r.fleet.live()
@@ -83,7 +83,7 @@
 			return err
 		}
 	}
-	return r.fleet.await(ctx, readyTimeout, func(n *node) bool { return n.instance.Ready() })
+	return r.fleet.await(ctx, readyTimeout, func(n *node) bool { return n.Instance.Ready() })
 }
 
 // publish lets all sessions work while the script goes on.
--- a/experiment/control/script.go
+++ b/experiment/control/script.go
@@ -87,7 +87,7 @@
 		}
 		n.kill()
 		_ = wait.For(ctx, noticePeriod)
-		n.unlist()
+		n.Unlist()
 	})
 	r.ends.Go(func() {
 		_ = wait.For(ctx, replacePeriod)
--- a/experiment/control/site.go
+++ b/experiment/control/site.go
@@ -3,32 +3,22 @@
 import (
 	"cmp"
 	"errors"
-	"net/netip"
 	"time"
 
+	"dogwooddyke/experiment/member"
 	"dogwooddyke/standin"
 	"dogwooddyke/standin/model"
 )
 
-// list is the platform's own side of its list of instances.
-type list interface {
-	Put(row standin.Instance) error
-	Delete(address netip.AddrPort)
-}
-
 // site is where the platform and the engines are; the stand-ins are nil when they run in another process.
 type site struct {
 	Addresses
-	list    list
+	list    member.List
 	log     *standin.Log
 	roster  *standin.Roster
 	engines []*standin.Engine
 }
 
-func loopback() netip.AddrPort {
-	return netip.MustParseAddrPort("127.0.0.1:0")
-}
-
 // startSite starts the stand-ins in this process.
 func startSite(engines int, retention time.Duration) (*site, error) {
 	s := &site{
@@ -37,8 +27,8 @@
 	}
 	s.list = s.roster
 	var logFault, rosterFault error
-	s.Log, logFault = s.log.Listen(loopback())
-	s.Roster, rosterFault = s.roster.Listen(loopback())
+	s.Log, logFault = s.log.Listen(member.Loopback())
+	s.Roster, rosterFault = s.roster.Listen(member.Loopback())
 	if err := cmp.Or(logFault, rosterFault); err != nil {
 		return nil, errors.Join(err, s.close())
 	}
@@ -53,7 +43,7 @@
 func (s *site) addEngine(number int) error {
 	e := standin.NewEngine(standin.EngineConfig{Model: "model", Version: "1", ChecksFence: true, Sizes: model.Config{Seed: uint64(number)}})
 	s.engines = append(s.engines, e)
-	at, err := e.Listen(loopback())
+	at, err := e.Listen(member.Loopback())
 	s.Engines = append(s.Engines, at)
 	return err
 }
--- a/experiment/demo/constants.go
+++ b/experiment/demo/constants.go
@@ -6,7 +6,6 @@
 const (
 	readyTimeout = 30 * time.Second // for all instances to have the catalogue and each other
 	forceTimeout = 11 * time.Second // for a catalogue change to be in force everywhere
-	drainTimeout = 3 * time.Minute
 	callerGrace  = 20 * time.Second // for callers who have left
 	pollInterval = 20 * time.Millisecond
 	rosterLag    = time.Second
--- a/experiment/demo/endpoints.go
+++ b/experiment/demo/endpoints.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/netip"
 
+	"dogwooddyke/experiment/member"
 	"dogwooddyke/standin"
 	"dogwooddyke/state/catalogue"
 )
@@ -28,10 +29,6 @@
 	groups []*group
 }
 
-func loopback() netip.AddrPort {
-	return netip.MustParseAddrPort("127.0.0.1:0")
-}
-
 // startEndpoints starts the endpoints of a layout on ports that the system picks.
 func startEndpoints(l *Layout) (*endpoints, error) {
 	b := &endpoints{}
@@ -58,7 +55,7 @@
 		g.services = append(g.services, s)
 		endpoint = s
 	}
-	at, err := endpoint.Listen(loopback())
+	at, err := endpoint.Listen(member.Loopback())
 	g.addresses = append(g.addresses, at)
 	return err
 }
--- a/experiment/demo/fleet.go
+++ b/experiment/demo/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwooddyke/experiment/load"
+	"dogwooddyke/experiment/member"
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/transport/operator"
 )
@@ -48,7 +49,7 @@
 	if err := f.publishAll(ctx); err != nil {
 		return err
 	}
-	keys := newSecrets()
+	keys := member.NewKeys()
 	for range o.Layout.Instances {
 		n, err := startNode(ctx, f.site, o.Layout.Grace, keys, o.Logger)
 		if err != nil {
--- a/experiment/demo/idle.go
+++ b/experiment/demo/idle.go
@@ -47,7 +47,7 @@
 func (f *fleet) spent() Idle {
 	total := Idle{Microseconds: float64(ProcessorTime().Microseconds()), Bytes: float64(f.sent())}
 	for _, n := range f.nodes {
-		for _, r := range n.instance.Usage().Requests {
+		for _, r := range n.Instance.Usage().Requests {
 			bytes := float64(r.BytesIn + r.BytesOut)
 			switch r.Name {
 			case "endpoint.load":
@@ -66,7 +66,7 @@
 func (f *fleet) sent() int64 {
 	total := int64(0)
 	for _, n := range f.nodes {
-		total += n.instance.Usage().PeerBytesOut
+		total += n.Instance.Usage().PeerBytesOut
 	}
 	return total
 }
--- a/experiment/demo/runner.go
+++ b/experiment/demo/runner.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"dogwooddyke/experiment/load"
+	"dogwooddyke/experiment/member"
 	"dogwooddyke/experiment/naive"
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/catalogue"
@@ -65,7 +66,7 @@
 	for _, g := range b.groups {
 		entries = append(entries, naive.Entry{Name: g.service.Entry.Name, Endpoints: g.addresses})
 	}
-	listener, err := net.Listen("tcp", loopback().String())
+	listener, err := net.Listen("tcp", member.Loopback().String())
 	if err != nil {
 		return nil, errors.Join(err, b.close())
 	}
--- a/experiment/demo/site.go
+++ b/experiment/demo/site.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/netip"
 
+	"dogwooddyke/experiment/member"
 	"dogwooddyke/standin"
 )
 
@@ -28,7 +29,7 @@
 		stand faulty
 		at    *netip.AddrPort
 	}{{s.log, &s.logAt}, {s.roster, &s.rosterAt}, {s.weights, &s.weightsAt}} {
-		if *l.at, err = l.stand.Listen(loopback()); err != nil {
+		if *l.at, err = l.stand.Listen(member.Loopback()); err != nil {
 			return nil, errors.Join(err, s.close())
 		}
 	}
