--- a/experiment/soak/fault.go
+++ b/experiment/soak/fault.go
@@ -25,9 +25,13 @@
 	case kindKill, kindStop, kindFreeze, kindReload:
 		return s.harm(ctx, p)
 	case kindLogDown:
+		s.away.RLock()
+		defer s.away.RUnlock()
 		s.log.Refuse(refuseAll)
 		defer s.log.Refuse(0)
 	case kindLogSilent:
+		s.away.RLock()
+		defer s.away.RUnlock()
 		s.log.Silence(true)
 		defer s.log.Silence(false)
 	case kindLogForget:
@@ -102,8 +106,10 @@
 	return s.add(serviceModel) == nil
 }
 
-// announce tells that an engine is leaving: some say so, of others the entry is just removed.
+// announce tells that an engine is leaving: some say so, of others the entry is just removed. It waits while the log takes nothing.
 func (s *site) announce(m *member, number int) {
+	s.away.Lock()
+	defer s.away.Unlock()
 	if number%2 == 1 {
 		s.list(m, "draining")
 		return
--- a/experiment/soak/site.go
+++ b/experiment/soak/site.go
@@ -22,6 +22,7 @@
 	nodes   []*node
 	ledger  *ledger
 	pending conc.WaitGroup // faults that have not ended
+	away    sync.RWMutex   // held to read while the log is away
 
 	mutex   sync.Mutex
 	fleet   []*member // engines that serve
--- a/instance/hosted/catchup.go
+++ b/instance/hosted/catchup.go
@@ -84,7 +84,7 @@
 	now := time.Now()
 	changed := false
 	for _, c := range known.Endpoints {
-		if i.roster.Apply(c, now) {
+		if i.news(c) && i.roster.Apply(c, now) {
 			changed = true
 			i.observer.endpointChanged(c, from.String())
 		}
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -61,6 +61,7 @@
 	read      atomic.Pointer[time.Time] // when it last told this instance; nil: never
 	listEnd   atomic.Int64              // offset up to which this instance has read the list of endpoints
 	listed    atomic.Bool               // the list of endpoints was read once
+	again     chan struct{}             // has the catalogue's topic read anew
 	known     chan struct{}             // closed once the catalogue and the endpoints are known
 	knowing   sync.Once
 	draining  atomic.Bool
@@ -81,6 +82,7 @@
 		router:   routing.New(routing.Config{Self: settings.Callers, DataCentre: settings.DataCentre, PromptWeight: promptWeight}),
 		entries:  make(map[string]bool),
 		known:    make(chan struct{}),
+		again:    make(chan struct{}, 1),
 	}
 	i.observer = newObserver(logger)
 	i.exchange = newExchange(i)
--- a/instance/hosted/exchange.go
+++ b/instance/hosted/exchange.go
@@ -265,7 +265,7 @@
 	changed := false
 	now := time.Now()
 	for _, c := range r.News {
-		if i.roster.Apply(c, now) {
+		if i.news(c) && i.roster.Apply(c, now) {
 			changed = true
 			i.observer.endpointChanged(c, r.From.String())
 		}
--- a/instance/hosted/follow.go
+++ b/instance/hosted/follow.go
@@ -18,6 +18,9 @@
 type follower struct {
 	instance *Instance
 	topic    string
+	wait     time.Duration                   // for records, at most
+	again    chan struct{}                   // has the present read ended and begun anew; nil: never
+	back     func()                          // called when the log serves again; nil: not
 	pause    func(ctx context.Context) error // waits between two reads; nil: not at all
 	list     func(records []platform.Record, end int64)
 	take     func(records []platform.Record)
@@ -43,10 +46,13 @@
 // read takes the records from the offset on until some have expired.
 func (f *follower) read(ctx context.Context, from int64) {
 	for ctx.Err() == nil {
-		records, next, err := f.instance.log.Read(ctx, f.topic, from, logWait)
+		records, next, err := f.once(ctx, from)
 		if errors.Is(err, platform.ErrExpired) {
 			return
 		}
+		if errors.Is(err, errAgain) {
+			continue
+		}
 		if err != nil {
 			f.rest(ctx, err)
 			continue
@@ -65,6 +71,31 @@
 	}
 }
 
+// errAgain reports a read that was ended to begin anew.
+var errAgain = errors.New("read is to begin anew")
+
+// once reads one time. A call that the log took before an outage may never be answered; it is not waited for once the log is back.
+func (f *follower) once(ctx context.Context, from int64) ([]platform.Record, int64, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := make(chan struct{})
+	defer close(stop)
+	if f.again != nil {
+		go func() {
+			select {
+			case <-f.again:
+				cancel(errAgain)
+			case <-stop:
+			}
+		}()
+	}
+	records, next, err := f.instance.log.Read(ctx, f.topic, from, f.wait)
+	if err != nil && errors.Is(context.Cause(ctx), errAgain) {
+		return nil, from, errAgain
+	}
+	return records, next, err
+}
+
 // rest waits after a failure, for longer each time.
 func (f *follower) rest(ctx context.Context, err error) {
 	if ctx.Err() != nil {
@@ -82,12 +113,23 @@
 func (f *follower) regained() {
 	if f.failures > 0 {
 		f.instance.logger.Info("log regained", "topic", f.topic, "failures", f.failures)
+		if f.back != nil {
+			f.back()
+		}
 	}
 	f.failures = 0
 }
 
+// readAgain has the catalogue's topic read anew, since its present call may be one that the log has lost.
+func (i *Instance) readAgain() {
+	select {
+	case i.again <- struct{}{}:
+	default:
+	}
+}
+
 func (i *Instance) followCatalogue(ctx context.Context) {
-	f := &follower{instance: i, topic: platform.TopicOperator, take: i.takeCatalogue}
+	f := &follower{instance: i, topic: platform.TopicOperator, wait: logWait, again: i.again, take: i.takeCatalogue}
 	f.list = func(records []platform.Record, _ int64) { i.takeCatalogue(records) }
 	f.run(ctx)
 }
@@ -128,13 +170,14 @@
 }
 
 func (i *Instance) followEndpoints(ctx context.Context) {
-	f := &follower{instance: i, topic: platform.TopicEndpoints, pause: i.pauseList, reached: i.listEnd.Store}
+	f := &follower{instance: i, topic: platform.TopicEndpoints, wait: i.settings.Heartbeat, pause: i.pauseList, reached: i.listEnd.Store, back: i.readAgain}
 	f.list = func(records []platform.Record, end int64) {
 		now := time.Now()
 		i.heard.Store(&now)
 		i.read.Store(&now)
 		changes := i.decode(records)
 		i.roster.Replace(changes, end, settleGrace, now)
+		i.listEnd.Store(end)
 		i.listed.Store(true)
 		i.refresh()
 	}
@@ -142,19 +185,21 @@
 		now := time.Now()
 		i.heard.Store(&now)
 		i.read.Store(&now)
-		changed := false
-		for _, c := range i.decode(records) {
-			if c.Endpoint == nil && now.Sub(f.failed) < settleGrace {
-				i.roster.Suspect(c.ID, c.Offset, now)
-				continue
-			}
+		changes := i.decode(records)
+		var changed []roster.Change
+		if now.Sub(f.failed) < settleGrace {
+			changed, changes = i.roster.Lose(departures(changes), now), arrivals(changes)
+		}
+		for _, c := range changes {
 			if i.roster.Apply(c, now) {
-				changed = true
-				i.exchange.tell(c)
-				i.observer.endpointChanged(c, "log")
+				changed = append(changed, c)
 			}
 		}
-		if changed {
+		for _, c := range changed {
+			i.exchange.tell(c)
+			i.observer.endpointChanged(c, "log")
+		}
+		if len(changed) > 0 {
 			i.exchange.poke()
 			i.refresh()
 		}
@@ -195,6 +240,10 @@
 // covered gives the offset up to which this instance knows of each change of an endpoint.
 func (i *Instance) covered() int64 { return max(i.roster.Latest(), i.listEnd.Load()) }
 
+// news tells whether another instance's change is newer than what this one has read of the log itself. An endpoint that it has long
+// forgotten must not come back by one that has not heard of its end.
+func (i *Instance) news(c roster.Change) bool { return c.Offset >= i.listEnd.Load() }
+
 // readAge tells how long ago this instance read the list of endpoints; negative if it has not.
 func (i *Instance) readAge(now time.Time) time.Duration {
 	read := i.read.Load()
@@ -204,6 +253,16 @@
 	return now.Sub(*read)
 }
 
+// departures gives the changes by which an endpoint is gone.
+func departures(changes []roster.Change) []roster.Change {
+	return slices.DeleteFunc(slices.Clone(changes), func(c roster.Change) bool { return c.Endpoint != nil })
+}
+
+// arrivals gives the changes by which an endpoint is there.
+func arrivals(changes []roster.Change) []roster.Change {
+	return slices.DeleteFunc(slices.Clone(changes), func(c roster.Change) bool { return c.Endpoint == nil })
+}
+
 // decode reads records of the list; one that can't be read names no endpoint to use.
 func (i *Instance) decode(records []platform.Record) []roster.Change {
 	changes := make([]roster.Change, 0, len(records))
--- a/instance/hosted/hosted_test.go
+++ b/instance/hosted/hosted_test.go
@@ -233,6 +233,23 @@
 	})
 }
 
+// The log takes calls that it never answers, and serves again later.
+func TestLogSilent(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.catalogue(1, "desk")
+	f.engine("d-1", "desk")
+	one := f.start()
+	f.ready(one)
+	began := time.Now()
+	f.log.Silence(true)
+	f.catalogue(2, "desk")
+	f.eventually("calls that are lost", func() bool { return !one.silent(time.Now().Add(-time.Second)) && one.silent(time.Now()) })
+	f.log.Silence(false)
+	f.eventually("version 2", func() bool { return one.version() == 2 })
+	is.New(t).True(time.Since(began) < logWait) // the lost call itself lasts longer
+}
+
 func TestDrain(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -32,7 +32,8 @@
 	forget   time.Time     // a gone endpoint is kept until then, against late news of it
 	notice   chan struct{} // closed when the endpoint is leaving or gone
 	noticed  bool
-	missing  time.Time // first seen to be missing from a full list; zero: not missing
+	missing  time.Time // first seen to be missing from the list though it may have lapsed only; zero: not missing
+	vanished time.Time // latest departure around an outage of the list; zero: none
 }
 
 // Table is the newest known state of each endpoint; it is safe for concurrent use, and its lock is held for no call out of it.
@@ -98,8 +99,8 @@
 	}
 }
 
-// Replace takes in a full list that was read at the offset. Endpoints that it lacks stay for the grace period: right after an
-// outage of the list they may only not be back yet.
+// Replace takes in a full list that was read at the offset. Where it lacks many endpoints, they stay for the grace period: right
+// after an outage of the list they may only not be back yet.
 func (t *Table) Replace(list []Change, offset int64, grace time.Duration, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -108,30 +109,23 @@
 		listed[c.ID] = true
 		t.apply(c, now)
 	}
+	var lacking []*known
 	for id, k := range t.entries {
-		if listed[id] || k.gone || k.offset >= offset {
-			continue
+		if !listed[id] && !k.gone && k.offset < offset {
+			lacking = append(lacking, k)
 		}
+	}
+	mass := t.mass(len(lacking), now)
+	for _, k := range lacking {
 		if k.missing.IsZero() {
 			k.missing = now
 		}
-		if now.Sub(k.missing) >= grace {
+		if !mass || now.Sub(k.missing) >= grace {
 			t.remove(k, offset, now)
 		}
 	}
 }
 
-// Suspect notes a departure that an outage of the list may have brought about: the endpoint stays until it is settled.
-func (t *Table) Suspect(id string, offset int64, now time.Time) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	k := t.entries[id]
-	if k == nil || k.gone || offset < k.offset || !k.missing.IsZero() {
-		return
-	}
-	k.offset, k.missing = offset, now
-}
-
 // Settle drops the endpoints that have been missing for the grace period, and forgets those that are long gone.
 func (t *Table) Settle(grace time.Duration, now time.Time) {
 	t.mutex.Lock()
