--- a/cmd/dogwooddyke/processes_test.go
+++ b/cmd/dogwooddyke/processes_test.go
@@ -109,11 +109,16 @@
 
 // instance starts one and returns its process and its listeners for callers and operators.
 func (p *processes) instance(name string) (command *exec.Cmd, callers, operators string) {
+	return p.instanceWith(name, "")
+}
+
+// instanceWith starts one with more settings.
+func (p *processes) instanceWith(name, more string) (command *exec.Cmd, callers, operators string) {
 	is := is.New(p.t)
 	a := freeAddresses(p.t, 3)
 	file := p.write(name+".ini", fmt.Sprintf("[instance]\ndataCentre = lulea-a\nnotice = 100ms\ncallers = %s\noperators = %s\npeers = %s\n"+
 		"[peers]\nkey = peer-key-of-the-process-test-0123456789\n[answers]\nkey = token-key-of-the-process-test-0123456789\n"+
-		"[platform]\nlog = http://%s\nroster = http://%s\n", a[0], a[1], a[2], p.log, p.roster))
+		"[platform]\nlog = http://%s\nroster = http://%s\n%s", a[0], a[1], a[2], p.log, p.roster, more))
 	command = p.start("dogwooddyke", "--settings", file)
 	row := fmt.Sprintf(`{"address":%q,"kind":"instance","dataCentre":"lulea-a","state":"live"}`, a[2])
 	request, err := http.NewRequest(http.MethodPut, "http://"+p.roster+"/instances", strings.NewReader(row))
