--- a/cmd/dykectl/main.go
+++ b/cmd/dykectl/main.go
@@ -55,6 +55,7 @@
 		{"capacity", "Measure what each role costs, and work out the size to design for", "Measures the slopes behind docs/CAPACITY.md afresh and rewrites its tables.", &capacityCommand{}},
 		{"standin", "Run a stand-in of an endpoint or of the platform", standinLong, &standinCommand{}},
 		{"soak", "Break instances that run as processes, and check that the promises hold", "Starts instances as processes before stand-ins on loopback, kills, stops and freezes them, harms their links, log and engines in overlapping series drawn from a seed, and checks each answer all the while. Exit code 1 if a promise was broken.", &soakCommand{}},
+		{"reclaim", "Compare how runs leave engines that are taken away at short notice", "Plays reclaims of engines in synthetic time with the instances' own decisions, beside copying all at once, at foreseen times, and a policy that knows all.", &reclaimCommand{}},
 		{"bench", "compare policies of routing", "Compares policies of routing on modelled engines in synthetic time.", &benchCommand{}},
 	}
 }
--- a/protocol/relay/handover_test.go
+++ b/coordination/evacuation/handover_test.go
@@ -1,4 +1,4 @@
-package relay
+package evacuation
 
 import (
 	"testing"
@@ -9,20 +9,19 @@
 
 // Three runs of 220 ms each share one link; the time for which each is silent is what its last copy waits for.
 func TestHandover(t *testing.T) {
-	noticed := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return noticed.Add(time.Duration(ms) * time.Millisecond) }
-	h := handover{noticed: noticed}
+	h := Handover{Noticed: noticed}
 	t.Run("goes on while other runs are copied", func(t *testing.T) {
 		is := is.New(t)
-		is.True(!h.stops(at(0), at(220)))
-		is.True(!h.stops(at(220), at(660)))
+		is.True(!h.Stops(at(0), at(220)))
+		is.True(!h.Stops(at(220), at(660)))
 	})
 	t.Run("stops once the link is free", func(t *testing.T) {
 		is := is.New(t)
-		is.True(h.stops(at(660), at(675)))
+		is.True(h.Stops(at(660), at(675)))
 	})
 	t.Run("stops in time", func(t *testing.T) {
 		is := is.New(t)
-		is.True(h.stops(at(900), at(1250)))
+		is.True(h.Stops(at(900), at(1250)))
 	})
 }
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -19,6 +19,8 @@
 	newsTellings    = 3                      // reports that hold a change of an endpoint
 	maximumNews     = 16
 	firstBackoff    = 80 * time.Millisecond
+	firstAnswer     = 300 * time.Millisecond // for the first call after a failure
+	answerSteps     = 2                      // times that this is doubled
 	longestPause    = 600 * time.Millisecond
 	noticePeriod    = 2500 * time.Millisecond // from SIGTERM until no connection is accepted
 	exitMargin      = 400 * time.Millisecond  // before the platform ends the process
--- a/instance/hosted/follow.go
+++ b/instance/hosted/follow.go
@@ -25,6 +25,8 @@
 	list     func(records []platform.Record, end int64)
 	take     func(records []platform.Record)
 	reached  func(offset int64) // called with the offset up to which all records were taken; nil: not
+	offset   int64              // up to which all records were taken
+	lostAt   int64              // the offset when the log was lost
 	failed   time.Time          // latest failure of a call
 	failures int
 }
@@ -39,6 +41,7 @@
 		}
 		f.regained()
 		f.list(records, from)
+		f.offset = from
 		f.read(ctx, from)
 	}
 }
@@ -58,7 +61,7 @@
 			continue
 		}
 		f.regained()
-		from = next
+		from, f.offset = next, next
 		if len(records) > 0 {
 			f.take(records)
 		}
@@ -89,7 +92,15 @@
 			}
 		}()
 	}
-	records, next, err := f.instance.log.Read(ctx, f.topic, from, f.wait)
+	wait := f.wait
+	if f.failures > 0 {
+		// A log that is back answers at once; it is asked for longer each time, in case that it is only slow.
+		wait = 0
+		limited, end := context.WithTimeout(ctx, firstAnswer<<min(f.failures-1, answerSteps))
+		defer end()
+		ctx = limited
+	}
+	records, next, err := f.instance.log.Read(ctx, f.topic, from, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errAgain) {
 		return nil, from, errAgain
 	}
@@ -104,6 +115,7 @@
 	f.failed = time.Now()
 	f.failures++
 	if f.failures == 1 {
+		f.lostAt = f.offset
 		f.instance.logger.Warn("log lost", "topic", f.topic, "error", err.Error())
 	}
 	pause := min(firstBackoff<<min(f.failures, 5), longestPause)
@@ -186,15 +198,17 @@
 		i.heard.Store(&now)
 		i.read.Store(&now)
 		changes := i.decode(records)
-		var changed []roster.Change
+		var gone []roster.Change
 		if now.Sub(f.failed) < settleGrace {
-			changed, changes = i.roster.Lose(departures(changes), now), arrivals(changes)
+			gone, changes = departures(changes), arrivals(changes)
 		}
+		var changed []roster.Change
 		for _, c := range changes {
 			if i.roster.Apply(c, now) {
 				changed = append(changed, c)
 			}
 		}
+		changed = append(changed, i.roster.Lose(gone, f.lostAt, now)...)
 		for _, c := range changed {
 			i.exchange.tell(c)
 			i.observer.endpointChanged(c, "log")
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"dogwooddyke/coordination/evacuation"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/internal/wait"
 )
@@ -24,7 +25,7 @@
 	leave  func()
 	near   bool // there is only time for copies within the data centre
 
-	handover handover
+	handover evacuation.Handover
 }
 
 // move is a run that stopped to go on at another endpoint.
@@ -95,9 +96,9 @@
 	case <-m.ended:
 		return
 	}
-	m.handover.noticed = time.Now()
-	latest := m.handover.noticed.Add(latestStop)
-	plan := m.course.runner.Turns.Turn(m.course.request, m.from, m.handover.noticed, latest)
+	m.handover.Noticed = time.Now()
+	latest := m.handover.Noticed.Add(evacuation.LatestStop)
+	plan := m.course.runner.Turns.Turn(m.course.request, m.from, m.handover.Noticed, latest)
 	m.near = plan.Near
 	if err := m.await(ctx, plan.Begin); err != nil {
 		return
@@ -177,10 +178,10 @@
 			m.course.runner.Endpoints.Drop(ctx, copied)
 			return false, false
 		}
-		if m.handover.stops(began, time.Now()) {
+		if m.handover.Stops(began, time.Now()) {
 			break
 		}
-		if err := wait.For(ctx, copyPause); err != nil {
+		if err := wait.For(ctx, evacuation.CopyPause); err != nil {
 			return false, false
 		}
 	}
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -116,12 +116,12 @@
 
 // movable counts the runs like this one that can be copied off an endpoint between its notice and its end.
 func movable(r *Request) int {
-	link := evacuation.Link{TokenBytes: r.Engine.TokenBytes, Bits: r.Engine.LinkBits, Distance: usualDistance}
+	link := evacuation.Link{TokenBytes: r.Engine.TokenBytes, Bits: r.Engine.LinkBits, Distance: 1}
 	span := link.Span(r.Prompt + r.Output/usualPart)
 	if span <= 0 {
 		return 0
 	}
-	return max(int(latestStop/span), 1)
+	return max(int(evacuation.LatestStop/span), 1)
 }
 
 // run sends the request until an answer is passed on or no further dispatch is allowed.
--- a/state/roster/lapse.go
+++ b/state/roster/lapse.go
@@ -10,22 +10,28 @@
 // lapsed tells whether endpoints that vanish from the list around an outage of it have only lapsed, and will be back. It answers two
 // load patterns that look alike at first: an outage in which the entries of engines that live expire by the dozen, where taking
 // them all for gone would refuse what they could serve; and an engine that is reclaimed at short notice just after an outage, where
-// waiting to see whether its entry comes back would lose its runs. Few that vanish are taken at their word.
+// waiting to see whether its entry comes back would lose its runs. Few that vanish are taken at their word, and so is one that has
+// written to the list since it was lost.
 func lapsed(vanished, listed int) bool { return vanished*lapsePart > listed }
 
-// Lose takes in endpoints that vanished from the list shortly after an outage, and returns those that are taken for gone; the others
-// stay until they are settled.
-func (t *Table) Lose(changes []Change, now time.Time) []Change {
+// Lose takes in endpoints that vanished from the list shortly after it was lost at the offset, and returns those that are taken for
+// gone; the others stay until they are settled.
+func (t *Table) Lose(changes []Change, lostAt int64, now time.Time) []Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var vanished []Change
+	var vanished, gone []Change
 	for _, c := range changes {
-		if k := t.entries[c.ID]; k != nil && !k.gone && c.Offset >= k.offset && k.missing.IsZero() {
+		k := t.entries[c.ID]
+		switch {
+		case k == nil, k.gone, c.Offset < k.offset, !k.missing.IsZero():
+		case k.offset >= lostAt:
+			t.remove(k, c.Offset, now)
+			gone = append(gone, c)
+		default:
 			vanished = append(vanished, c)
 		}
 	}
 	mass := t.mass(len(vanished), now)
-	var gone []Change
 	for _, c := range vanished {
 		k := t.entries[c.ID]
 		if k.vanished = now; mass {
