Departures that a listing shows are told to the others

Found by the soak (seed 415): where the log had forgotten its history, who listed it anew knew that an engine had left, and those who could not reach the log heard of it only with the next whole report, up to 2 s later. Replace returns the departures, and they are news.

--- a/instance/hosted/follow.go
+++ b/instance/hosted/follow.go
@@ -188,7 +188,7 @@
 		i.heard.Store(&now)
 		i.read.Store(&now)
 		changes := i.decode(records)
-		i.roster.Replace(changes, end, settleGrace, now)
+		i.tellChanged(i.roster.Replace(changes, end, settleGrace, now))
 		i.listEnd.Store(end)
 		i.listed.Store(true)
 		i.refresh()
@@ -209,18 +209,24 @@
 			}
 		}
 		changed = append(changed, i.roster.Lose(gone, f.lostAt, now)...)
-		for _, c := range changed {
-			i.exchange.tell(c)
-			i.observer.endpointChanged(c, "log")
-		}
-		if len(changed) > 0 {
-			i.exchange.poke()
+		if i.tellChanged(changed); len(changed) > 0 {
 			i.refresh()
 		}
 	}
 	f.run(ctx)
 }
 
+// tellChanged tells the others what the log said of endpoints.
+func (i *Instance) tellChanged(changes []roster.Change) {
+	for _, c := range changes {
+		i.exchange.tell(c)
+		i.observer.endpointChanged(c, "log")
+	}
+	if len(changes) > 0 {
+		i.exchange.poke()
+	}
+}
+
 // pauseList waits between two reads of the list of endpoints. A few instances read for all and tell the others of each change; one
 // that does not read waits until it has to, or until others know of a change that it has missed.
 func (i *Instance) pauseList(ctx context.Context) error {
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -100,8 +100,8 @@
 }
 
 // Replace takes in a full list that was read at the offset. Where it lacks many endpoints, they stay for the grace period: right
-// after an outage of the list they may only not be back yet.
-func (t *Table) Replace(list []Change, offset int64, grace time.Duration, now time.Time) {
+// after an outage of the list they may only not be back yet. It returns the departures.
+func (t *Table) Replace(list []Change, offset int64, grace time.Duration, now time.Time) []Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	listed := make(map[string]bool, len(list))
@@ -109,21 +109,24 @@
 		listed[c.ID] = true
 		t.apply(c, now)
 	}
-	var lacking []*known
+	var gone []Change
+	lacking := make(map[string]*known)
 	for id, k := range t.entries {
 		if !listed[id] && !k.gone && k.offset < offset {
-			lacking = append(lacking, k)
+			lacking[id] = k
 		}
 	}
 	mass := t.mass(len(lacking), now)
-	for _, k := range lacking {
+	for id, k := range lacking {
 		if k.missing.IsZero() {
 			k.missing = now
 		}
 		if !mass || now.Sub(k.missing) >= grace {
 			t.remove(k, offset, now)
+			gone = append(gone, Change{ID: id, Offset: offset})
 		}
 	}
+	return gone
 }
 
 // Settle drops the endpoints that have been missing for the grace period, and forgets those that are long gone.
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -149,7 +149,7 @@
 		for n := range 8 {
 			listed = append(listed, at(string(rune('a'+n)), int64(n+1), false))
 		}
-		table.Replace(listed, 20, lapseWindow, now)
+		is.Equal(table.Replace(listed, 20, lapseWindow, now), []Change{{ID: "i", Offset: 20}})
 		is.Equal(len(table.List()), 8)
 	})
 }
