--- a/experiment/reclaim/policy.go
+++ b/experiment/reclaim/policy.go
@@ -59,8 +59,8 @@
 
 func (oneByOne) begins(s *scene, r *run, now time.Time) bool {
 	_, before := s.own(r, now)
-	clear := before == 0 && evacuation.Before(address(r.instance), s.parties(r, now), engine) == 0
-	return clear || !now.Before(r.begin)
+	all := before == 0 && evacuation.Before(address(r.instance), s.parties(r, now), engine) == 0
+	return all || !now.Before(r.begin)
 }
 
 // clairvoyant copies one run after the other without a gap, those with the least memory first, and near where it can.
