--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -10,6 +10,7 @@
 	tickInterval    = 50 * time.Millisecond
 	settleGrace     = 2500 * time.Millisecond // in which endpoints come back to the list after an outage
 	logWait         = 20 * time.Second        // for records of the log, at most
+	listHeartbeats  = 2                       // heartbeats of an endpoint for which a read of the list waits
 	listPauseEach   = 45 * time.Millisecond   // between reads of the list of endpoints, for each instance
 	leastListPause  = 200 * time.Millisecond
 	longestUnread   = 8 * time.Second        // without a read of the list of endpoints, where others read it
@@ -20,7 +21,7 @@
 	maximumNews     = 16
 	firstBackoff    = 80 * time.Millisecond
 	firstAnswer     = 300 * time.Millisecond // for the first call after a failure
-	answerSteps     = 2                      // times that this is doubled
+	answerSteps     = 3                      // times that this is doubled; a slow log answers after some seconds
 	longestPause    = 600 * time.Millisecond
 	noticePeriod    = 2500 * time.Millisecond // from SIGTERM until no connection is accepted
 	exitMargin      = 400 * time.Millisecond  // before the platform ends the process
