--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -10,7 +10,6 @@
 	tickInterval    = 50 * time.Millisecond
 	settleGrace     = 2500 * time.Millisecond // in which endpoints come back to the list after an outage
 	logWait         = 20 * time.Second        // for records of the log, at most
-	listHeartbeats  = 2                       // heartbeats of an endpoint for which a read of the list waits
 	listPauseEach   = 45 * time.Millisecond   // between reads of the list of endpoints, for each instance
 	leastListPause  = 200 * time.Millisecond
 	longestUnread   = 8 * time.Second        // without a read of the list of endpoints, where others read it
--- a/instance/hosted/follow.go
+++ b/instance/hosted/follow.go
@@ -182,7 +182,7 @@
 }
 
 func (i *Instance) followEndpoints(ctx context.Context) {
-	f := &follower{instance: i, topic: platform.TopicEndpoints, wait: listHeartbeats * i.settings.Heartbeat, pause: i.pauseList, reached: i.listEnd.Store, back: i.readAgain}
+	f := &follower{instance: i, topic: platform.TopicEndpoints, wait: i.settings.Heartbeat, pause: i.pauseList, reached: i.listEnd.Store, back: i.readAgain}
 	f.list = func(records []platform.Record, end int64) {
 		now := time.Now()
 		i.heard.Store(&now)
--- a/instance/hosted/hosted_test.go
+++ b/instance/hosted/hosted_test.go
@@ -233,6 +233,23 @@
 	})
 }
 
+// The only engine is reclaimed, and the next one is listed a little later.
+func TestMoveLate(t *testing.T) {
+	f := newFleet(t)
+	f.catalogue(1, "desk")
+	first := f.engine("m-1", "model")
+	i := f.start()
+	f.ready(i)
+	f.eventually("endpoints", func() bool { return len(i.roster.List()) == 1 })
+	response := f.open(call{at: i, method: "POST", path: "/long/", id: "s1", headers: map[string]string{standin.HeaderTokens: "100,300"}})
+	defer func() { _ = response.Body.Close() }()
+	f.log.Put(platform.TopicEndpoints, "m-1", first.Entry("model", "a", "draining"))
+	f.eventually("notice", func() bool { return len(i.roster.Gone()) == 1 })
+	second := f.engine("m-2", "model")
+	assertEvents(t, response.Body, "s1", 300)
+	is.New(t).Equal(len(second.Seen()), 1)
+}
+
 // The log takes calls that it never answers, and serves again later.
 func TestLogSilent(t *testing.T) {
 	t.Parallel()
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -105,11 +105,8 @@
 	}
 	tried := []netip.AddrPort{m.from.Address}
 	for range moveTries {
-		if m.over() || ctx.Err() != nil {
-			return
-		}
-		slot, at, found := m.target(tried)
-		if !found {
+		slot, at, err := m.seek(ctx, tried)
+		if err != nil {
 			return
 		}
 		retry, done := m.take(ctx, slot, at)
@@ -143,6 +140,19 @@
 	return nil
 }
 
+// seek waits for an endpoint that may take the run: one may become known while the run's own is leaving.
+func (m *mover) seek(ctx context.Context, tried []netip.AddrPort) (*routing.Slot, Place, error) {
+	for !m.over() {
+		if slot, at, found := m.target(tried); found {
+			return slot, at, nil
+		}
+		if err := wait.For(ctx, movePause); err != nil {
+			return nil, Place{}, err
+		}
+	}
+	return nil, Place{}, errEnded
+}
+
 // target finds the endpoint that bears the run best.
 func (m *mover) target(tried []netip.AddrPort) (*routing.Slot, Place, bool) {
 	ask := m.course.ask
