--- a/experiment/soak/fault.go
+++ b/experiment/soak/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -27,7 +28,7 @@
 	case kindLogDown:
 		s.away.RLock()
 		defer s.away.RUnlock()
-		s.log.Refuse(refuseAll)
+		s.log.Refuse(http.StatusServiceUnavailable)
 		defer s.log.Refuse(0)
 	case kindLogSilent:
 		s.away.RLock()
--- a/experiment/soak/site.go
+++ b/experiment/soak/site.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -203,6 +202,3 @@
 	}
 	s.log.Close()
 }
-
-// refuseAll is what the log answers while it is down.
-const refuseAll = http.StatusServiceUnavailable
