--- a/instance/hosted/follow.go
+++ b/instance/hosted/follow.go
@@ -42,14 +42,14 @@
 		f.regained()
 		f.list(records, from)
 		f.offset = from
-		f.read(ctx, from)
+		f.read(ctx)
 	}
 }
 
 // read takes the records from the offset on until some have expired.
-func (f *follower) read(ctx context.Context, from int64) {
+func (f *follower) read(ctx context.Context) {
 	for ctx.Err() == nil {
-		records, next, err := f.once(ctx, from)
+		records, next, err := f.once(ctx)
 		if errors.Is(err, platform.ErrExpired) {
 			return
 		}
@@ -61,7 +61,7 @@
 			continue
 		}
 		f.regained()
-		from, f.offset = next, next
+		f.offset = next
 		if len(records) > 0 {
 			f.take(records)
 		}
@@ -78,7 +78,7 @@
 var errAgain = errors.New("read is to begin anew")
 
 // once reads one time. A call that the log took before an outage may never be answered; it is not waited for once the log is back.
-func (f *follower) once(ctx context.Context, from int64) ([]platform.Record, int64, error) {
+func (f *follower) once(ctx context.Context) ([]platform.Record, int64, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := make(chan struct{})
@@ -100,9 +100,9 @@
 		defer end()
 		ctx = limited
 	}
-	records, next, err := f.instance.log.Read(ctx, f.topic, from, wait)
+	records, next, err := f.instance.log.Read(ctx, f.topic, f.offset, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errAgain) {
-		return nil, from, errAgain
+		return nil, f.offset, errAgain
 	}
 	return records, next, err
 }
