What others saw of an idle engine takes no own sample away

Ruled out: memory, held and prompts below zero (the error now names the field; only samples was seen).

--- a/coordination/gossip/peers_test.go
+++ b/coordination/gossip/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -226,6 +227,20 @@
 	is.Equal(p.Interval(), 10*time.Second)
 }
 
+func TestDecode(t *testing.T) {
+	for name, use := range map[string]Use{"samples": {Samples: -1}, "held": {Held: -3}, "interval": {Interval: time.Hour}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			use.Endpoint = endpoint
+			data, err := Encode(&Report{From: other, Start: 1, Sequence: 1, Uses: []Use{use}})
+			is.NoErr(err)
+			_, err = Decode(data)
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), name))
+		})
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	data, err := Encode(&Report{From: other, Start: 1, Sequence: 1, Uses: []Use{{Endpoint: endpoint, Running: 2, Memory: 300}}, Leaving: []string{"i-1"}})
 	if err != nil {
--- a/coordination/gossip/report.go
+++ b/coordination/gossip/report.go
@@ -1,8 +1,9 @@
 package gossip
 
 import (
+	"fmt"
+	"math"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -40,6 +41,28 @@
 // none tells whether the use says that there is nothing at its endpoint.
 func (u Use) none() bool { return u == Use{Endpoint: u.Endpoint} }
 
+// check tells which field of a use can't be.
+func (u Use) check() error {
+	fields := []struct {
+		name  string
+		value int64
+		most  int64
+	}{
+		{"running", int64(u.Running), math.MaxInt64},
+		{"memory", int64(u.Memory), math.MaxInt64},
+		{"held", int64(u.Held), math.MaxInt64},
+		{"prompts", int64(u.Prompts), math.MaxInt64},
+		{"samples", int64(u.Samples), math.MaxInt64},
+		{"interval", int64(u.Interval), int64(time.Minute)},
+	}
+	for _, f := range fields {
+		if f.value < 0 || f.value > f.most {
+			return fmt.Errorf("use of %s: %s is %d", u.Endpoint, f.name, f.value)
+		}
+	}
+	return nil
+}
+
 // Encode writes a report.
 func Encode(r *Report) ([]byte, error) {
 	data, err := cbor.Marshal(r)
@@ -61,11 +84,10 @@
 	if len(r.Uses) > maximumReported || len(r.Leaving) > maximumLeaving || len(r.News) > maximumLeaving {
 		return nil, oops.In("gossip").Errorf("report is too large")
 	}
-	negative := func(u Use) bool {
-		return u.Samples < 0 || u.Running < 0 || u.Memory < 0 || u.Held < 0 || u.Prompts < 0 || u.Interval < 0 || u.Interval > time.Minute
-	}
-	if slices.ContainsFunc(r.Uses, negative) {
-		return nil, oops.In("gossip").Errorf("a use is negative")
+	for _, u := range r.Uses {
+		if err := u.check(); err != nil {
+			return nil, oops.In("gossip").With("from", r.From).Wrap(err)
+		}
 	}
 	return r, nil
 }
--- a/coordination/routing/shares.go
+++ b/coordination/routing/shares.go
@@ -26,8 +26,7 @@
 
 // ObserveElsewhere learns from a mean time between tokens that another instance has observed at an engine.
 func (c *Core) ObserveElsewhere(address netip.AddrPort, interval time.Duration, now time.Time) {
-	if a := c.accounts[address]; a != nil {
-		a.speed.Observe(a.batch(now), interval)
+	if a := c.accounts[address]; a != nil && a.speed.Observe(a.batch(now), interval) {
 		a.told++
 	}
 }
--- a/state/endpoint/speed.go
+++ b/state/endpoint/speed.go
@@ -27,10 +27,10 @@
 	s.batchSeconds += weight * batch * seconds
 }
 
-// Observe records a mean interval between tokens at a size of the batch.
-func (s *Speed) Observe(batch int, interval time.Duration) {
+// Observe records a mean interval between tokens at a size of the batch, and tells whether it was one to learn from.
+func (s *Speed) Observe(batch int, interval time.Duration) bool {
 	if interval <= 0 || batch < 1 {
-		return
+		return false
 	}
 	interval = min(interval, maximumStep)
 	for _, v := range []*float64{&s.weight, &s.batches, &s.seconds, &s.batchSquares, &s.batchSeconds} {
@@ -43,6 +43,7 @@
 		s.recent = interval.Seconds()
 	}
 	s.recent += (1 - recentDecay) * (interval.Seconds() - s.recent)
+	return true
 }
 
 // line gives the step's base and what each generation adds, in seconds.
