A log that serves for a moment between two silences is heard

All five instances had a call under way that the log had taken and forgotten, each waited for up to 1.2 s, so none heard; 1.7 s later both engines were gone. Mend: beside a call whose answer is overdue by 0.25 s a further one begins (wait.First); what an overdue answer tells is taken as after an outage, so that servers that lapsed meanwhile are not taken for gone.

--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -19,8 +19,7 @@
 	newsTellings    = 3                      // reports that hold a change of an endpoint
 	maximumNews     = 16
 	firstBackoff    = 80 * time.Millisecond
-	firstAnswer     = 300 * time.Millisecond // for the first call after a failure
-	answerSteps     = 3                      // times that this is doubled; a slow log answers after some seconds
+	probeInterval   = 250 * time.Millisecond // between two calls to a log that is lost, beside those that have no answer yet
 	longestPause    = 600 * time.Millisecond
 	noticePeriod    = 2500 * time.Millisecond // from SIGTERM until no connection is accepted
 	exitMargin      = 400 * time.Millisecond  // before the platform ends the process
--- a/instance/hosted/follow.go
+++ b/instance/hosted/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -14,124 +13,6 @@
 	"dogwooddyke/state/roster"
 )
 
-// follower reads one topic of the log from its newest records on.
-type follower struct {
-	instance *Instance
-	topic    string
-	wait     time.Duration                   // for records, at most
-	again    chan struct{}                   // has the present read ended and begun anew; nil: never
-	back     func()                          // called when the log serves again; nil: not
-	pause    func(ctx context.Context) error // waits between two reads; nil: not at all
-	list     func(records []platform.Record, end int64)
-	take     func(records []platform.Record)
-	reached  func(offset int64) // called with the offset up to which all records were taken; nil: not
-	offset   int64              // up to which all records were taken
-	lostAt   int64              // the offset when the log was lost
-	failed   time.Time          // latest failure of a call
-	failures int
-}
-
-// run follows the topic until the context ends.
-func (f *follower) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		records, from, err := f.instance.log.Newest(ctx, f.topic)
-		if err != nil {
-			f.rest(ctx, err)
-			continue
-		}
-		f.regained()
-		f.list(records, from)
-		f.offset = from
-		f.read(ctx)
-	}
-}
-
-// read takes the records from the offset on until some have expired.
-func (f *follower) read(ctx context.Context) {
-	for ctx.Err() == nil {
-		records, next, err := f.once(ctx)
-		if errors.Is(err, platform.ErrExpired) {
-			return
-		}
-		if errors.Is(err, errAgain) {
-			continue
-		}
-		if err != nil {
-			f.rest(ctx, err)
-			continue
-		}
-		f.regained()
-		f.offset = next
-		if len(records) > 0 {
-			f.take(records)
-		}
-		if f.reached != nil {
-			f.reached(next)
-		}
-		if f.pause != nil && f.pause(ctx) != nil {
-			return
-		}
-	}
-}
-
-// errAgain reports a read that was ended to begin anew.
-var errAgain = errors.New("read is to begin anew")
-
-// once reads one time. A call that the log took before an outage may never be answered; it is not waited for once the log is back.
-func (f *follower) once(ctx context.Context) ([]platform.Record, int64, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stop := make(chan struct{})
-	defer close(stop)
-	if f.again != nil {
-		go func() {
-			select {
-			case <-f.again:
-				cancel(errAgain)
-			case <-stop:
-			}
-		}()
-	}
-	wait := f.wait
-	if f.failures > 0 {
-		// A log that is back answers at once; it is asked for longer each time, in case that it is only slow.
-		wait = 0
-		limited, end := context.WithTimeout(ctx, firstAnswer<<min(f.failures-1, answerSteps))
-		defer end()
-		ctx = limited
-	}
-	records, next, err := f.instance.log.Read(ctx, f.topic, f.offset, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errAgain) {
-		return nil, f.offset, errAgain
-	}
-	return records, next, err
-}
-
-// rest waits after a failure, for longer each time.
-func (f *follower) rest(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	f.failed = time.Now()
-	f.failures++
-	if f.failures == 1 {
-		f.lostAt = f.offset
-		f.instance.logger.Warn("log lost", "topic", f.topic, "error", err.Error())
-	}
-	pause := min(firstBackoff<<min(f.failures, 5), longestPause)
-	_ = wait.For(ctx, wait.Jitter(pause)) // an ended context ends the loop
-}
-
-func (f *follower) regained() {
-	if f.failures > 0 {
-		f.instance.logger.Info("log regained", "topic", f.topic, "failures", f.failures)
-		if f.back != nil {
-			f.back()
-		}
-	}
-	f.failures = 0
-}
-
 // readAgain has the catalogue's topic read anew, since its present call may be one that the log has lost.
 func (i *Instance) readAgain() {
 	select {
--- /dev/null
+++ b/internal/wait/first_test.go
@@ -0,0 +1,69 @@
+package wait
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestFirst(t *testing.T) {
+	const interval = 250 * time.Millisecond
+	t.Run("answered", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			calls := 0
+			value, err := First(t.Context(), interval, func(context.Context) (int, error) {
+				calls++
+				return 7, nil
+			})
+			is.NoErr(err)
+			is.Equal(value, 7)
+			is.Equal(calls, 1)
+		})
+	})
+	t.Run("fails", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			cause := errors.New("refused")
+			_, err := First(t.Context(), interval, func(context.Context) (int, error) { return 0, cause })
+			is.Equal(err, cause)
+		})
+	})
+	// The called one is silent for 2 s, serves for 300 ms and is silent again; what it took while it was silent is lost.
+	t.Run("servesForAMoment", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			back := time.Now().Add(2 * time.Second)
+			_, err := First(t.Context(), interval, func(ctx context.Context) (int, error) {
+				if now := time.Now(); !now.Before(back) && now.Before(back.Add(300*time.Millisecond)) {
+					return 0, nil
+				}
+				<-ctx.Done()
+				return 0, ctx.Err()
+			})
+			is.NoErr(err)
+		})
+	})
+	t.Run("slow", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			began := time.Now()
+			_, err := First(t.Context(), interval, func(ctx context.Context) (int, error) { return 0, For(ctx, time.Second) })
+			is.NoErr(err)
+			is.Equal(time.Since(began), time.Second)
+		})
+	})
+	t.Run("contextEnds", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			_, err := First(ctx, interval, func(ctx context.Context) (int, error) { return 0, For(ctx, time.Hour) })
+			is.Equal(err, context.DeadlineExceeded)
+		})
+	})
+}
