--- a/instance/hosted/follower_test.go
+++ b/instance/hosted/follower_test.go
@@ -21,14 +21,14 @@
 	}
 	t.Run("inTime", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			f := took(t, time.Second + probeInterval/2)
+			f := took(t, time.Second+probeInterval/2)
 			is.New(t).True(f.failed.IsZero())
 		})
 	})
 	t.Run("overdue", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			f := took(t, time.Second + 2*probeInterval)
+			f := took(t, time.Second+2*probeInterval)
 			is.Equal(f.failed, time.Now())
 			is.Equal(f.lostAt, int64(7))
 		})
