Vanished endpoints are out at once, and few instances ask for a lost log

In a quarter of the machines' logs 280 dispatches were not run ('connection refused'): endpoints that are gone seem idle and draw requests; after three the request was refused, 211 times, though most endpoints worked. Each such dispatch also took from the retry budget, which counts arrivals, and this is none. Meanwhile all instances became readers of the list and asked for the log four times a second. Ruled out: a full queue (all 211 refusals have the reason 'refused', waitedMs 0), and the retry budget alone (sent 3 each, its bound).

--- a/coordination/gossip/peers_test.go
+++ b/coordination/gossip/peers_test.go
@@ -116,7 +116,7 @@
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(n >> 8), byte(n)}), 7200)
 	}
 	const size = 300
-	reading := func(away map[int]bool) (count int) {
+	asking := func(away map[int]bool) (count, probes int) {
 		for self := range size {
 			p := NewPeers(instance(self))
 			for n := range size {
@@ -129,12 +129,16 @@
 			if p.Reads(now) && !away[self] {
 				count++
 			}
+			if p.Probes(now) {
+				probes++
+			}
 		}
-		return count
+		return count, probes
 	}
 	t.Run("few read", func(t *testing.T) {
 		is := is.New(t)
-		is.Equal(reading(nil), readers)
+		count, _ := asking(nil)
+		is.Equal(count, readers)
 	})
 	t.Run("those that the log turns away are replaced", func(t *testing.T) {
 		is := is.New(t)
@@ -142,7 +146,17 @@
 		for n := range size / 2 {
 			away[n] = true
 		}
-		is.Equal(reading(away), readers)
+		count, _ := asking(away)
+		is.Equal(count, readers)
+	})
+	t.Run("few ask for a log that nobody reads", func(t *testing.T) {
+		is := is.New(t)
+		away := make(map[int]bool)
+		for n := range size {
+			away[n] = true
+		}
+		_, probes := asking(away)
+		is.Equal(probes, readers)
 	})
 	t.Run("who hears of no reader reads", func(t *testing.T) {
 		is := is.New(t)
--- a/coordination/routing/ask.go
+++ b/coordination/routing/ask.go
@@ -33,6 +33,7 @@
 	OutcomeCancelled         // the caller left
 	OutcomeFailed            // the endpoint failed or went silent
 	OutcomeRefused           // the endpoint said that it did not start
+	OutcomeAbsent            // nothing listens at the endpoint's address
 )
 
 // RefusalError tells why a request was not admitted and when asking again makes sense.
--- a/coordination/routing/progress.go
+++ b/coordination/routing/progress.go
@@ -75,6 +75,8 @@
 		h.Success()
 	case OutcomeCancelled:
 		h.Cancelled()
+	case OutcomeAbsent:
+		c.absent(f.account, now)
 	case OutcomeFailed, OutcomeRefused:
 		h.Failure(now)
 		if h.Failing() && !h.Ejected() && f.pool.mayEject(now) {
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -19,6 +19,7 @@
 	newsTellings    = 3                      // reports that hold a change of an endpoint
 	maximumNews     = 16
 	firstBackoff    = 80 * time.Millisecond
+	othersProbe     = 2 * time.Second        // the same, while others ask more often
 	probeInterval   = 250 * time.Millisecond // between two calls to a log that is lost, beside those that have no answer yet
 	longestPause    = 600 * time.Millisecond
 	noticePeriod    = 2500 * time.Millisecond // from SIGTERM until no connection is accepted
--- a/instance/hosted/exchange.go
+++ b/instance/hosted/exchange.go
@@ -219,6 +219,13 @@
 	return x.peers.Reads(now), x.peers.Readers(now)
 }
 
+// probes tells whether this instance is one of those that ask often whether a lost log is back.
+func (x *exchange) probes(now time.Time) bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.peers.Probes(now)
+}
+
 // latest gives the offset of the newest change of an endpoint that others know.
 func (x *exchange) latest(now time.Time) int64 {
 	x.mutex.Lock()
--- a/instance/hosted/follower.go
+++ b/instance/hosted/follower.go
@@ -116,13 +116,20 @@
 // moment between two outages is heard, one that is slow is waited for, and a call that it took and forgot holds up nothing.
 func (f *follower) ask(ctx context.Context, waits time.Duration, call func(ctx context.Context) (answer, error)) (answer, error) {
 	due := time.Now().Add(waits + probeInterval)
-	a, err := wait.First(ctx, waits+probeInterval, call)
+	interval := waits + probeInterval
+	if f.failures > 0 && !f.probes() {
+		interval = waits + othersProbe
+	}
+	a, err := wait.First(ctx, interval, call)
 	if now := time.Now(); err == nil && now.After(due) {
 		f.silent(now)
 	}
 	return a, err
 }
 
+// probes tells whether this instance is one of the few that ask often while the log is lost; the others hear by them.
+func (f *follower) probes() bool { return f.instance.exchange.probes(time.Now()) }
+
 // silent notes that the log gave no answer until now.
 func (f *follower) silent(now time.Time) {
 	f.failed = now
@@ -141,6 +148,10 @@
 	if f.failures == 1 {
 		f.instance.logger.Warn("log lost", "topic", f.topic, "error", err.Error())
 	}
+	if !f.probes() {
+		f.leave(ctx)
+		return
+	}
 	pause := min(firstBackoff<<min(f.failures, 5), longestPause)
 	if errors.Is(err, context.DeadlineExceeded) {
 		pause = firstBackoff // it was silent, so it has had its pause
@@ -148,6 +159,19 @@
 	_ = wait.For(ctx, wait.Jitter(pause)) // an ended context ends the loop
 }
 
+// leave leaves it to others to ask for the log, until they know of a change that this instance does not, or for othersProbe.
+func (f *follower) leave(ctx context.Context) {
+	until := time.Now().Add(wait.Jitter(othersProbe))
+	if wait.For(ctx, wait.Jitter(longestPause)) != nil {
+		return
+	}
+	for time.Now().Before(until) && f.instance.exchange.latest(time.Now()) <= f.instance.covered() {
+		if wait.For(ctx, readLook) != nil {
+			return
+		}
+	}
+}
+
 func (f *follower) regained() {
 	if f.failures > 0 {
 		f.instance.logger.Info("log regained", "topic", f.topic, "failures", f.failures)
--- a/instance/hosted/follower_test.go
+++ b/instance/hosted/follower_test.go
@@ -14,7 +14,7 @@
 // What an answer tells that was overdue is taken as after an outage: servers that are missing in it may only have lapsed.
 func TestAsk(t *testing.T) {
 	took := func(t *testing.T, span time.Duration) *follower {
-		f := &follower{offset: 7}
+		f := &follower{instance: &Instance{}, offset: 7}
 		_, err := f.ask(t.Context(), time.Second, func(ctx context.Context) (answer, error) { return answer{}, wait.For(ctx, span) })
 		is.New(t).NoErr(err)
 		return f
--- a/instance/hosted/hosted_test.go
+++ b/instance/hosted/hosted_test.go
@@ -267,6 +267,25 @@
 	is.New(t).True(time.Since(began) < logWait) // the lost call itself lasts longer
 }
 
+// Engines are gone at whose addresses nothing listens, and the list still names them. They are no reason to refuse.
+func TestAbsent(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.catalogue(1, "desk")
+	for n := range 8 {
+		f.engine(fmt.Sprint("m-", n), "model").Close()
+	}
+	f.engine("m-8", "model")
+	one := f.start()
+	f.ready(one)
+	f.eventually("endpoints", func() bool { return len(one.roster.List()) == 9 })
+	for n := range 3 {
+		response, body := f.do(call{at: one, method: "POST", path: "/long/", id: fmt.Sprint("s", n), headers: map[string]string{standin.HeaderTokens: "100,40"}})
+		is.Equal(response.StatusCode, http.StatusOK)
+		assertEvents(t, strings.NewReader(body), fmt.Sprint("s", n), 40)
+	}
+}
+
 func TestDrain(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
--- a/protocol/relay/constants.go
+++ b/protocol/relay/constants.go
@@ -7,7 +7,8 @@
 	maximumEvent = 256 << 10 // bytes of one event
 	maximumWhole = 8 << 20   // bytes of an answer that is passed on whole
 
-	maximumUnrun  = 3   // dispatches of one request that were certainly not run
+	maximumUnrun  = 3   // dispatches of one request that endpoints certainly did not run
+	mostUnreached = 12  // that did not get as far as an endpoint
 	waitFraction  = 0.6 // of its time, in which a generation must have started
 	planFraction  = 0.9 // of its time, in which a plain request must have been sent
 	hedgeTargets  = 1.6 // targets after which a repeatable request is sent elsewhere
--- a/protocol/relay/failure.go
+++ b/protocol/relay/failure.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strconv"
+	"syscall"
 )
 
 // statusError is an endpoint's own failure.
@@ -19,5 +20,14 @@
 	return is
 }
 
+// isUnreached tells whether a dispatch did not get as far as an endpoint, so that it cost none anything.
+func isUnreached(err error) bool {
+	n, is := errors.AsType[*NotRunError](err)
+	return is && n.Cause != nil
+}
+
+// isAbsent tells whether nothing listens at the endpoint's address.
+func isAbsent(err error) bool { return isUnreached(err) && errors.Is(err, syscall.ECONNREFUSED) }
+
 // ErrNoRun reports a run that the endpoint does not know: it has not begun, or is over.
 var ErrNoRun = errors.New("no such run")
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -23,16 +23,17 @@
 
 // The reasons for outcomes.
 const (
-	ReasonNone     Reason = ""
-	ReasonDeadline Reason = "deadline" // the time was over
-	ReasonRefused  Reason = "refused"  // each endpoint asked refused
-	ReasonBroken   Reason = "broken"   // the connection to the endpoint broke
-	ReasonSilent   Reason = "silent"   // the endpoint did not answer in time
-	ReasonSpoiled  Reason = "spoiled"  // the answer was not the endpoint's whole one
-	ReasonGap      Reason = "gap"      // an event of the stream is missing
-	ReasonCaller   Reason = "caller"   // the caller left
-	ReasonBudget   Reason = "budget"   // no repeat is left to the service
-	ReasonPlace    Reason = "place"    // no place for it
+	ReasonNone      Reason = ""
+	ReasonDeadline  Reason = "deadline"  // the time was over
+	ReasonRefused   Reason = "refused"   // each endpoint asked refused
+	ReasonUnreached Reason = "unreached" // no endpoint could be reached
+	ReasonBroken    Reason = "broken"    // the connection to the endpoint broke
+	ReasonSilent    Reason = "silent"    // the endpoint did not answer in time
+	ReasonSpoiled   Reason = "spoiled"   // the answer was not the endpoint's whole one
+	ReasonGap       Reason = "gap"       // an event of the stream is missing
+	ReasonCaller    Reason = "caller"    // the caller left
+	ReasonBudget    Reason = "budget"    // no repeat is left to the service
+	ReasonPlace     Reason = "place"     // no place for it
 )
 
 // Result says how a request ended, and what led there.
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -71,7 +71,8 @@
 	ask     routing.Ask
 	slot    *routing.Slot
 	result  Result
-	unrun   int          // dispatches that were not run
+	lost    int          // dispatches that did not get as far as an endpoint
+	unrun   int          // dispatches that endpoints did not run
 	ran     int          // dispatches that may have run
 	last    int64        // id of the last event that the caller has
 	heard   time.Time    // when the latest event came
@@ -171,6 +172,7 @@
 func (c *course) attempt() error {
 	place, found := c.runner.Roster.At(c.request.Service, c.slot.Endpoint())
 	if !found {
+		c.lost++
 		c.exclude(c.slot.Endpoint())
 		c.release(routing.OutcomeCancelled)
 		return &NotRunError{Cause: errors.New("endpoint has just left")}
@@ -194,17 +196,20 @@
 		c.result.Status = reply.Status
 		return reply, nil
 	}
-	if _, notRun := errors.AsType[*NotRunError](err); notRun {
+	switch {
+	case isUnreached(err):
+		c.lost++
+	case isNotRun(err):
 		c.unrun++
-		return nil, err
+	default:
+		c.ran++
 	}
-	c.ran++
 	return nil, err
 }
 
-// again decides whether a failed request is sent once more.
+// again decides whether a failed request is sent once more. What reached no endpoint is no load on one, so it costs no budget.
 func (c *course) again(err error) bool {
-	allowed := c.mayRepeat(err) && c.runner.Budgets.Of(c.request.Service).Take(c.runner.Allowance(), time.Now())
+	allowed := c.mayRepeat(err) && (isUnreached(err) || c.runner.Budgets.Of(c.request.Service).Take(c.runner.Allowance(), time.Now()))
 	c.runner.Observer.Repeated(c.request, c.result.Place, err, allowed)
 	return allowed
 }
@@ -213,10 +218,10 @@
 	if c.caller.Err() != nil || !time.Now().Before(c.request.Deadline) {
 		return false
 	}
-	if _, notRun := errors.AsType[*NotRunError](err); notRun && c.ran == 0 {
-		return c.unrun < maximumUnrun
+	if c.unrun >= maximumUnrun || c.lost >= mostUnreached {
+		return false
 	}
-	return c.request.Route.Repeatable() && c.ran < c.request.Route.Attempts && c.unrun < maximumUnrun
+	return isNotRun(err) && c.ran == 0 || c.request.Route.Repeatable() && c.ran < c.request.Route.Attempts
 }
 
 func (c *course) exclude(address netip.AddrPort) {
@@ -254,8 +259,10 @@
 		return
 	case c.ctx.Err() != nil:
 		c.result.Reason = ReasonDeadline
-	case c.unrun > 0 && c.ran == 0:
+	case c.ran == 0 && c.unrun > 0:
 		c.result.Reason = ReasonRefused
+	case c.ran == 0 && c.lost > 0:
+		c.result.Reason = ReasonUnreached
 	}
 	c.setLost()
 }
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -137,11 +137,7 @@
 		return errCaller
 	}
 	c.exclude(d.Place.Address)
-	outcome := routing.OutcomeFailed
-	if isNotRun(err) {
-		outcome = routing.OutcomeRefused
-	}
-	c.release(outcome)
+	c.release(outcomeOf(err))
 	return err
 }
 
--- a/protocol/relay/whole.go
+++ b/protocol/relay/whole.go
@@ -61,14 +61,22 @@
 	case ctx.Err() != nil && !isNotRun(err):
 		err = errSilent
 	}
-	if isNotRun(err) {
-		c.release(routing.OutcomeRefused)
-		return err
-	}
-	c.release(routing.OutcomeFailed)
+	c.release(outcomeOf(err))
 	return err
 }
 
+// outcomeOf tells the router what a failed dispatch says of its endpoint.
+func outcomeOf(err error) routing.Outcome {
+	switch {
+	case isAbsent(err):
+		return routing.OutcomeAbsent
+	case isNotRun(err):
+		return routing.OutcomeRefused
+	default:
+		return routing.OutcomeFailed
+	}
+}
+
 // deliver passes a whole answer on.
 func (c *course) deliver(reply *Reply, body []byte) error {
 	if c.request.Method != http.MethodHead {
