An instance that reads not for all reads the list each 20 s

Ruled out: missed news (0 of them). News that is lost is noticed by the offset in others' reports, so the time only guards against the rest.

--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -12,7 +12,7 @@
 	logWait         = 20 * time.Second        // for records of the log, at most
 	listPauseEach   = 45 * time.Millisecond   // between reads of the list of endpoints, for each instance
 	leastListPause  = 200 * time.Millisecond
-	longestUnread   = 8 * time.Second        // without a read of the list of endpoints, where others read it
+	longestUnread   = 20 * time.Second       // without a read of the list of endpoints, where others read it
 	missedGrace     = 100 * time.Millisecond // for news on their way
 	readLook        = 60 * time.Millisecond  // between looks at whether to read
 	silentMargin    = 500 * time.Millisecond // beyond a heartbeat in which the log tells nothing
