--- a/instance/hosted/fleet_test.go
+++ b/instance/hosted/fleet_test.go
@@ -131,6 +131,19 @@
 	return response, string(body)
 }
 
+// streaming starts an instance and an engine, m-1, that streams the answer to a request.
+func (f *fleet) streaming(id string, tokens int) (*Instance, *standin.Engine, *http.Response) {
+	f.t.Helper()
+	f.catalogue(1, "desk")
+	engine := f.engine("m-1", "model")
+	i := f.start()
+	f.ready(i)
+	f.eventually("endpoints", func() bool { return len(i.roster.List()) == 1 })
+	response := f.open(call{at: i, method: "POST", path: "/long/", id: id, headers: map[string]string{standin.HeaderTokens: fmt.Sprint("100,", tokens)}})
+	f.t.Cleanup(func() { _ = response.Body.Close() })
+	return i, engine, response
+}
+
 func (f *fleet) open(c call) *http.Response {
 	f.t.Helper()
 	request, err := http.NewRequest(c.method, "http://"+c.at.settings.Callers.String()+c.path, strings.NewReader(c.body))
