--- a/cmd/dogwooddyke/paused_test.go
+++ b/cmd/dogwooddyke/paused_test.go
@@ -42,18 +42,6 @@
 	return told
 }
 
-// call repeats a call under its key, as a caller does, while it is told that it has not run: where no steward was found in time.
-func (p *processes) call(callers, key, body string) keyedCall {
-	for {
-		began := time.Now()
-		told := p.callOnce(callers, key, body)
-		if told.status != http.StatusServiceUnavailable || told.outcome != "notRun" {
-			return told
-		}
-		p.t.Logf("%s was told notRun after %s", key, time.Since(began).Round(time.Millisecond))
-	}
-}
-
 // TestPausedInstance stops an instance in the midst of its stewardships, lets others take over and wakes it again, while
 // callers log measurements under keys and repeat each one elsewhere.
 func TestPausedInstance(t *testing.T) {
@@ -77,8 +65,8 @@
 		for range count {
 			calls++
 			key := "key-" + strconv.Itoa(calls)
-			first := p.call(at[calls%len(at)], key, "12 cm")
-			again := p.call(at[(calls+1)%len(at)], key, "12 cm")
+			first := p.callOnce(at[calls%len(at)], key, "12 cm")
+			again := p.callOnce(at[(calls+1)%len(at)], key, "12 cm")
 			if first.status == http.StatusOK {
 				runs++
 				is.Equal(first.keyRun, 1)
