--- a/internal/wait/first_test.go
+++ b/internal/wait/first_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,10 +62,9 @@
 	t.Run("furtherCallsFail", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			calls := 0
+			var calls atomic.Int32
 			value, err := First(t.Context(), interval, func(ctx context.Context) (int, error) {
-				calls++
-				if calls > 1 {
+				if calls.Add(1) > 1 {
 					return 0, errors.New("no connection")
 				}
 				return 7, For(ctx, time.Second)
