--- a/coordination/gossip/report.go
+++ b/coordination/gossip/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"net/netip"
 	"time"
 
@@ -45,21 +44,16 @@
 func (u Use) check() error {
 	fields := []struct {
 		name  string
-		value int64
-		most  int64
-	}{
-		{"running", int64(u.Running), math.MaxInt64},
-		{"memory", int64(u.Memory), math.MaxInt64},
-		{"held", int64(u.Held), math.MaxInt64},
-		{"prompts", int64(u.Prompts), math.MaxInt64},
-		{"samples", int64(u.Samples), math.MaxInt64},
-		{"interval", int64(u.Interval), int64(time.Minute)},
-	}
+		value int
+	}{{"running", u.Running}, {"memory", u.Memory}, {"held", u.Held}, {"prompts", u.Prompts}, {"samples", u.Samples}}
 	for _, f := range fields {
-		if f.value < 0 || f.value > f.most {
+		if f.value < 0 {
 			return fmt.Errorf("use of %s: %s is %d", u.Endpoint, f.name, f.value)
 		}
 	}
+	if u.Interval < 0 || u.Interval > time.Minute {
+		return fmt.Errorf("use of %s: interval is %s", u.Endpoint, u.Interval)
+	}
 	return nil
 }
 
--- a/coordination/routing/estimate.go
+++ b/coordination/routing/estimate.go
@@ -51,7 +51,7 @@
 	if ahead == 0 && c.room(f, now) {
 		return 0
 	}
-	rate := c.startRate(f, now)
+	rate := f.pool.startRate(c.modelRate(f, now))
 	if rate <= 0 {
 		// Others hold all of the shares; the stewards even them out as soon as they learn of the demand.
 		return shareRenewal
@@ -59,10 +59,9 @@
 	return time.Duration(float64(ahead+1) / rate * float64(time.Second))
 }
 
-// startRate gives the starts per second that are expected of the request's entry, as observed and, where little was, as modelled.
-func (c *Core) startRate(f *Flight, now time.Time) float64 {
-	model := c.modelRate(f, now)
-	return (f.pool.starts + model*rateModelSeconds) / (f.pool.waited + rateModelSeconds)
+// startRate gives the starts per second that are expected, as observed and, where little was, as modelled.
+func (p *pool) startRate(model float64) float64 {
+	return (p.starts + model*rateModelSeconds) / (p.waited + rateModelSeconds)
 }
 
 // room tells whether any endpoint has a free slot of this instance's share.
--- a/coordination/routing/hopeless.go
+++ b/coordination/routing/hopeless.go
@@ -38,7 +38,8 @@
 	var found []hopeless
 	ahead := 0
 	for _, f := range c.inOrder(p, now) {
-		rate := max(c.startRate(f, now), c.modelRate(f, now)) * hopelessMargin // the observed one lags when engines come back
+		model := c.modelRate(f, now)
+		rate := max(p.startRate(model), model) * hopelessMargin // the observed one lags when engines come back
 		wait := time.Duration(float64(ahead) / max(rate, leastRate) * float64(time.Second))
 		if rate > 0 && !f.ask.Deadline.IsZero() && now.Add(wait).After(f.ask.Deadline) {
 			found = append(found, hopeless{f, wait})
--- a/instance/hosted/catchup.go
+++ b/instance/hosted/catchup.go
@@ -29,7 +29,7 @@
 	}
 	reply := knowledge{Endpoints: i.roster.Known(), Listed: i.listed.Load()}
 	if c := i.catalogue.Load(); c != nil && c.version > asked.Version {
-		packed, err := pack(c.data)
+		packed, err := c.packed()
 		if err != nil {
 			return nil, err
 		}
--- a/instance/hosted/follow.go
+++ b/instance/hosted/follow.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"dogwooddyke/internal/wait"
@@ -37,10 +38,10 @@
 	}
 }
 
-// catalogueRecord is a catalogue as the log holds it.
+// catalogueRecord is a catalogue that other instances may ask for.
 type catalogueRecord struct {
 	version int64
-	data    []byte
+	packed  func() ([]byte, error) // for other instances, made when the first one asks
 }
 
 // decodeCatalogue reads a catalogue and puts it in force if it is newer than the present one.
@@ -56,7 +57,9 @@
 		return
 	}
 	i.table.Store(table)
-	i.catalogue.Store(&catalogueRecord{version: table.Version, data: slices.Clone(data)})
+	kept := slices.Clone(data)
+	packed := sync.OnceValues(func() ([]byte, error) { return pack(kept) })
+	i.catalogue.Store(&catalogueRecord{version: table.Version, packed: packed})
 	i.logger.Info("catalogue in force", "version", table.Version, "routes", table.Routes(), "source", source)
 	i.updateRouter()
 	i.exchange.poke()
