Instances survive a log that comes back from an older copy

The code took an offset for the order of all time.

A position is now an era and an offset, compared in this order, in the client of the log, the roster, the consumers and the reports between instances. A read that began in an earlier era fails, and the topic is listed again within 0.3 s. Each instance registers again within 2 s. A log line and a counter tell of each restore, a second line when the lists agree.

Ruled out: comparing records by the endpoints' heartbeat numbers, since removals carry none.

--- a/coordination/gossip/peers_test.go
+++ b/coordination/gossip/peers_test.go
@@ -165,8 +165,8 @@
 		p := NewPeers(self)
 		p.Apply(&Report{From: other, Start: 1, Sequence: 1, ReadAge: 0, LatestOffset: 7}, now)
 		is.True(p.IsReader(now.Add(minimumExpiry + 1)))
-		is.Equal(p.LatestOffset(now), int64(7))
-		is.Equal(p.LatestOffset(now.Add(minimumExpiry+1)), int64(0))
+		is.Equal(p.Latest(now).Offset, int64(7))
+		is.Equal(p.Latest(now.Add(minimumExpiry+1)).Offset, int64(0))
 	})
 }
 
--- a/coordination/gossip/readers.go
+++ b/coordination/gossip/readers.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dogwooddyke/state/position"
 )
 
 // IsReader reports whether this instance is one of the few that read the endpoint list from the log for all others. If every instance
@@ -44,12 +46,12 @@
 // ReaderCount returns the number of instances, this one included, that share the reading of the endpoint list.
 func (p *Peers) ReaderCount(now time.Time) int { return min(p.LiveCount(now)+1, maximumReaders) }
 
-// LatestOffset returns the log offset of the newest change of an endpoint that any other live instance knows, 0 if none.
-func (p *Peers) LatestOffset(now time.Time) int64 {
-	latest := int64(0)
+// Latest returns the log position of the newest change of an endpoint that any other live instance knows, the zero position if none.
+func (p *Peers) Latest(now time.Time) position.Position {
+	var latest position.Position
 	for _, k := range p.known {
 		if p.isLive(k, now) {
-			latest = max(latest, k.report.LatestOffset)
+			latest = position.Latest(latest, k.report.Latest())
 		}
 	}
 	return latest
--- a/coordination/gossip/report.go
+++ b/coordination/gossip/report.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"dogwooddyke/state/position"
 	"dogwooddyke/state/roster"
 )
 
@@ -24,6 +25,12 @@
 	ReadAge      time.Duration   `cbor:"11,keyasint,omitempty"` // time since the sender last read the endpoint list from the log; negative if it never did
 	DataCentre   string          `cbor:"13,keyasint,omitempty"` // data centre of the sender
 	LatestOffset int64           `cbor:"12,keyasint,omitempty"` // log offset of the newest change of an endpoint that the sender knows
+	LatestEra    int64           `cbor:"14,keyasint,omitempty"` // era of LatestOffset
+}
+
+// Latest returns the log position of the newest change of an endpoint that the sender knows.
+func (r *Report) Latest() position.Position {
+	return position.Position{Era: r.LatestEra, Offset: r.LatestOffset}
 }
 
 // Use is what an instance has in progress at one endpoint.
--- a/experiment/soak/constants.go
+++ b/experiment/soak/constants.go
@@ -9,6 +9,10 @@
 	mostPause     = 600 * time.Millisecond
 	leastFault    = 200 * time.Millisecond
 	mostFault     = 2500 * time.Millisecond
+	leastCalm     = 700 * time.Millisecond // between two restores of the log
+	mostCalm      = 9 * time.Second
+	copyInterval  = 500 * time.Millisecond // between two copies of the log that are kept
+	mostCopies    = 10
 	shortNotice   = 1700 * time.Millisecond // from an engine's notice until it is gone
 	lapse         = 900 * time.Millisecond  // from an engine's death until it is off the list
 	engineMargin  = 3 * time.Second         // after an engine's fault in which requests may still end by it
--- a/experiment/soak/fault.go
+++ b/experiment/soak/fault.go
@@ -38,6 +38,8 @@
 	case kindLogForget:
 		s.log.ExpireAll()
 		return true
+	case kindRestore:
+		return s.restoreLog(ctx, p)
 	case kindLogLink:
 		l := s.nodes[p.target%len(s.nodes)].log
 		l.set(p.mode)
@@ -112,8 +114,8 @@
 	s.away.Lock()
 	defer s.away.Unlock()
 	if number%2 == 1 {
-		s.list(m, "draining")
+		s.setState(m, "draining")
 		return
 	}
-	s.log.Drop(m.engine.ID)
+	s.setState(m, "")
 }
--- a/experiment/soak/plan.go
+++ b/experiment/soak/plan.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -21,6 +23,7 @@
 	kindCrash     kind = "crash"     // an engine ends without notice
 	kindEngine    kind = "engine"    // the way to an engine is harmed
 	kindCatalogue kind = "catalogue" // a new version moves a route
+	kindRestore   kind = "restore"   // the log comes back from an older copy
 )
 
 // shares are the weights of the kinds.
@@ -70,6 +73,18 @@
 		}
 		steps = append(steps, s)
 	}
+	steps = append(steps, restores(seed, span)...)
+	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	return steps
+}
+
+// restores draws the restores of the log, from a source of their own so that each seed keeps its other faults.
+func restores(seed uint64, span time.Duration) []step {
+	random := rand.New(rand.NewPCG(seed, 0x4e57))
+	var steps []step
+	for at := between(random, quietLead, mostCalm); at < span-quietTail; at += between(random, leastCalm, mostCalm) {
+		steps = append(steps, step{at: at, kind: kindRestore, target: random.IntN(1 << 16), mode: modeSilence, last: between(random, leastFault, mostFault)})
+	}
 	return steps
 }
 
--- a/experiment/soak/run.go
+++ b/experiment/soak/run.go
@@ -41,6 +41,7 @@
 	over := make(chan struct{})
 	var background conc.WaitGroup
 	background.Go(func() { s.beat(over) })
+	background.Go(func() { s.keepCopies(over) })
 	s.traffic(ctx)
 	s.heal()
 	report := &Report{Seed: o.Seed, Faults: make(map[kind]int)}
--- a/experiment/soak/site.go
+++ b/experiment/soak/site.go
@@ -29,6 +29,7 @@
 	started int
 	version int
 	busy    map[*node]bool // a fault has its process
+	copies  []standin.Copy // of the log, oldest first
 }
 
 // member is one engine with the link to it.
@@ -37,6 +38,7 @@
 	link    *link
 	service string
 	place   string
+	state   string // in the list of engines; empty: not listed
 }
 
 func newSite(o *Options) (*site, error) {
@@ -74,6 +76,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.version++
+	s.writeCatalogue()
+}
+
+// writeCatalogue writes the latest version; the caller holds the mutex.
+func (s *site) writeCatalogue() {
 	writes := serviceDesk
 	if s.version%2 == 0 {
 		writes = serviceOther
@@ -94,12 +101,26 @@
 	m.link = l
 	s.engines.Announce(m.engine, l.address())
 	s.fleet = append(s.fleet, m)
-	s.list(m, "ready")
+	m.state = "ready"
+	s.list(m)
 	return nil
 }
 
-func (s *site) list(m *member, state string) {
-	s.log.Put(platform.TopicEndpoints, m.engine.ID, m.engine.Entry(m.service, m.place, state))
+// list writes an engine's entry, or drops it; the caller holds the mutex.
+func (s *site) list(m *member) {
+	if m.state == "" {
+		s.log.Drop(m.engine.ID)
+		return
+	}
+	s.log.Put(platform.TopicEndpoints, m.engine.ID, m.engine.Entry(m.service, m.place, m.state))
+}
+
+// setState changes an engine's state and its entry.
+func (s *site) setState(m *member, state string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	m.state = state
+	s.list(m)
 }
 
 // take removes a generating engine from those that serve, if others are left.
@@ -159,7 +180,7 @@
 		}
 		s.mutex.Lock()
 		for _, m := range s.fleet {
-			s.list(m, "ready")
+			s.list(m)
 		}
 		s.mutex.Unlock()
 	}
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -30,6 +30,8 @@
 	reportBatchPause       = 5 * time.Millisecond    // in which the starts of several runs are collected for one report
 	shareLifetime          = 2 * time.Second         // time for which this instance's share of an engine is valid
 	registerRetryPause     = 500 * time.Millisecond  // between attempts to register in the log
+	registerSpread         = 2 * time.Second         // within which the instances register again after a restore of the log
+	listSpread             = 300 * time.Millisecond  // within which the instances list a topic again after a restore of the log
 	topicInstances         = "keyed.instances"
 	remoteCopySlowdown     = 2.0                    // factor by which a copy to another data centre takes longer
 	promptWeight           = 3.0                    // of the wait behind other prompts: engines here process prompts between the tokens of all other runs
--- a/instance/hosted/consumer.go
+++ b/instance/hosted/consumer.go
@@ -3,27 +3,30 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/platform"
+	"dogwooddyke/state/position"
 )
 
 // consumer reads one topic of the log, first its current list of records and then each new record.
 type consumer struct {
 	instance      *Instance
 	topic         string
-	maximumWait   time.Duration                              // maximum wait of one read for new records
-	restart       chan struct{}                              // receives requests to cancel the current read and start another one; nil: none
-	onRegained    func()                                     // called when the log is available again, or has answered a call lostCallMargin after it was due; nil: not called
-	pause         func(ctx context.Context) error            // waits between two reads; nil: no wait
-	onList        func(records []platform.Record, end int64) // called with the newest record of each key, and the offset after them
-	onRecords     func(records []platform.Record)            // called with the records of a read, if any
-	onOffset      func(offset int64)                         // called after each read with the offset of the next one; nil: not called
-	offset        int64                                      // log offset up to which all records have been processed
-	lostOffset    int64                                      // value of offset when the latest outage of the log began; an overdue call counts as an outage
-	latestFailure time.Time                                  // time of the latest call that failed or was overdue
-	failures      int                                        // consecutive failed calls
+	maximumWait   time.Duration                                          // maximum wait of one read for new records
+	restart       chan struct{}                                          // receives requests to cancel the current read and start another one; nil: none
+	onRegained    func()                                                 // called when the log is available again, or has answered a call lostCallMargin after it was due; nil: not called
+	pause         func(ctx context.Context) error                        // waits between two reads; nil: no wait
+	onList        func(records []platform.Record, end position.Position) // called with the newest record of each key, and the position after them
+	onRecords     func(records []platform.Record)                        // called with the records of a read, if any
+	onRead        func(next position.Position)                           // called after each read with the position of the next one; nil: not called
+	next          position.Position                                      // log position up to which all records have been processed
+	lostPosition  position.Position                                      // value of next when the latest outage of the log began; an overdue call counts as an outage
+	latestFailure time.Time                                              // time of the latest call that failed or was overdue
+	failures      int                                                    // consecutive failed calls
+	uselessLists  int                                                    // consecutive lists after which no read succeeded
 }
 
 // run consumes the topic until the context ends.
@@ -37,18 +40,20 @@
 			continue
 		}
 		c.recordSuccess()
-		c.onList(newest.records, newest.offset)
-		c.offset = newest.offset
-		c.readRecords(ctx)
+		c.onList(newest.records, newest.next)
+		c.next = newest.next
+		c.uselessLists++
+		c.pauseBeforeList(ctx, c.readRecords(ctx))
 	}
 }
 
-// readRecords reads and processes records from the offset on until the context ends or the log has expired unread records.
-func (c *consumer) readRecords(ctx context.Context) {
+// readRecords reads and processes records from the current position on. It returns an error if the log no longer has the position, and nil
+// if the context ends.
+func (c *consumer) readRecords(ctx context.Context) error {
 	for ctx.Err() == nil {
 		records, next, err := c.readOnce(ctx)
-		if errors.Is(err, platform.ErrExpired) {
-			return
+		if errors.Is(err, platform.ErrExpired) || errors.Is(err, platform.ErrRestored) {
+			return err
 		}
 		if errors.Is(err, errRestarted) {
 			continue
@@ -58,24 +63,40 @@
 			continue
 		}
 		c.recordSuccess()
-		c.offset = next
+		c.next, c.uselessLists = next, 0
 		if len(records) > 0 {
 			c.onRecords(records)
 		}
-		if c.onOffset != nil {
-			c.onOffset(next)
+		if c.onRead != nil {
+			c.onRead(next)
 		}
 		if c.pause != nil && c.pause(ctx) != nil {
-			return
+			return nil
 		}
 	}
+	return nil
+}
+
+// pauseBeforeList waits before the topic is listed again because the log does not have the current position. After a restore of the log
+// all instances list their topics, so each waits for a random time. A log that keeps deleting what it has just listed is retried with
+// exponential backoff.
+func (c *consumer) pauseBeforeList(ctx context.Context, cause error) {
+	pause := time.Duration(0)
+	if errors.Is(cause, platform.ErrRestored) {
+		pause = rand.N(listSpread)
+	}
+	if c.uselessLists > 1 {
+		c.instance.logger.Warn("records are gone right after they were listed", "topic", c.topic, "lists", c.uselessLists, "error", cause)
+		pause = max(pause, wait.Jitter(min(baseBackoff<<min(c.uselessLists, 5), maximumBackoff)))
+	}
+	_ = wait.For(ctx, pause) // an ended context ends the loop
 }
 
 // errRestarted reports that a read was cancelled in order to start another one.
 var errRestarted = errors.New("read was restarted")
 
-// readOnce makes one read from the offset on and returns its records and the offset after them.
-func (c *consumer) readOnce(ctx context.Context) ([]platform.Record, int64, error) {
+// readOnce makes one read from the current position on and returns its records and the position after them.
+func (c *consumer) readOnce(ctx context.Context) ([]platform.Record, position.Position, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := make(chan struct{})
@@ -94,22 +115,22 @@
 		maximumWait = 0 // without a wait, the log answers as soon as it is available again
 	}
 	result, err := c.call(ctx, maximumWait, func(ctx context.Context) (readResult, error) {
-		return newReadResult(c.instance.log.Read(ctx, c.topic, c.offset, maximumWait))
+		return newReadResult(c.instance.log.Read(ctx, c.topic, c.next, maximumWait))
 	})
 	if err != nil && errors.Is(context.Cause(ctx), errRestarted) {
-		return nil, c.offset, errRestarted
+		return nil, c.next, errRestarted
 	}
-	return result.records, result.offset, err
+	return result.records, result.next, err
 }
 
 // readResult is the log's response to a read of a topic.
 type readResult struct {
 	records []platform.Record
-	offset  int64 // log offset of the next read
+	next    position.Position // log position of the next read
 }
 
-func newReadResult(records []platform.Record, offset int64, err error) (readResult, error) {
-	return readResult{records, offset}, err
+func newReadResult(records []platform.Record, next position.Position, err error) (readResult, error) {
+	return readResult{records, next}, err
 }
 
 // call calls the log, which may wait for records. When the response is overdue, further calls are started in parallel and the first
@@ -139,7 +160,7 @@
 func (c *consumer) recordFailure(now time.Time) {
 	c.latestFailure = now
 	if c.failures == 0 {
-		c.lostOffset = c.offset
+		c.lostPosition = c.next
 	}
 }
 
@@ -172,7 +193,7 @@
 	if wait.For(ctx, wait.Jitter(maximumBackoff)) != nil {
 		return
 	}
-	for time.Now().Before(deadline) && c.instance.gossiper.latestOffset(time.Now()) <= c.instance.knownOffset() {
+	for time.Now().Before(deadline) && !c.instance.knownPosition().Before(c.instance.gossiper.latest(time.Now())) {
 		if wait.For(ctx, readCheckInterval) != nil {
 			return
 		}
--- a/instance/hosted/consumer_test.go
+++ b/instance/hosted/consumer_test.go
@@ -9,13 +9,14 @@
 	"github.com/matryer/is"
 
 	"dogwooddyke/internal/wait"
+	"dogwooddyke/state/position"
 )
 
 // The records of an overdue response are handled as after an outage of the log: the entries of endpoints that are missing from them may
 // only have expired while the endpoints are alive.
 func TestOverdueCall(t *testing.T) {
 	overdueAfter := func(t *testing.T, duration time.Duration) *consumer {
-		c := &consumer{instance: &Instance{}, offset: 7}
+		c := &consumer{instance: &Instance{}, next: position.Position{Era: 1, Offset: 7}}
 		_, err := c.call(t.Context(), time.Second, func(ctx context.Context) (readResult, error) { return readResult{}, wait.For(ctx, duration) })
 		is.New(t).NoErr(err)
 		return c
@@ -31,7 +32,7 @@
 			is := is.New(t)
 			c := overdueAfter(t, time.Second+2*probeInterval)
 			is.Equal(c.latestFailure, time.Now())
-			is.Equal(c.lostOffset, int64(7))
+			is.Equal(c.lostPosition, position.Position{Era: 1, Offset: 7})
 		})
 	})
 }
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -21,6 +21,7 @@
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/platform"
 	"dogwooddyke/protocol/relay"
+	"dogwooddyke/state/position"
 	"dogwooddyke/state/roster"
 	"dogwooddyke/state/route"
 	"dogwooddyke/transport/peer"
@@ -54,15 +55,17 @@
 	callerServer     *http.Server
 	readinessServer  *http.Server
 	metricsServer    *http.Server
-	node             *peer.Node                      // RPC calls between instances
-	table            atomic.Pointer[route.Table]     // current catalogue, decoded; nil until one is known
-	catalogue        atomic.Pointer[servedCatalogue] // current catalogue, encoded for peers; nil until one is known
-	latestRead       atomic.Pointer[time.Time]       // time of the latest known read of the endpoint list by any instance; nil until this one has read it
-	latestOwnRead    atomic.Pointer[time.Time]       // time of this instance's latest read of the endpoint list; nil: none
-	listOffset       atomic.Int64                    // log offset up to which this instance has read the endpoint list
-	listed           atomic.Bool                     // whether the endpoint list has been read or fetched at least once
-	restartCatalogue chan struct{}                   // receives requests to restart the current read of the catalogue's topic
-	initialized      chan struct{}                   // closed once the catalogue and the endpoint list are known
+	node             *peer.Node                        // RPC calls between instances
+	table            atomic.Pointer[route.Table]       // current catalogue, decoded; nil until one is known
+	catalogue        atomic.Pointer[servedCatalogue]   // current catalogue, encoded for peers; nil until one is known
+	latestRead       atomic.Pointer[time.Time]         // time of the latest known read of the endpoint list by any instance; nil until this one has read it
+	latestOwnRead    atomic.Pointer[time.Time]         // time of this instance's latest read of the endpoint list; nil: none
+	readPosition     atomic.Pointer[position.Position] // log position up to which this instance has read the endpoint list; nil: not read
+	restored         chan struct{}                     // receives requests to register in the log again after it was restored
+	restoredAt       atomic.Pointer[time.Time]         // time of the latest restore of the log whose lists do not agree yet; nil: none
+	listed           atomic.Bool                       // whether the endpoint list has been read or fetched at least once
+	restartCatalogue chan struct{}                     // receives requests to restart the current read of the catalogue's topic
+	initialized      chan struct{}                     // closed once the catalogue and the endpoint list are known
 	initializedOnce  sync.Once
 	draining         atomic.Bool
 	group            conc.WaitGroup
@@ -77,13 +80,14 @@
 	i := &Instance{
 		settings:         settings,
 		logger:           logger,
-		log:              platform.NewLog(settings.Log),
 		roster:           roster.NewTable(),
 		router:           routing.New(routing.Config{Self: settings.Callers, DataCentre: settings.DataCentre, PromptWeight: promptWeight}),
 		routerEntries:    make(map[string]bool),
 		initialized:      make(chan struct{}),
 		restartCatalogue: make(chan struct{}, 1),
+		restored:         make(chan struct{}, 1),
 	}
+	i.log = platform.NewLog(settings.Log, i.logRestored)
 	i.observer = newObserver(logger)
 	i.gossiper = newGossiper(i)
 	i.node = peer.NewNode(peer.Config{Address: i.gossiper.self, Keys: [][]byte{[]byte(settings.PeerKey)}})
@@ -207,6 +211,7 @@
 	for wait.For(ctx, tickInterval) == nil {
 		now := time.Now()
 		i.roster.Expire(missingGrace, now)
+		i.checkSettled(now)
 		i.updateShares(now)
 		i.router.Tick(now)
 	}
--- a/instance/hosted/gossiper.go
+++ b/instance/hosted/gossiper.go
@@ -11,6 +11,7 @@
 	"dogwooddyke/coordination/gossip"
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/endpoint"
+	"dogwooddyke/state/position"
 	"dogwooddyke/state/roster"
 	"dogwooddyke/transport/datagram"
 )
@@ -70,9 +71,12 @@
 }
 
 // reportSoon requests that the next report is sent before the interval ends.
-func (g *gossiper) reportSoon() {
+func (g *gossiper) reportSoon() { signal(g.wake) }
+
+// signal sends to a channel of capacity one unless a value is pending.
+func signal(c chan struct{}) {
 	select {
-	case g.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -102,7 +106,15 @@
 // sendReport sends one report to all other instances, to some of them through an instance that forwards it.
 func (g *gossiper) sendReport() {
 	now := time.Now()
-	r := &gossip.Report{From: g.self, Start: g.start, DataCentre: g.instance.settings.DataCentre, ReadAge: g.instance.readAge(now), LatestOffset: g.instance.roster.LatestOffset()}
+	latest := g.instance.roster.Latest()
+	r := &gossip.Report{
+		From:         g.self,
+		Start:        g.start,
+		DataCentre:   g.instance.settings.DataCentre,
+		ReadAge:      g.instance.readAge(now),
+		LatestOffset: latest.Offset,
+		LatestEra:    latest.Era,
+	}
 	if table := g.instance.table.Load(); table != nil {
 		r.Catalogue = table.Version
 	}
@@ -226,11 +238,11 @@
 	return g.peers.ShouldProbe(now)
 }
 
-// latestOffset returns the log offset of the newest change of an endpoint that other instances know.
-func (g *gossiper) latestOffset(now time.Time) int64 {
+// latest returns the log position of the newest change of an endpoint that other instances know.
+func (g *gossiper) latest(now time.Time) position.Position {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.peers.LatestOffset(now)
+	return g.peers.Latest(now)
 }
 
 // newestCatalogue returns the other instance with the newest catalogue, and that version.
@@ -292,7 +304,7 @@
 // recordPeerRead records that another instance has read the endpoint list. It does nothing if this instance has not read the list
 // itself before, or if the report shows a change that this instance does not know.
 func (i *Instance) recordPeerRead(r *gossip.Report, now time.Time) {
-	if r.ReadAge < 0 || r.LatestOffset > i.knownOffset() {
+	if r.ReadAge < 0 || i.knownPosition().Before(r.Latest()) {
 		return
 	}
 	at := now.Add(-r.ReadAge)
--- a/instance/hosted/metrics.go
+++ b/instance/hosted/metrics.go
@@ -17,6 +17,7 @@
 	declined     *prometheus.CounterVec
 	retries      *prometheus.CounterVec
 	moves        *prometheus.CounterVec
+	restores     prometheus.Counter
 	timeToAnswer *prometheus.HistogramVec
 	totalTime    *prometheus.HistogramVec
 	longestPause *prometheus.HistogramVec
@@ -39,11 +40,12 @@
 		declined:     counter("declined_total", "Requests that came to no endpoint, by status.", "status"),
 		retries:      counter("repeats_total", "Dispatches that failed, by whether another one followed.", "again"),
 		moves:        counter("moves_total", "Copies of runs, by whether the run stopped with it and whether it failed.", "last", "failed"),
+		restores:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "log_restores_total", Help: "Restores of the platform's log from an older copy."}),
 		timeToAnswer: histogram("first_seconds", "Time to the beginning of the answer."),
 		totalTime:    histogram("whole_seconds", "Time to the end of the answer."),
 		longestPause: histogram("pause_seconds", "Longest time between two events of a stream."),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.timeToAnswer, m.totalTime, m.longestPause)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.timeToAnswer, m.totalTime, m.longestPause)
 	return m
 }
 
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -97,10 +97,21 @@
 // endpointChanged logs a change of an endpoint.
 func (o *observer) endpointChanged(c roster.Change, source string) {
 	if c.Endpoint == nil {
-		o.logger.Info("endpoint gone", "endpoint", c.ID, "offset", c.Offset, "source", source)
+		o.logger.Info("endpoint gone", "endpoint", c.ID, "era", c.Era, "offset", c.Offset, "source", source)
 		return
 	}
-	o.logger.Info("endpoint changed", "endpoint", c.ID, "service", c.Endpoint.Service, "address", c.Endpoint.Address, "leaving", c.Endpoint.Leaving, "offset", c.Offset, "source", source)
+	o.logger.Info("endpoint changed", "endpoint", c.ID, "service", c.Endpoint.Service, "address", c.Endpoint.Address, "leaving", c.Endpoint.Leaving, "era", c.Era, "offset", c.Offset, "source", source)
+}
+
+// logRestored logs and counts a restore of the log from an older copy.
+func (o *observer) logRestored(previous, era int64) {
+	o.metrics.restores.Inc()
+	o.logger.Warn("log restored from an older copy", "previousEra", previous, "era", era)
+}
+
+// listSettled logs that this instance's endpoints and the list of a restored log agree again.
+func (o *observer) listSettled(era int64, endpoints int, took time.Duration) {
+	o.logger.Info("endpoint list settled after restore", "era", era, "endpoints", endpoints, "tookMs", took.Milliseconds())
 }
 
 // reportNotSent logs a report that could not be sent.
--- a/instance/hosted/sync.go
+++ b/instance/hosted/sync.go
@@ -88,7 +88,7 @@
 	now := time.Now()
 	changed := false
 	for _, c := range state.Endpoints {
-		if i.notOlderThanList(c) && i.roster.Apply(c, now) {
+		if i.notOlderThanList(c) && i.roster.Merge(c, now) {
 			changed = true
 			i.observer.endpointChanged(c, from.String())
 		}
--- a/instance/hosted/topics.go
+++ b/instance/hosted/topics.go
@@ -11,20 +11,18 @@
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/platform"
 	"dogwooddyke/protocol/relay"
+	"dogwooddyke/state/position"
 	"dogwooddyke/state/roster"
 )
 
 // restartCatalogueRead restarts the current read of the catalogue's topic, because the log may have lost that call.
 func (i *Instance) restartCatalogueRead() {
-	select {
-	case i.restartCatalogue <- struct{}{}:
-	default:
-	}
+	signal(i.restartCatalogue)
 }
 
 func (i *Instance) consumeCatalogue(ctx context.Context) {
 	c := &consumer{instance: i, topic: platform.TopicOperator, maximumWait: logReadWait, restart: i.restartCatalogue, onRecords: i.applyCatalogueRecords}
-	c.onList = func(records []platform.Record, _ int64) { i.applyCatalogueRecords(records) }
+	c.onList = func(records []platform.Record, _ position.Position) { i.applyCatalogueRecords(records) }
 	c.run(ctx)
 }
 
@@ -34,7 +32,7 @@
 		if r.Key != platform.KeyCatalogue || len(r.Value) == 0 {
 			continue
 		}
-		i.applyCatalogue(r.Value, r.Offset, "log")
+		i.applyCatalogue(r.Value, r.Position.Offset, "log")
 	}
 }
 
@@ -67,14 +65,14 @@
 }
 
 func (i *Instance) consumeEndpoints(ctx context.Context) {
-	c := &consumer{instance: i, topic: platform.TopicEndpoints, maximumWait: i.settings.Heartbeat, pause: i.pauseBetweenReads, onOffset: i.listOffset.Store, onRegained: i.restartCatalogueRead}
-	c.onList = func(records []platform.Record, end int64) {
+	c := &consumer{instance: i, topic: platform.TopicEndpoints, maximumWait: i.settings.Heartbeat, pause: i.pauseBetweenReads, onRead: i.setListPosition, onRegained: i.restartCatalogueRead}
+	c.onList = func(records []platform.Record, end position.Position) {
 		now := time.Now()
 		i.latestRead.Store(&now)
 		i.latestOwnRead.Store(&now)
 		changes := i.decodeEndpoints(records)
 		i.announceChanges(i.roster.Replace(changes, end, missingGrace, now))
-		i.listOffset.Store(end)
+		i.setListPosition(end)
 		i.listed.Store(true)
 		i.refreshRouter()
 	}
@@ -93,7 +91,7 @@
 				changed = append(changed, change)
 			}
 		}
-		changed = append(changed, i.roster.RemoveVanished(gone, c.lostOffset, now)...)
+		changed = append(changed, i.roster.RemoveVanished(gone, c.lostPosition, now)...)
 		if i.announceChanges(changed); len(changed) > 0 {
 			i.refreshRouter()
 		}
@@ -129,7 +127,7 @@
 			return nil
 		}
 		switch {
-		case i.gossiper.latestOffset(now) <= i.knownOffset():
+		case !i.knownPosition().Before(i.gossiper.latest(now)):
 			missedSince = time.Time{}
 		case missedSince.IsZero():
 			missedSince = now
@@ -143,12 +141,24 @@
 	return nil
 }
 
-// knownOffset returns the log offset up to which this instance knows all changes of endpoints.
-func (i *Instance) knownOffset() int64 { return max(i.roster.LatestOffset(), i.listOffset.Load()) }
+// knownPosition returns the log position up to which this instance knows all changes of endpoints.
+func (i *Instance) knownPosition() position.Position {
+	return position.Latest(i.roster.Latest(), i.listPosition())
+}
+
+// listPosition returns the log position up to which this instance has read the endpoint list, the zero position if it has not read it.
+func (i *Instance) listPosition() position.Position {
+	if p := i.readPosition.Load(); p != nil {
+		return *p
+	}
+	return position.Position{}
+}
+
+func (i *Instance) setListPosition(p position.Position) { i.readPosition.Store(&p) }
 
 // notOlderThanList reports whether another instance's change is not older than this instance's own read of the log. An endpoint that
 // has been removed from the roster must not be added again by an instance that does not know yet that the endpoint is gone.
-func (i *Instance) notOlderThanList(c roster.Change) bool { return c.Offset >= i.listOffset.Load() }
+func (i *Instance) notOlderThanList(c roster.Change) bool { return !c.Before(i.listPosition()) }
 
 // readAge returns the time since this instance read the endpoint list; negative: never.
 func (i *Instance) readAge(now time.Time) time.Duration {
--- a/state/roster/lapse.go
+++ b/state/roster/lapse.go
@@ -1,6 +1,10 @@
 package roster
 
-import "time"
+import (
+	"time"
+
+	"dogwooddyke/state/position"
+)
 
 const (
 	lapseDivisor = 4                       // endpoints that vanish together count as lapsed if they exceed the number listed divided by this
@@ -14,18 +18,18 @@
 // so is any endpoint that has written to the list since the outage began.
 func lapsed(vanished, listed int) bool { return vanished*lapseDivisor > listed }
 
-// RemoveVanished processes endpoints that vanished from the endpoint list shortly after an outage of the list that began at offset lostAt.
+// RemoveVanished processes endpoints that vanished from the endpoint list shortly after an outage of the list that began at position lostAt.
 // It removes those that are treated as gone and returns their changes; the others stay until Expire removes them or they are listed again.
-func (t *Table) RemoveVanished(changes []Change, lostAt int64, now time.Time) []Change {
+func (t *Table) RemoveVanished(changes []Change, lostAt position.Position, now time.Time) []Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var vanished, gone []Change
 	for _, c := range changes {
 		e := t.entries[c.ID]
 		switch {
-		case e == nil, e.gone, c.Offset < e.offset, !e.missingSince.IsZero():
-		case e.offset >= lostAt:
-			t.remove(e, c.Offset, now)
+		case e == nil, e.gone, c.Before(e.position), !e.missingSince.IsZero():
+		case !e.position.Before(lostAt):
+			t.remove(e, c.Position, now)
 			gone = append(gone, c)
 		default:
 			vanished = append(vanished, c)
@@ -35,10 +39,10 @@
 	for _, c := range vanished {
 		e := t.entries[c.ID]
 		if e.vanishedAt = now; haveLapsed {
-			e.offset, e.missingSince = c.Offset, now
+			e.position, e.missingSince = c.Position, now
 			continue
 		}
-		t.remove(e, c.Offset, now)
+		t.remove(e, c.Position, now)
 		gone = append(gone, c)
 	}
 	return gone
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"dogwooddyke/state/position"
 )
 
 // Endpoint describes one start of the process of an endpoint.
@@ -19,15 +21,15 @@
 
 // Change is one record of the log about one endpoint.
 type Change struct {
-	ID       string    // of the endpoint
-	Offset   int64     // position of the record in the log
-	Endpoint *Endpoint // new state of the endpoint; nil: the endpoint is gone
+	ID                string    // of the endpoint
+	position.Position           // of the record
+	Endpoint          *Endpoint // new state of the endpoint; nil: the endpoint is gone
 }
 
 // entry is what the table holds for the id of an endpoint.
 type entry struct {
 	endpoint     Endpoint
-	offset       int64 // log offset of the newest change applied
+	position     position.Position // of the newest change applied
 	gone         bool
 	forgetAt     time.Time     // time until which a gone endpoint is kept, so that stale updates are ignored
 	notice       chan struct{} // closed when the endpoint is leaving or gone
@@ -39,9 +41,9 @@
 // Table holds the newest known state of each endpoint; it is safe for concurrent use, and it never holds its mutex while it calls a
 // function of its user.
 type Table struct {
-	mutex        sync.Mutex
-	entries      map[string]*entry // by id
-	latestOffset int64             // offset of the newest change that affected which endpoints take work
+	mutex   sync.Mutex
+	entries map[string]*entry // by id
+	latest  position.Position // of the newest change that affected which endpoints take work
 }
 
 // NewTable returns an empty table.
@@ -59,38 +61,45 @@
 // apply is Apply for a caller that holds the mutex.
 func (t *Table) apply(c Change, now time.Time) bool {
 	e := t.entries[c.ID]
-	if e != nil && c.Offset < e.offset {
+	if e != nil && c.Before(e.position) {
 		return false
 	}
 	if c.Endpoint == nil {
-		return t.remove(e, c.Offset, now)
+		return t.remove(e, c.Position, now)
 	}
+	same := false
 	switch {
-	case e == nil, e.gone, e.endpoint.Born != c.Endpoint.Born, e.endpoint.Address != c.Endpoint.Address:
+	case e == nil, e.gone, !e.endpoint.sameProcess(c.Endpoint):
 		e.closeNotice()
 		e = &entry{notice: make(chan struct{})}
 		t.entries[c.ID] = e
-	case e.endpoint.Leaving && !c.Endpoint.Leaving && c.Offset <= e.offset:
+	case e.endpoint.Leaving && !c.Endpoint.Leaving && c.Position == e.position:
 		return false
+	default:
+		same = e.endpoint.Leaving == c.Endpoint.Leaving && e.endpoint.Service == c.Endpoint.Service
 	}
-	same := e.offset > 0 && e.endpoint.Leaving == c.Endpoint.Leaving && e.endpoint.Service == c.Endpoint.Service
-	e.endpoint, e.offset, e.missingSince = *c.Endpoint, c.Offset, time.Time{}
+	e.endpoint, e.position, e.missingSince = *c.Endpoint, c.Position, time.Time{}
 	if c.Endpoint.Leaving {
 		e.closeNotice()
 	}
 	if !same {
-		t.latestOffset = max(t.latestOffset, c.Offset)
+		t.latest = position.Latest(t.latest, c.Position)
 	}
 	return !same
 }
 
+// sameProcess reports whether two states are of the same start of an endpoint's process.
+func (e *Endpoint) sameProcess(other *Endpoint) bool {
+	return e.Born == other.Born && e.Address == other.Address
+}
+
 // remove marks an entry as gone, and reports whether it was not gone before; the caller holds the mutex.
-func (t *Table) remove(e *entry, offset int64, now time.Time) bool {
+func (t *Table) remove(e *entry, at position.Position, now time.Time) bool {
 	if e == nil || e.gone {
 		return false
 	}
-	e.gone, e.offset, e.forgetAt = true, offset, now.Add(forgetAfter)
-	t.latestOffset = max(t.latestOffset, offset)
+	e.gone, e.position, e.forgetAt = true, at, now.Add(forgetAfter)
+	t.latest = position.Latest(t.latest, at)
 	e.closeNotice()
 	return true
 }
@@ -103,21 +112,22 @@
 	}
 }
 
-// Replace applies a full endpoint list that was read at the offset, and returns the changes of the endpoints that it removed because the
+// Replace applies a full endpoint list that was read at a position, and returns the changes of the endpoints that it removed because the
 // list does not contain them. If many endpoints are not in the list, they stay for the grace period, because right after an outage of the
-// list live endpoints may not have registered again yet.
-func (t *Table) Replace(list []Change, offset int64, grace time.Duration, now time.Time) []Change {
+// list live endpoints may not have registered again yet. So do all endpoints that are known from before a restore of the log.
+func (t *Table) Replace(list []Change, at position.Position, grace time.Duration, now time.Time) []Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.latest = position.Latest(t.latest, position.Position{Era: at.Era})
 	listed := make(map[string]bool, len(list))
 	for _, c := range list {
 		listed[c.ID] = true
-		t.apply(c, now)
+		t.merge(c, now)
 	}
 	var gone []Change
 	unlisted := make(map[string]*entry)
 	for id, e := range t.entries {
-		if !listed[id] && !e.gone && e.offset < offset {
+		if !listed[id] && !e.gone && e.position.Before(at) {
 			unlisted[id] = e
 		}
 	}
@@ -126,9 +136,10 @@
 		if e.missingSince.IsZero() {
 			e.missingSince = now
 		}
-		if !haveLapsed || now.Sub(e.missingSince) >= grace {
-			t.remove(e, offset, now)
-			gone = append(gone, Change{ID: id, Offset: offset})
+		stays := haveLapsed || e.position.Era < at.Era
+		if !stays || now.Sub(e.missingSince) >= grace {
+			t.remove(e, at, now)
+			gone = append(gone, Change{ID: id, Position: at})
 		}
 	}
 	return gone
@@ -144,7 +155,7 @@
 		case e.gone && now.After(e.forgetAt):
 			delete(t.entries, id)
 		case !e.gone && !e.missingSince.IsZero() && now.Sub(e.missingSince) >= grace:
-			t.remove(e, e.offset, now)
+			t.remove(e, e.position, now)
 		}
 	}
 }
@@ -176,6 +187,19 @@
 	return list
 }
 
+// Services returns the names of the services of the endpoints that are not gone, by address.
+func (t *Table) Services() map[netip.AddrPort]string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	services := make(map[netip.AddrPort]string, len(t.entries))
+	for _, e := range t.entries {
+		if !e.gone {
+			services[e.endpoint.Address] = e.endpoint.Service
+		}
+	}
+	return services
+}
+
 // Snapshot returns the endpoints that are not gone, as changes that another table can apply.
 func (t *Table) Snapshot() []Change {
 	t.mutex.Lock()
@@ -184,17 +208,31 @@
 	for id, e := range t.entries {
 		if !e.gone {
 			endpoint := e.endpoint
-			changes = append(changes, Change{ID: id, Offset: e.offset, Endpoint: &endpoint})
+			changes = append(changes, Change{ID: id, Position: e.position, Endpoint: &endpoint})
 		}
 	}
 	return changes
 }
 
-// LatestOffset returns the offset of the newest change that affected which endpoints take work.
-func (t *Table) LatestOffset() int64 {
+// Latest returns the position of the newest change that affected which endpoints take work, or the beginning of the era of the latest list
+// if no change is newer.
+func (t *Table) Latest() position.Position {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.latestOffset
+	return t.latest
+}
+
+// MissingCount returns the number of endpoints that are missing from the list but may be alive.
+func (t *Table) MissingCount() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	count := 0
+	for _, e := range t.entries {
+		if !e.gone && !e.missingSince.IsZero() {
+			count++
+		}
+	}
+	return count
 }
 
 // GoneOrLeaving returns the ids of the endpoints that are leaving, and of those that are gone but not yet forgotten.
@@ -218,7 +256,7 @@
 	var best *entry
 	for _, e := range t.entries {
 		matches := !e.gone && e.endpoint.Service == service && e.endpoint.Address == address
-		if matches && (best == nil || e.offset > best.offset) {
+		if matches && (best == nil || best.position.Before(e.position)) {
 			best = e
 		}
 	}
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"dogwooddyke/state/position"
 )
 
 var (
@@ -13,9 +15,12 @@
 	address = netip.MustParseAddrPort("10.0.0.1:80")
 )
 
+// at returns a position of the first era.
+func at(offset int64) position.Position { return position.Position{Era: 1, Offset: offset} }
+
 // listed returns a change that lists an endpoint under the id.
 func listed(id string, offset int64, leaving bool) Change {
-	return Change{ID: id, Offset: offset, Endpoint: &Endpoint{ID: id, Service: "s", Address: address, Leaving: leaving}}
+	return Change{ID: id, Position: at(offset), Endpoint: &Endpoint{ID: id, Service: "s", Address: address, Leaving: leaving}}
 }
 
 func isClosed(notice <-chan struct{}) bool {
@@ -43,7 +48,7 @@
 		is := is.New(t)
 		table := NewTable()
 		table.Apply(listed("a", 1, false), now)
-		is.True(table.Apply(Change{ID: "a", Offset: 3}, now))
+		is.True(table.Apply(Change{ID: "a", Position: at(3)}, now))
 		is.True(!table.Apply(listed("a", 2, false), now))
 		is.Equal(len(table.List()), 0)
 	})
@@ -66,7 +71,7 @@
 		is := is.New(t)
 		table := NewTable()
 		table.Apply(listed("a", 1, false), now)
-		table.Replace(nil, 5, grace, now)
+		table.Replace(nil, at(5), grace, now)
 		is.Equal(len(table.List()), 1)
 		table.Expire(grace, now.Add(grace-1))
 		is.Equal(len(table.List()), 1)
@@ -77,7 +82,7 @@
 		is := is.New(t)
 		table := NewTable()
 		table.Apply(listed("a", 1, false), now)
-		is.Equal(len(table.RemoveVanished([]Change{{ID: "a", Offset: 2}}, 2, now)), 0)
+		is.Equal(len(table.RemoveVanished([]Change{{ID: "a", Position: at(2)}}, at(2), now)), 0)
 		table.Apply(listed("a", 3, false), now.Add(time.Second))
 		table.Expire(grace, now.Add(10*time.Second))
 		is.Equal(len(table.List()), 1)
@@ -103,7 +108,7 @@
 		is := is.New(t)
 		table := nineListed()
 		noticed := notice(table, "c")
-		is.Equal(len(table.RemoveVanished([]Change{{ID: "c", Offset: 20}}, 10, now)), 1)
+		is.Equal(len(table.RemoveVanished([]Change{{ID: "c", Position: at(20)}}, at(10), now)), 1)
 		is.Equal(len(table.List()), 8)
 		select {
 		case <-noticed:
@@ -116,9 +121,9 @@
 		table := nineListed()
 		var many []Change
 		for _, id := range []string{"a", "b", "c", "d", "e"} {
-			many = append(many, Change{ID: id, Offset: 20})
+			many = append(many, Change{ID: id, Position: at(20)})
 		}
-		is.Equal(len(table.RemoveVanished(many, 10, now)), 0)
+		is.Equal(len(table.RemoveVanished(many, at(10), now)), 0)
 		is.Equal(len(table.List()), 9)
 		table.Apply(listed("a", 30, false), now.Add(time.Second))
 		table.Expire(lapseWindow, now.Add(lapseWindow))
@@ -130,16 +135,16 @@
 		var many []Change
 		for n, id := range []string{"a", "b", "c", "d", "e"} {
 			table.Apply(listed(id, int64(12+n), false), now)
-			many = append(many, Change{ID: id, Offset: 20})
+			many = append(many, Change{ID: id, Position: at(20)})
 		}
-		is.Equal(len(table.RemoveVanished(many, 10, now)), 5)
+		is.Equal(len(table.RemoveVanished(many, at(10), now)), 5)
 	})
 	t.Run("endpoints that vanish one after the other are counted together", func(t *testing.T) {
 		is := is.New(t)
 		table := nineListed()
 		gone := 0
 		for n, id := range []string{"a", "b", "c", "d", "e", "f"} {
-			gone += len(table.RemoveVanished([]Change{{ID: id, Offset: int64(20 + n)}}, 10, now.Add(time.Duration(n)*50*time.Millisecond)))
+			gone += len(table.RemoveVanished([]Change{{ID: id, Position: at(int64(20 + n))}}, at(10), now.Add(time.Duration(n)*50*time.Millisecond)))
 		}
 		is.True(gone*lapseDivisor <= 9)
 	})
@@ -150,7 +155,7 @@
 		for n := range 8 {
 			list = append(list, listed(string(rune('a'+n)), int64(n+1), false))
 		}
-		is.Equal(table.Replace(list, 20, lapseWindow, now), []Change{{ID: "i", Offset: 20}})
+		is.Equal(table.Replace(list, at(20), lapseWindow, now), []Change{{ID: "i", Position: at(20)}})
 		is.Equal(len(table.List()), 8)
 	})
 }
