A slow caller no longer ends the process or counts as a silent endpoint

The silence timer of a resumable stream was reset only after the next event had been written to the caller. A caller that took longer than the timeout to read an event made the timer fire, so its endpoint counted as silent; the reset after that armed it again, and the second close of the timer's channel ended the process. The test ends the former code with 'close of closed channel'.

--- /dev/null
+++ b/protocol/relay/silence_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dogwooddyke/coordination/routing"
+	"dogwooddyke/state/catalogue"
+)
+
+// slowSink is a caller that takes a while to read each event.
+type slowSink struct {
+	delay  time.Duration
+	events int
+}
+
+func (s *slowSink) Begin(int, http.Header) error { return nil }
+
+func (s *slowSink) Write([]byte) error {
+	time.Sleep(s.delay)
+	s.events++
+	return nil
+}
+
+// streamExecution returns an execution that forwards a stream to the sink.
+func streamExecution(t *testing.T, sink Sink) *execution {
+	router := routing.New(routing.Config{})
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	router.SetEntry(&catalogue.Entry{Name: "s", Endpoints: []catalogue.Endpoint{{Address: address}}}, time.Now())
+	slot, err := router.Place(&routing.RequestSpec{Entry: "s"})
+	is.New(t).NoErr(err)
+	return &execution{request: &Request{}, sink: sink, slot: slot}
+}
+
+// A caller that reads slowly must not count as a silent endpoint, and must not make the timer fire twice, which ended the process.
+func TestSilenceTimer(t *testing.T) {
+	const timeout = time.Second
+	t.Run("slow caller", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			sink := &slowSink{delay: 5 * timeout}
+			x := streamExecution(t, sink)
+			ctx, cancel := context.WithCancel(t.Context())
+			silence := newSilenceTimer(timeout, cancel)
+			err := x.relayEvents(&Reply{Body: io.NopCloser(strings.NewReader("id: 1\n\nid: 2\n\nid: 3\n\n"))}, silence)
+			is.NoErr(err)
+			is.NoErr(ctx.Err())
+			is.NoErr(silence.cause(nil))
+			is.Equal(sink.events, 3)
+		})
+	})
+	t.Run("silent endpoint", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			x := streamExecution(t, &slowSink{})
+			body, endpoint := io.Pipe()
+			silence := newSilenceTimer(timeout, func() { _ = endpoint.CloseWithError(context.Canceled) })
+			go func() {
+				_, _ = endpoint.Write([]byte("id: 1\n\n")) // the reader checks what it reads
+			}()
+			err := x.relayEvents(&Reply{Body: body}, silence)
+			is.True(err != nil)
+			is.Equal(silence.cause(err), errSilent)
+		})
+	})
+}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -64,7 +64,9 @@
 func (x *execution) relayEvents(reply *Reply, silence *silenceTimer) error {
 	e := newEventReader(reply.Body)
 	for {
+		silence.reset()
 		found, err := e.next()
+		silence.stop()
 		if errors.Is(err, io.EOF) {
 			// Even a caller that resumes after the last event needs the head of the answer to see the stream end.
 			return x.passHead(reply.Status, reply.Header)
@@ -72,7 +74,6 @@
 		if err != nil {
 			return err
 		}
-		silence.reset()
 		if found.hasID && found.id <= x.lastEvent && x.lastEvent > 0 {
 			continue
 		}
@@ -143,48 +144,3 @@
 	x.release(slotOutcome(err))
 	return err
 }
-
-// silenceTimer cancels the reading of a resumable stream when its endpoint sends no event for the timeout. Without a timer it does
-// nothing.
-type silenceTimer struct {
-	timer   *time.Timer   // nil if the silence of the endpoint is not limited
-	expired chan struct{} // closed when the timer fires
-	timeout time.Duration
-}
-
-// startSilenceTimer starts a timer that calls cancel, if the request is resumable and has another attempt left.
-func (x *execution) startSilenceTimer(cancel func()) *silenceTimer {
-	s := &silenceTimer{expired: make(chan struct{})}
-	if !x.request.Route.Resumable || x.mayHaveRun+1 >= x.request.Route.Attempts {
-		return s
-	}
-	s.timeout = max(x.request.Route.Target, minimumSilenceTimeout)
-	s.timer = time.AfterFunc(s.timeout, func() {
-		close(s.expired)
-		cancel()
-	})
-	return s
-}
-
-// reset restarts the timeout after an event.
-func (s *silenceTimer) reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.timeout)
-	}
-}
-
-func (s *silenceTimer) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
-
-// cause returns errSilent if the timer cancelled the read, else err.
-func (s *silenceTimer) cause(err error) error {
-	select {
-	case <-s.expired:
-		return errSilent
-	default:
-		return err
-	}
-}
