--- a/cmd/dykectl/soak.go
+++ b/cmd/dykectl/soak.go
@@ -14,14 +14,15 @@
 
 // soakCommand breaks instances that run as processes, and checks that the promises hold.
 type soakCommand struct {
-	Binary    string  `long:"binary" value-name:"FILE" description:"dogwooddyke's; beside this program if left out"`
-	Seed      uint64  `long:"seed" value-name:"N" default:"1" description:"of faults and requests"`
-	Runs      int     `long:"runs" value-name:"N" default:"1" description:"runs, each with the next seed"`
-	Seconds   float64 `long:"seconds" value-name:"N" default:"15" description:"of traffic in a run"`
-	Instances int     `long:"instances" value-name:"N" default:"5" description:"instances, each a process"`
-	Engines   int     `long:"engines" value-name:"N" default:"6" description:"stand-in engines"`
-	Callers   int     `long:"callers" value-name:"N" default:"24" description:"callers that send one request after the other"`
-	Keep      string  `long:"keep" value-name:"DIRECTORY" description:"where settings and logs of failed runs are kept"`
+	Binary          string  `long:"binary" value-name:"FILE" description:"dogwooddyke's; beside this program if left out"`
+	Seed            uint64  `long:"seed" value-name:"N" default:"1" description:"of faults and requests"`
+	Runs            int     `long:"runs" value-name:"N" default:"1" description:"runs, each with the next seed"`
+	Seconds         float64 `long:"seconds" value-name:"N" default:"15" description:"of traffic in a run"`
+	Instances       int     `long:"instances" value-name:"N" default:"5" description:"instances, each a process"`
+	Engines         int     `long:"engines" value-name:"N" default:"6" description:"stand-in engines"`
+	Callers         int     `long:"callers" value-name:"N" default:"24" description:"callers that send one request after the other"`
+	WithoutRestores bool    `long:"withoutRestores" description:"never restores the log from an older copy, as for seeds of older runs"`
+	Keep            string  `long:"keep" value-name:"DIRECTORY" description:"where settings and logs of failed runs are kept"`
 }
 
 // errBroken reports that a promise did not hold.
@@ -66,6 +67,7 @@
 	}
 	options := &soak.Options{
 		Binary: c.Binary, Directory: directory, Seed: seed, Seconds: c.Seconds, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers,
+		WithoutRestores: c.WithoutRestores,
 	}
 	if err := options.Check(); err != nil {
 		return false, &exitError{exitBadInput, errors.Join(err, os.RemoveAll(directory))}
--- a/experiment/soak/ledger_test.go
+++ b/experiment/soak/ledger_test.go
@@ -56,12 +56,12 @@
 func TestPlan(t *testing.T) {
 	t.Run("same seed, same faults", func(t *testing.T) {
 		is := is.New(t)
-		is.Equal(plan(7, time.Minute), plan(7, time.Minute))
+		is.Equal(plan(7, time.Minute, true), plan(7, time.Minute, true))
 	})
 	t.Run("all kinds, within the time", func(t *testing.T) {
 		is := is.New(t)
 		seen := map[kind]bool{}
-		for _, s := range plan(1, 2*time.Minute) {
+		for _, s := range plan(1, 2*time.Minute, true) {
 			seen[s.kind] = true
 			is.True(s.at >= quietLead && s.at < 2*time.Minute-quietTail)
 			is.True(s.mode > modePass && s.mode <= modeOneWay)
--- a/experiment/soak/options.go
+++ b/experiment/soak/options.go
@@ -16,6 +16,8 @@
 	Instances int
 	Engines   int
 	Callers   int
+
+	WithoutRestores bool // the log is not restored from older copies, as for seeds of older runs
 }
 
 // Check lists what is wrong with the options.
--- a/experiment/soak/plan.go
+++ b/experiment/soak/plan.go
@@ -55,7 +55,7 @@
 }
 
 // plan draws the faults of a run; the same seed gives the same ones.
-func plan(seed uint64, span time.Duration) []step {
+func plan(seed uint64, span time.Duration, withRestores bool) []step {
 	random := rand.New(rand.NewPCG(seed, 0x50a4))
 	total := 0
 	for _, s := range shares {
@@ -73,7 +73,9 @@
 		}
 		steps = append(steps, s)
 	}
-	steps = append(steps, restores(seed, span)...)
+	if withRestores {
+		steps = append(steps, restores(seed, span)...)
+	}
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
--- a/experiment/soak/run.go
+++ b/experiment/soak/run.go
@@ -71,7 +71,7 @@
 		c := newCaller(n, s.options.Seed, s.nodes, s.ledger)
 		callers.Go(func() { c.run(ctx) })
 	}
-	for _, p := range plan(s.options.Seed, span) {
+	for _, p := range plan(s.options.Seed, span, !s.options.WithoutRestores) {
 		if wait.For(ctx, time.Until(started.Add(p.at))) != nil {
 			break
 		}
--- a/state/roster/constants.go
+++ b/state/roster/constants.go
@@ -2,5 +2,7 @@
 
 import "time"
 
-// forgetAfter is the time for which an endpoint is kept after it is gone, so that stale updates do not bring it back.
-const forgetAfter = 30 * time.Second
+const (
+	forgetAfter    = 30 * time.Second // for which an endpoint is kept after it is gone, so that stale updates do not bring it back
+	maximumCopyAge = 10 * time.Second // age of the copy from which the log is restored
+)
--- a/state/roster/restore.go
+++ b/state/roster/restore.go
@@ -30,3 +30,9 @@
 	}
 	return t.apply(c, now)
 }
+
+// mayBeMissingIn reports whether the list of an era may lack the endpoint because the copy from which the log was restored is older than the
+// endpoint. An endpoint that is older than any copy has been removed from the list since.
+func (e *entry) mayBeMissingIn(era int64, now time.Time) bool {
+	return e.position.Era < era && now.Sub(e.knownSince) < maximumCopyAge
+}
--- a/state/roster/restore_test.go
+++ b/state/roster/restore_test.go
@@ -69,6 +69,19 @@
 		table.Expire(grace, now.Add(grace))
 		is.Equal(len(table.List()), 8)
 	})
+	t.Run("a single endpoint that is older than any copy is removed at once", func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		for n := range 9 {
+			table.Apply(listed(string(rune('a'+n)), int64(n+1), false), now)
+		}
+		var list []Change
+		for n := range 8 {
+			list = append(list, inEra(listed(string(rune('a'+n)), int64(n+1), false), 2))
+		}
+		is.Equal(len(table.Replace(list, restored(8), grace, now.Add(maximumCopyAge))), 1)
+		is.Equal(len(table.List()), 8)
+	})
 	t.Run("an endpoint that the copy lacks stays once it has written again", func(t *testing.T) {
 		is := is.New(t)
 		table := NewTable()
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -34,6 +34,7 @@
 	forgetAt     time.Time     // time until which a gone endpoint is kept, so that stale updates are ignored
 	notice       chan struct{} // closed when the endpoint is leaving or gone
 	noticeClosed bool
+	knownSince   time.Time // when the table learnt of the endpoint
 	missingSince time.Time // time since which the endpoint is missing from the list though it may be alive; zero: not missing
 	vanishedAt   time.Time // latest time at which the endpoint vanished from the list around an outage; zero: never
 }
@@ -71,7 +72,7 @@
 	switch {
 	case e == nil, e.gone, !e.endpoint.sameProcess(c.Endpoint):
 		e.closeNotice()
-		e = &entry{notice: make(chan struct{})}
+		e = &entry{notice: make(chan struct{}), knownSince: now}
 		t.entries[c.ID] = e
 	case e.endpoint.Leaving && !c.Endpoint.Leaving && c.Position == e.position:
 		return false
@@ -114,7 +115,7 @@
 
 // Replace applies a full endpoint list that was read at a position, and returns the changes of the endpoints that it removed because the
 // list does not contain them. If many endpoints are not in the list, they stay for the grace period, because right after an outage of the
-// list live endpoints may not have registered again yet. So do all endpoints that are known from before a restore of the log.
+// list live endpoints may not have registered again yet. So do those that a restored log may lack because its copy is older than they are.
 func (t *Table) Replace(list []Change, at position.Position, grace time.Duration, now time.Time) []Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -136,7 +137,7 @@
 		if e.missingSince.IsZero() {
 			e.missingSince = now
 		}
-		stays := haveLapsed || e.position.Era < at.Era
+		stays := haveLapsed || e.mayBeMissingIn(at.Era, now)
 		if !stays || now.Sub(e.missingSince) >= grace {
 			t.remove(e, at, now)
 			gone = append(gone, Change{ID: id, Position: at})
