Reports of a large fleet travel in bundles, and starting instances do not all read the log

Changes: from 96 other instances on, a report goes to one of two forwarders of the data centre, which send what they have collected each 0.3 s, changes of endpoints at once and only the first time. Shares are updated once a message, for the 16 engines in use, in one update of the router; sums of uses are kept up to date. Listed instances count when the readers are chosen, and the first read waits for the registration. Any read counts; readers and forwarders report each second. The tick is 200 ms while nothing waits for a place, and a change that others know wakes an instance up instead of a check each 60 ms.

--- a/coordination/gossip/delta.go
+++ b/coordination/gossip/delta.go
@@ -25,10 +25,11 @@
 	return &DeltaTracker{reported: make(map[netip.AddrPort]*reportedUse)}
 }
 
-// Pick returns the uses to report, and whether the report is partial, so that uses it does not list are unchanged.
-func (d *DeltaTracker) Pick(uses []Use, now time.Time) (picked []Use, partial bool) {
+// Pick returns the uses to report, and whether the report is partial, so that uses it does not list are unchanged. The interval is the one
+// at which all uses are reported.
+func (d *DeltaTracker) Pick(uses []Use, fullInterval time.Duration, now time.Time) (picked []Use, partial bool) {
 	d.recordChanges(uses)
-	if now.Sub(d.fullReportAt) >= fullReportInterval {
+	if now.Sub(d.fullReportAt) >= fullInterval {
 		d.fullReportAt = now
 		for a, r := range d.reported {
 			r.remaining = max(r.remaining-1, 0)
--- a/coordination/gossip/peers.go
+++ b/coordination/gossip/peers.go
@@ -7,12 +7,15 @@
 
 // Peers is the table of what an instance knows of the others. It is not safe for concurrent use; callers pass the current time.
 type Peers struct {
-	self  netip.AddrPort
-	known map[netip.AddrPort]*peer
+	self   netip.AddrPort
+	known  map[netip.AddrPort]*peer
+	totals map[netip.AddrPort]Use // sums of the uses of the counted instances, by endpoint
 }
 
 // peer is what is known of one other instance.
 type peer struct {
+	rank     uint64                 // hash of the address
+	counted  bool                   // whether the totals contain its uses
 	report   *Report                // latest report; nil if none was received
 	uses     map[netip.AddrPort]Use // uses by endpoint, merged from the latest full report and the partial ones after it
 	heardAt  time.Time              // when the latest report was received; zero if the instance is known from the log only
@@ -21,7 +24,7 @@
 
 // NewPeers returns a table without other instances.
 func NewPeers(self netip.AddrPort) *Peers {
-	return &Peers{self: self, known: make(map[netip.AddrPort]*peer)}
+	return &Peers{self: self, known: make(map[netip.AddrPort]*peer), totals: make(map[netip.AddrPort]Use)}
 }
 
 // Add adds an instance that another source than its own reports, such as the log, has listed.
@@ -33,7 +36,7 @@
 		k.listedAt = now
 		return
 	}
-	p.known[address] = &peer{listedAt: now}
+	p.known[address] = &peer{rank: rank(address), listedAt: now}
 }
 
 // NewlySampled returns the uses of a report whose token interval was sampled again since the instance's previous report.
@@ -61,14 +64,16 @@
 		if len(p.known) >= maximumPeers {
 			return false
 		}
-		k = &peer{}
+		k = &peer{rank: rank(r.From)}
 		p.known[r.From] = k
 	}
 	if latest := k.report; latest != nil && (r.Start < latest.Start || r.Start == latest.Start && r.Sequence <= latest.Sequence) {
 		return false
 	}
+	p.uncount(k)
 	k.merge(r)
 	k.report, k.heardAt = r, now
+	p.count(k)
 	return true
 }
 
@@ -88,6 +93,37 @@
 	}
 }
 
+// count adds the uses of an instance to the totals.
+func (p *Peers) count(k *peer) {
+	k.counted = true
+	for endpoint, u := range k.uses {
+		sum := p.totals[endpoint]
+		sum.Running += u.Running
+		sum.Memory += u.Memory
+		sum.Prompts += u.Prompts
+		p.totals[endpoint] = sum
+	}
+}
+
+// uncount removes the uses of an instance from the totals if they are in them.
+func (p *Peers) uncount(k *peer) {
+	if !k.counted {
+		return
+	}
+	k.counted = false
+	for endpoint, u := range k.uses {
+		sum := p.totals[endpoint]
+		sum.Running -= u.Running
+		sum.Memory -= u.Memory
+		sum.Prompts -= u.Prompts
+		if sum.empty() {
+			delete(p.totals, endpoint)
+			continue
+		}
+		p.totals[endpoint] = sum
+	}
+}
+
 // isLive reports whether an instance counts as running, that is, whether a report of it was received within the expiry time.
 func (p *Peers) isLive(k *peer, now time.Time) bool {
 	return k.report != nil && now.Sub(k.heardAt) <= p.expiry()
@@ -109,22 +145,15 @@
 	return count
 }
 
-// TotalUses returns, by endpoint, the sums of what the other live instances have in progress there.
+// TotalUses returns, by endpoint, the sums of what the other live instances have in progress there. The result is valid until the next
+// call of a method.
 func (p *Peers) TotalUses(now time.Time) map[netip.AddrPort]Use {
-	sums := make(map[netip.AddrPort]Use)
 	for _, k := range p.known {
-		if !p.isLive(k, now) {
-			continue
-		}
-		for _, u := range k.uses {
-			s := sums[u.Endpoint]
-			s.Running += u.Running
-			s.Memory += u.Memory
-			s.Prompts += u.Prompts
-			sums[u.Endpoint] = s
+		if k.counted && !p.isLive(k, now) {
+			p.uncount(k)
 		}
 	}
-	return sums
+	return p.totals
 }
 
 // UsesAt returns the uses of one endpoint by those other live instances whose runs hold KV memory there, by instance.
@@ -158,3 +187,20 @@
 func (p *Peers) ReportInterval() time.Duration {
 	return max(minimumInterval, time.Duration(float64(len(p.known))/maximumReportsPerSecond*float64(time.Second)))
 }
+
+// FullReportInterval returns the time between two reports that list all uses.
+func (p *Peers) FullReportInterval() time.Duration {
+	return max(minimumFullInterval, intervalsPerFullReport*p.ReportInterval())
+}
+
+// ReaderInterval returns the longest time between two reports of a forwarder or a reader.
+func (p *Peers) ReaderInterval() time.Duration { return min(p.ReportInterval(), readerInterval) }
+
+// NextReport returns the longest time until this instance's next report. A forwarder or a reader reports more often than others, so that
+// others soon notice when it does not.
+func (p *Peers) NextReport(dataCentre string, now time.Time) time.Duration {
+	if p.IsForwarder(dataCentre, now) || p.IsReader(now) {
+		return p.ReaderInterval()
+	}
+	return p.ReportInterval()
+}
--- a/coordination/gossip/peers_test.go
+++ b/coordination/gossip/peers_test.go
@@ -79,7 +79,7 @@
 		is := is.New(t)
 		d, reported := NewDeltaTracker(), 0
 		for s := range starts {
-			picked, _ := d.Pick(uses(s), now.Add(time.Duration(s)*20*time.Millisecond))
+			picked, _ := d.Pick(uses(s), minimumFullInterval, now.Add(time.Duration(s)*20*time.Millisecond))
 			reported += len(picked)
 		}
 		is.True(reported <= (starts+16)*reportsPerChange)
@@ -90,7 +90,7 @@
 		for s := range starts {
 			at := now.Add(time.Duration(s) * 20 * time.Millisecond)
 			r := &Report{From: other, Start: 1, Sequence: uint64(s + 1)}
-			r.Uses, r.Partial = d.Pick(uses(s), at)
+			r.Uses, r.Partial = d.Pick(uses(s), minimumFullInterval, at)
 			if s%2 == 0 {
 				p.Apply(r, at)
 			}
@@ -104,8 +104,8 @@
 	t.Run("the end of a use is reported", func(t *testing.T) {
 		is := is.New(t)
 		d := NewDeltaTracker()
-		d.Pick(uses(0)[:1], now)
-		picked, partial := d.Pick(nil, now.Add(time.Millisecond))
+		d.Pick(uses(0)[:1], minimumFullInterval, now)
+		picked, partial := d.Pick(nil, minimumFullInterval, now.Add(time.Millisecond))
 		is.True(partial)
 		is.Equal(picked, []Use{{Endpoint: engine(0)}})
 	})
@@ -160,6 +160,21 @@
 		_, probes := countReaders(refused)
 		is.Equal(probes, maximumReaders)
 	})
+	t.Run("of a fleet that starts as a whole, only the maximum number of readers read", func(t *testing.T) {
+		is := is.New(t)
+		count := 0
+		for self := range size {
+			p := NewPeers(instance(self))
+			for n := range size {
+				p.Add(instance(n), now)
+			}
+			if p.IsReader(now) {
+				count++
+			}
+			is.True(p.IsReader(now.Add(startGrace + 1)))
+		}
+		is.Equal(count, maximumReaders)
+	})
 	t.Run("an instance without live peers reads", func(t *testing.T) {
 		is := is.New(t)
 		p := NewPeers(self)
@@ -195,7 +210,7 @@
 				continue
 			}
 			crossed++
-			is.True(target.Forward)
+			is.Equal(target.Forwarding, ForwardAtOnce)
 			for _, a := range peers(receiver, size).LivePeersIn(dataCentre(receiver), now) {
 				received[a]++
 			}
@@ -211,7 +226,7 @@
 		forwards := map[netip.AddrPort]bool{}
 		for sequence := range uint64(20) {
 			for _, target := range peers(0, size).Targets(dataCentre(0), sequence, now) {
-				forwards[target.Address] = forwards[target.Address] || target.Forward
+				forwards[target.Address] = forwards[target.Address] || target.Forwarding == ForwardAtOnce
 			}
 		}
 		forwarders := 0
@@ -229,7 +244,7 @@
 		targets := p.Targets(dataCentre(0), 1, now)
 		is.Equal(len(targets), 8)
 		for _, target := range targets {
-			is.True(!target.Forward)
+			is.Equal(target.Forwarding, ForwardNone)
 		}
 	})
 }
--- a/coordination/gossip/readers.go
+++ b/coordination/gossip/readers.go
@@ -12,8 +12,17 @@
 // IsReader reports whether this instance is one of the few that read the endpoint list from the log for all others. If every instance
 // of a large fleet polled the log, the calls to it would grow with the fleet. The readers are the first instances, ordered by a hash
 // of their address, among those with a recent read; a reader whose reads the log refuses is replaced as soon as its reports show it.
+// Instances that the log has just listed count as well, so that the instances of a fleet that starts as a whole do not all read.
 func (p *Peers) IsReader(now time.Time) bool {
-	return p.amongFirst(now, hasRecentRead)
+	before := 0
+	own := rank(p.self)
+	for _, k := range p.known {
+		mayRead := p.isLive(k, now) && hasRecentRead(k.report) || k.report == nil && now.Sub(k.listedAt) <= startGrace
+		if mayRead && k.rank < own {
+			before++
+		}
+	}
+	return before < maximumReaders
 }
 
 // ShouldProbe reports whether this instance, which has lost the log, should retry it often. During an outage of the log no instance of
@@ -25,24 +34,19 @@
 			return true
 		}
 	}
-	return p.amongFirst(now, func(*Report) bool { return true })
-}
-
-// hasRecentRead reports whether the sender has read the endpoint list from the log recently enough to stay a reader.
-func hasRecentRead(r *Report) bool { return r.ReadAge >= 0 && r.ReadAge <= maximumReadAge }
-
-// amongFirst reports whether fewer than maximumReaders other live instances with an eligible report precede this one by address hash.
-func (p *Peers) amongFirst(now time.Time, eligible func(r *Report) bool) bool {
 	before := 0
 	own := rank(p.self)
-	for a, k := range p.known {
-		if p.isLive(k, now) && eligible(k.report) && rank(a) < own {
+	for _, k := range p.known {
+		if p.isLive(k, now) && k.rank < own {
 			before++
 		}
 	}
 	return before < maximumReaders
 }
 
+// hasRecentRead reports whether the sender has read the endpoint list from the log recently enough to stay a reader.
+func hasRecentRead(r *Report) bool { return r.ReadAge >= 0 && r.ReadAge <= maximumReadAge }
+
 // ReaderCount returns the number of instances, this one included, that share the reading of the endpoint list.
 func (p *Peers) ReaderCount(now time.Time) int { return min(p.LiveCount(now)+1, maximumReaders) }
 
--- a/coordination/gossip/report.go
+++ b/coordination/gossip/report.go
@@ -26,6 +26,7 @@
 	DataCentre   string          `cbor:"13,keyasint,omitempty"` // data centre of the sender
 	LatestOffset int64           `cbor:"12,keyasint,omitempty"` // log offset of the newest change of an endpoint that the sender knows
 	LatestEra    int64           `cbor:"14,keyasint,omitempty"` // era of LatestOffset
+	Bundles      bool            `cbor:"15,keyasint,omitempty"` // whether the sender understands and forwards bundles of reports
 }
 
 // Latest returns the log position of the newest change of an endpoint that the sender knows.
--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -87,12 +87,13 @@
 	r.update(now, func(c *Core) { c.SetShare(address, share) })
 }
 
-// SetPeerLoad replaces this instance's share of an engine, the number of runs that other instances have there, and the tokens of their
-// prompts that have produced no token yet.
-func (r *Router) SetPeerLoad(address netip.AddrPort, runs, promptTokens int, share endpoint.Share, now time.Time) {
+// SetPeerLoads replaces this instance's shares of engines and what the other instances have in progress there.
+func (r *Router) SetPeerLoads(loads []PeerLoad, now time.Time) {
 	r.update(now, func(c *Core) {
-		c.SetShare(address, share)
-		c.SetPeerLoad(address, runs, promptTokens, now)
+		for _, l := range loads {
+			c.SetShare(l.Endpoint, l.Share)
+			c.SetPeerLoad(l.Endpoint, l.Runs, l.PromptTokens, now)
+		}
 	})
 }
 
@@ -129,7 +130,14 @@
 	r.core.LimitDemands(now, visit)
 }
 
-// Tick does the periodic work; it must be called every 50 ms.
+// QueueSize returns the number of requests that wait for a place.
+func (r *Router) QueueSize() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.queue.size
+}
+
+// Tick does the periodic work; it must be called every 50 ms while requests wait, and several times a second otherwise.
 func (r *Router) Tick(now time.Time) {
 	r.update(now, func(c *Core) { c.Tick(now) })
 }
--- a/coordination/routing/shares.go
+++ b/coordination/routing/shares.go
@@ -14,6 +14,14 @@
 	}
 }
 
+// PeerLoad is what the other instances have in progress at an engine, and the share of it that this leaves to this instance.
+type PeerLoad struct {
+	Endpoint     netip.AddrPort
+	Runs         int
+	PromptTokens int // of the runs that have produced no token yet
+	Share        endpoint.Share
+}
+
 // SetPeerLoad replaces the number of runs that other instances report at an engine, and the tokens of their prompts that have produced no
 // token yet. It replaces the engine's load report.
 func (c *Core) SetPeerLoad(address netip.AddrPort, runs, promptTokens int, now time.Time) {
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -7,17 +7,19 @@
 	idleTimeout        = 90 * time.Second
 	maximumHeaderBytes = 64 << 10
 
-	tickInterval           = 50 * time.Millisecond
+	queueTickInterval      = 50 * time.Millisecond   // between two ticks while requests wait for a place
+	idleTickInterval       = 200 * time.Millisecond  // between two ticks otherwise
 	missingGrace           = 2500 * time.Millisecond // time for endpoints to reappear in the endpoint list after an outage of the log
-	logReadWait            = 20 * time.Second        // maximum wait of one read of the catalogue's topic for new records
+	logReadWait            = 28 * time.Second        // maximum wait of one read of the catalogue's topic for new records
 	listPausePerReader     = 45 * time.Millisecond   // for each reader, in a reader's pause between two reads of the endpoint list
 	minimumListPause       = 200 * time.Millisecond  // shortest pause between two reads of the endpoint list
-	maximumUnreadTime      = 20 * time.Second        // between reads of the endpoint list by an instance that is not a reader
-	missedUpdateGrace      = 100 * time.Millisecond  // time for updates in transit to arrive before the log is read for them
-	readCheckInterval      = 60 * time.Millisecond   // between checks whether other instances know a change that this one does not
+	registrationGrace      = 500 * time.Millisecond  // for which the first read of the endpoint list waits for the registration
+	maximumUnreadTime      = 60 * time.Second        // between reads of the endpoint list by an instance that is not a reader
+	missedUpdateGrace      = 200 * time.Millisecond  // time for updates in transit to arrive before the log is read for them
+	readCheckInterval      = 200 * time.Millisecond  // between checks whether this instance has become a reader
 	heartbeatMargin        = 500 * time.Millisecond  // added to the heartbeat interval to get the age at which the endpoint list is stale
 	updateRepeats          = 3                       // reports that carry each change of an endpoint
-	maximumPendingUpdates  = 16                      // changes of endpoints that one report carries
+	maximumPendingUpdates  = 64                      // changes of endpoints that one report carries
 	baseBackoff            = 80 * time.Millisecond   // doubled for each consecutive failed call to the log
 	nonProberInterval      = 2 * time.Second         // between calls to a lost log while other instances probe it more often
 	probeInterval          = 250 * time.Millisecond  // time after a read's maximum wait at which a call to the log is overdue and another one starts in parallel
@@ -28,6 +30,7 @@
 	usableMemoryFraction   = 0.92                    // fraction of an engine's KV memory that requests may use
 	maximumReportedLeaving = 32                      // endpoints that a report lists as leaving
 	reportBatchPause       = 5 * time.Millisecond    // in which the starts of several runs are collected for one report
+	bundleInterval         = 300 * time.Millisecond  // longest time that a forwarder collects reports before it sends them
 	shareLifetime          = 2 * time.Second         // time for which this instance's share of an engine is valid
 	registerRetryPause     = 500 * time.Millisecond  // between attempts to register in the log
 	registerSpread         = 2 * time.Second         // within which the instances register again after a restore of the log
--- a/instance/hosted/consumer.go
+++ b/instance/hosted/consumer.go
@@ -18,7 +18,7 @@
 	maximumWait   time.Duration                                          // maximum wait of one read for new records
 	restart       chan struct{}                                          // receives requests to cancel the current read and start another one; nil: none
 	onRegained    func()                                                 // called when the log is available again, or has answered a call lostCallMargin after it was due; nil: not called
-	pause         func(ctx context.Context) error                        // waits between two reads; nil: no wait
+	pause         func(ctx context.Context) error                        // waits before a read unless the previous call failed; nil: no wait
 	onList        func(records []platform.Record, end position.Position) // called with the newest record of each key, and the position after them
 	onRecords     func(records []platform.Record)                        // called with the records of a read, if any
 	onRead        func(next position.Position)                           // called after each read with the position of the next one; nil: not called
@@ -51,6 +51,9 @@
 // if the context ends.
 func (c *consumer) readRecords(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if c.pause != nil && c.failures == 0 && c.pause(ctx) != nil {
+			return nil
+		}
 		records, next, err := c.readOnce(ctx)
 		if errors.Is(err, platform.ErrExpired) || errors.Is(err, platform.ErrRestored) {
 			return err
@@ -70,9 +73,6 @@
 		if c.onRead != nil {
 			c.onRead(next)
 		}
-		if c.pause != nil && c.pause(ctx) != nil {
-			return nil
-		}
 	}
 	return nil
 }
@@ -194,7 +194,7 @@
 		return
 	}
 	for time.Now().Before(deadline) && !c.instance.knownPosition().Before(c.instance.gossiper.latest(time.Now())) {
-		if wait.For(ctx, readCheckInterval) != nil {
+		if c.instance.awaitNews(ctx, readCheckInterval) != nil {
 			return
 		}
 	}
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -65,8 +65,12 @@
 	restoredAt       atomic.Pointer[time.Time]         // time of the latest restore of the log whose lists do not agree yet; nil: none
 	listed           atomic.Bool                       // whether the endpoint list has been read or fetched at least once
 	restartCatalogue chan struct{}                     // receives requests to restart the current read of the catalogue's topic
-	initialized      chan struct{}                     // closed once the catalogue and the endpoint list are known
+	registered       chan struct{}                     // closed once this instance has registered in the log
+	registeredOnce   sync.Once
+	initialized      chan struct{} // closed once the catalogue and the endpoint list are known
 	initializedOnce  sync.Once
+	renewSharesAt    time.Time     // time at which the shares are updated without a report; used by tick only
+	news             chan struct{} // receives a value when a report shows a change that this instance does not know
 	draining         atomic.Bool
 	group            conc.WaitGroup
 	stop             context.CancelFunc
@@ -83,9 +87,11 @@
 		roster:           roster.NewTable(),
 		router:           routing.New(routing.Config{Self: settings.Callers, DataCentre: settings.DataCentre, PromptWeight: promptWeight}),
 		routerEntries:    make(map[string]bool),
+		registered:       make(chan struct{}),
 		initialized:      make(chan struct{}),
 		restartCatalogue: make(chan struct{}, 1),
 		restored:         make(chan struct{}, 1),
+		news:             make(chan struct{}, 1),
 	}
 	i.log = platform.NewLog(settings.Log, i.logRestored)
 	i.observer = newObserver(logger)
@@ -144,6 +150,7 @@
 	i.group.Go(i.gossiper.receiveReports)
 	i.group.Go(func() { i.syncWithPeers(ctx) })
 	i.group.Go(func() { i.gossiper.sendReports(ctx) })
+	i.group.Go(func() { i.gossiper.sendBundles(ctx) })
 	i.group.Go(func() { i.register(ctx) })
 	i.group.Go(func() { i.consumeCatalogue(ctx) })
 	i.group.Go(func() { i.consumeEndpoints(ctx) })
@@ -208,15 +215,23 @@
 
 // tick does the periodic work until the context ends.
 func (i *Instance) tick(ctx context.Context) {
-	for wait.For(ctx, tickInterval) == nil {
+	for wait.For(ctx, i.tickInterval()) == nil {
 		now := time.Now()
 		i.roster.Expire(missingGrace, now)
 		i.checkSettled(now)
-		i.updateShares(now)
+		i.renewShares(now)
 		i.router.Tick(now)
 	}
 }
 
+// tickInterval returns the time until the next tick, which is longer while no request waits for a place.
+func (i *Instance) tickInterval() time.Duration {
+	if i.router.QueueSize() > 0 {
+		return queueTickInterval
+	}
+	return idleTickInterval
+}
+
 // retryLimits returns the limits of the retry budget that all instances share.
 func (i *Instance) retryLimits() relay.RetryLimits {
 	return relay.RetryLimits{
--- a/instance/hosted/entries.go
+++ b/instance/hosted/entries.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -53,6 +52,6 @@
 			entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: e.Address, DataCentre: e.DataCentre, Leaving: e.Leaving})
 		}
 	}
-	slices.SortFunc(entry.Endpoints, func(a, b catalogue.Endpoint) int { return cmp.Compare(a.Address.String(), b.Address.String()) })
+	slices.SortFunc(entry.Endpoints, func(a, b catalogue.Endpoint) int { return a.Address.Compare(b.Address) })
 	return entry
 }
--- a/instance/hosted/gossiper.go
+++ b/instance/hosted/gossiper.go
@@ -31,6 +31,9 @@
 	deltas         *gossip.DeltaTracker
 	sequence       uint64
 	pendingUpdates []pendingUpdate
+	bundle         gossip.Bundle
+	bundleFilled   chan struct{} // receives requests to send the bundle within bundleInterval
+	bundleUrgent   chan struct{} // receives requests to send the bundle at once
 }
 
 // pendingUpdate is a change of an endpoint that the next reports carry.
@@ -60,7 +63,16 @@
 
 func newGossiper(i *Instance) *gossiper {
 	self := netip.AddrPortFrom(i.settings.Address, uint16(i.settings.FirstPeerPort))
-	return &gossiper{instance: i, self: self, start: time.Now().UnixNano(), wake: make(chan struct{}, 1), peers: gossip.NewPeers(self), deltas: gossip.NewDeltaTracker()}
+	return &gossiper{
+		instance:     i,
+		self:         self,
+		start:        time.Now().UnixNano(),
+		wake:         make(chan struct{}, 1),
+		peers:        gossip.NewPeers(self),
+		deltas:       gossip.NewDeltaTracker(),
+		bundleFilled: make(chan struct{}, 1),
+		bundleUrgent: make(chan struct{}, 1),
+	}
 }
 
 // open binds the socket for reports.
@@ -100,7 +112,14 @@
 func (g *gossiper) reportInterval() time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.peers.ReportInterval()
+	return g.peers.NextReport(g.instance.settings.DataCentre, time.Now())
+}
+
+// readerInterval returns the longest time between two reports of an instance that reads the endpoint list for all.
+func (g *gossiper) readerInterval() time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.peers.ReaderInterval()
 }
 
 // sendReport sends one report to all other instances, to some of them through an instance that forwards it.
@@ -114,6 +133,7 @@
 		ReadAge:      g.instance.readAge(now),
 		LatestOffset: latest.Offset,
 		LatestEra:    latest.Era,
+		Bundles:      true,
 	}
 	if table := g.instance.table.Load(); table != nil {
 		r.Catalogue = table.Version
@@ -122,7 +142,7 @@
 	g.mutex.Lock()
 	g.sequence++
 	r.Sequence = g.sequence
-	r.Uses, r.Partial = g.deltas.Pick(uses, now)
+	r.Uses, r.Partial = g.deltas.Pick(uses, g.peers.FullReportInterval(), now)
 	if !r.Partial {
 		r.Leaving = g.instance.leavingEndpoints()
 	}
@@ -135,17 +155,29 @@
 		return
 	}
 	for _, t := range targets {
-		g.sendTo(t.Address, data, t.Forward)
+		if t.Address == g.self {
+			g.addToBundle(r, data, false)
+			continue
+		}
+		g.send(t.Address, messageOf(t.Forwarding), data)
 	}
 }
 
-// sendTo sends an encoded report to one instance; forward asks that instance to forward the report within its data centre.
-func (g *gossiper) sendTo(to netip.AddrPort, report []byte, forward bool) {
-	flag := byte(0)
-	if forward {
-		flag = 1
+// messageOf returns the type of the message that carries a report.
+func messageOf(f gossip.Forwarding) byte {
+	switch f {
+	case gossip.ForwardAtOnce:
+		return messageForward
+	case gossip.ForwardBundle:
+		return messageCollect
+	default:
+		return messageReport
 	}
-	if err := g.socket.Send(to, append([]byte{flag}, report...)); err != nil {
+}
+
+// send sends a message to one instance.
+func (g *gossiper) send(to netip.AddrPort, message byte, body []byte) {
+	if err := g.socket.Send(to, append([]byte{message}, body...)); err != nil {
 		g.instance.observer.reportNotSent(to, err)
 	}
 }
@@ -157,7 +189,7 @@
 	g.mutex.Unlock()
 	for _, a := range addresses {
 		if a != from {
-			g.sendTo(a, report, false)
+			g.send(a, messageReport, report)
 		}
 	}
 }
@@ -179,37 +211,62 @@
 	return uses
 }
 
-// receiveReports applies the reports of other instances until the socket is closed.
+// receiveReports handles the messages of other instances until the socket is closed.
 func (g *gossiper) receiveReports() {
 	g.socket.Receive(func(message []byte) {
 		if len(message) == 0 {
 			return
 		}
-		forward, message := message[0] != 0, message[1:]
-		r, err := gossip.Decode(message)
-		if err != nil {
-			g.instance.observer.recordUnreadable("report", err)
-			return
-		}
-		g.mutex.Lock()
-		now := time.Now()
-		sampled := g.peers.NewlySampled(r)
-		fresh := g.peers.Apply(r, now)
-		g.mutex.Unlock()
-		if !fresh {
-			return
-		}
-		if forward {
-			g.forward(r.From, message)
+		body := message[1:]
+		switch message[0] {
+		case messageBundle, messageRemoteBundle:
+			g.receiveBundle(body, message[0] == messageRemoteBundle)
+		default:
+			g.receiveReport(body, message[0])
 		}
-		for _, u := range sampled {
-			g.instance.router.ObservePeerInterval(u.Endpoint, u.Interval, now)
-		}
-		g.instance.applyReport(r)
-		g.instance.recordPeerRead(r, now)
 	})
 }
 
+// receiveReport applies a report, and forwards it as the type of its message asks for.
+func (g *gossiper) receiveReport(report []byte, message byte) {
+	r, fresh := g.apply(report)
+	if !fresh {
+		return
+	}
+	g.instance.updateShares(time.Now())
+	switch message {
+	case messageForward:
+		g.forward(r.From, report)
+	case messageCollect:
+		g.forwardLater(r, report, false)
+	}
+}
+
+// apply applies an encoded report, and returns whether it was newer than what is known of its sender, and the report without the changes
+// of endpoints that this instance knew already.
+func (g *gossiper) apply(report []byte) (*gossip.Report, bool) {
+	r, err := gossip.Decode(report)
+	if err != nil {
+		g.instance.observer.recordUnreadable("report", err)
+		return nil, false
+	}
+	g.mutex.Lock()
+	now := time.Now()
+	sampled := g.peers.NewlySampled(r)
+	fresh := g.peers.Apply(r, now)
+	g.mutex.Unlock()
+	if !fresh {
+		return r, false
+	}
+	for _, u := range sampled {
+		g.instance.router.ObservePeerInterval(u.Endpoint, u.Interval, now)
+	}
+	news := g.instance.applyReport(r)
+	g.instance.recordPeerRead(r, now)
+	r.Updates = news
+	return r, true
+}
+
 // liveInstances returns the number of live instances, including this one.
 func (g *gossiper) liveInstances() int {
 	g.mutex.Lock()
@@ -217,11 +274,16 @@
 	return g.peers.LiveCount(time.Now()) + 1
 }
 
-// peerUses returns the sums of what the other instances have in progress, by endpoint.
-func (g *gossiper) peerUses(now time.Time) map[netip.AddrPort]gossip.Use {
+// peerUses returns the sums of what the other instances have in progress at the given endpoints, in the same order.
+func (g *gossiper) peerUses(endpoints []netip.AddrPort, now time.Time) []gossip.Use {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.peers.TotalUses(now)
+	totals := g.peers.TotalUses(now)
+	uses := make([]gossip.Use, len(endpoints))
+	for n, a := range endpoints {
+		uses[n] = totals[a]
+	}
+	return uses
 }
 
 // readerStatus reports whether this instance reads the endpoint list from the log, and returns the number of instances that do.
@@ -272,67 +334,3 @@
 		g.peers.Add(a, now)
 	}
 }
-
-// leavingEndpoints returns the IDs of leaving and gone endpoints for a report, at most maximumReportedLeaving.
-func (i *Instance) leavingEndpoints() []string {
-	ids := i.roster.GoneOrLeaving()
-	return ids[:min(len(ids), maximumReportedLeaving)]
-}
-
-// applyReport applies the endpoint changes of another instance's report, and updates the shares of the engines.
-func (i *Instance) applyReport(r *gossip.Report) {
-	changed := false
-	now := time.Now()
-	for _, c := range r.Updates {
-		if i.notOlderThanList(c) && i.roster.Apply(c, now) {
-			changed = true
-			i.observer.endpointChanged(c, r.From.String())
-		}
-	}
-	for _, id := range r.Leaving {
-		if i.roster.MarkLeaving(id) {
-			changed = true
-			i.logger.Info("endpoint leaving", "endpoint", id, "source", r.From)
-		}
-	}
-	if changed {
-		i.refreshRouter()
-	}
-	i.updateShares(time.Now())
-}
-
-// recordPeerRead records that another instance has read the endpoint list. It does nothing if this instance has not read the list
-// itself before, or if the report shows a change that this instance does not know.
-func (i *Instance) recordPeerRead(r *gossip.Report, now time.Time) {
-	if r.ReadAge < 0 || i.knownPosition().Before(r.Latest()) {
-		return
-	}
-	at := now.Add(-r.ReadAge)
-	if latest := i.latestRead.Load(); latest != nil && latest.Before(at) {
-		i.latestRead.Store(&at)
-	}
-}
-
-// updateShares sets in the router, for each engine, the load of the other instances and this instance's share, which is the capacity
-// that the others do not use.
-func (i *Instance) updateShares(now time.Time) {
-	table := i.table.Load()
-	if table == nil {
-		return
-	}
-	uses := i.gossiper.peerUses(now)
-	for _, e := range i.roster.List() {
-		s := table.Services[e.Service]
-		if s == nil || s.Engine == nil {
-			continue
-		}
-		used := uses[e.Address]
-		share := endpoint.Share{
-			Slots:  max(s.Engine.Slots-used.Running, 0),
-			Memory: max(int(usableMemoryFraction*float64(s.Engine.Memory))-used.Memory, 0),
-			Spread: 1,
-			Until:  now.Add(shareLifetime),
-		}
-		i.router.SetPeerLoad(e.Address, used.Running, used.Prompts, share, now)
-	}
-}
--- /dev/null
+++ b/instance/hosted/reports.go
@@ -0,0 +1,53 @@
+package hosted
+
+import (
+	"time"
+
+	"dogwooddyke/coordination/gossip"
+	"dogwooddyke/state/roster"
+)
+
+// leavingEndpoints returns the IDs of leaving and gone endpoints for a report, at most maximumReportedLeaving.
+func (i *Instance) leavingEndpoints() []string {
+	ids := i.roster.GoneOrLeaving()
+	return ids[:min(len(ids), maximumReportedLeaving)]
+}
+
+// applyReport applies the endpoint changes of another instance's report, and returns those that this instance did not know.
+func (i *Instance) applyReport(r *gossip.Report) []roster.Change {
+	var news []roster.Change
+	now := time.Now()
+	for _, c := range r.Updates {
+		if i.notOlderThanList(c) && i.roster.Apply(c, now) {
+			news = append(news, c)
+			i.observer.endpointChanged(c, r.From.String())
+		}
+	}
+	changed := len(news) > 0
+	for _, id := range r.Leaving {
+		if i.roster.MarkLeaving(id) {
+			changed = true
+			i.logger.Info("endpoint leaving", "endpoint", id, "source", r.From)
+		}
+	}
+	if changed {
+		i.refreshRouter()
+	}
+	return news
+}
+
+// recordPeerRead records that another instance has read the endpoint list. It does nothing if this instance has not read the list
+// itself before, or if the report shows a change that this instance does not know.
+func (i *Instance) recordPeerRead(r *gossip.Report, now time.Time) {
+	if i.knownPosition().Before(r.Latest()) {
+		signal(i.news)
+		return
+	}
+	if r.ReadAge < 0 {
+		return
+	}
+	at := now.Add(-r.ReadAge)
+	if latest := i.latestRead.Load(); latest != nil && latest.Before(at) {
+		i.latestRead.Store(&at)
+	}
+}
--- a/instance/hosted/sync.go
+++ b/instance/hosted/sync.go
@@ -60,10 +60,11 @@
 	}
 }
 
-// listStale reports whether the latest known read of the endpoint list is older than the endpoints' heartbeat interval allows.
+// listStale reports whether the latest known read of the endpoint list is older than the endpoints' heartbeat interval and the readers'
+// reports allow.
 func (i *Instance) listStale(now time.Time) bool {
 	latest := i.latestRead.Load()
-	return latest == nil || now.Sub(*latest) > i.settings.Heartbeat+heartbeatMargin
+	return latest == nil || now.Sub(*latest) > i.settings.Heartbeat+heartbeatMargin+i.gossiper.readerInterval()
 }
 
 func (i *Instance) catalogueVersion() int64 {
--- a/instance/hosted/topics.go
+++ b/instance/hosted/topics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -65,21 +66,16 @@
 }
 
 func (i *Instance) consumeEndpoints(ctx context.Context) {
-	c := &consumer{instance: i, topic: platform.TopicEndpoints, maximumWait: i.settings.Heartbeat, pause: i.pauseBetweenReads, onRead: i.setListPosition, onRegained: i.restartCatalogueRead}
+	c := &consumer{instance: i, topic: platform.TopicEndpoints, maximumWait: i.settings.Heartbeat, pause: i.pauseBeforeRead, onRead: i.listRead, onRegained: i.restartCatalogueRead}
 	c.onList = func(records []platform.Record, end position.Position) {
-		now := time.Now()
-		i.latestRead.Store(&now)
-		i.latestOwnRead.Store(&now)
 		changes := i.decodeEndpoints(records)
-		i.announceChanges(i.roster.Replace(changes, end, missingGrace, now))
-		i.setListPosition(end)
+		i.announceChanges(i.roster.Replace(changes, end, missingGrace, time.Now()))
+		i.listRead(end)
 		i.listed.Store(true)
 		i.refreshRouter()
 	}
 	c.onRecords = func(records []platform.Record) {
 		now := time.Now()
-		i.latestRead.Store(&now)
-		i.latestOwnRead.Store(&now)
 		changes := i.decodeEndpoints(records)
 		var gone []roster.Change
 		if now.Sub(c.latestFailure) < missingGrace {
@@ -110,37 +106,72 @@
 	}
 }
 
-// pauseBetweenReads waits between two reads of the endpoint list. A few instances, the readers, read the list for all and report each
+// pauseBeforeRead waits before a read of the endpoint list. A few instances, the readers, read the list for all and report each
 // change to the others. An instance that is not a reader waits until it becomes one, until it has missed a change that others know,
 // or for maximumUnreadTime. It returns an error if the context ends.
-func (i *Instance) pauseBetweenReads(ctx context.Context) error {
+func (i *Instance) pauseBeforeRead(ctx context.Context) error {
+	if err := i.awaitRegistration(ctx); err != nil {
+		return err
+	}
 	isReader, readers := i.gossiper.readerStatus(time.Now())
 	pause := max(time.Duration(readers)*listPausePerReader, minimumListPause)
 	if err := wait.For(ctx, pause*4/5+rand.N(pause*2/5)); err != nil || isReader {
 		return err
 	}
-	missedSince := time.Time{} // when others were first seen to know a change that this instance does not know; zero: none
 	deadline := time.Now().Add(maximumUnreadTime)
 	for time.Now().Before(deadline) {
-		now := time.Now()
-		if isReader, _ := i.gossiper.readerStatus(now); isReader {
+		if isReader, _ := i.gossiper.readerStatus(time.Now()); isReader || i.missesChange(ctx) {
 			return nil
 		}
-		switch {
-		case !i.knownPosition().Before(i.gossiper.latest(now)):
-			missedSince = time.Time{}
-		case missedSince.IsZero():
-			missedSince = now
-		case now.Sub(missedSince) >= missedUpdateGrace:
-			return nil
-		}
-		if err := wait.For(ctx, readCheckInterval); err != nil {
+		if err := i.awaitNews(ctx, readCheckInterval); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// awaitRegistration waits until this instance knows the registered instances, among which the readers are chosen, or for
+// registrationGrace if the log does not answer. It returns an error if the context ends.
+func (i *Instance) awaitRegistration(ctx context.Context) error {
+	ctx, cancel := context.WithTimeoutCause(ctx, registrationGrace, errRegistrationLate)
+	defer cancel()
+	select {
+	case <-i.registered:
+		return nil
+	case <-ctx.Done():
+		if errors.Is(context.Cause(ctx), errRegistrationLate) {
+			return nil
+		}
+		return ctx.Err()
+	}
+}
+
+// errRegistrationLate ends the wait for the registration.
+var errRegistrationLate = errors.New("registration is late")
+
+// missesChange reports whether others know a change that this instance does not know, and does not learn of within missedUpdateGrace or
+// somewhat more. The time is random, since many instances may miss the same change.
+func (i *Instance) missesChange(ctx context.Context) bool {
+	if !i.knownPosition().Before(i.gossiper.latest(time.Now())) {
+		return false
+	}
+	_ = wait.For(ctx, missedUpdateGrace+rand.N(missedUpdateGrace)) // an ended context ends the caller's loop
+	return i.knownPosition().Before(i.gossiper.latest(time.Now()))
+}
+
+// awaitNews waits until a report shows a change that this instance does not know, or for the duration. It returns an error if the context
+// ends.
+func (i *Instance) awaitNews(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-i.news:
+	}
+	return ctx.Err()
+}
+
 // knownPosition returns the log position up to which this instance knows all changes of endpoints.
 func (i *Instance) knownPosition() position.Position {
 	return position.Latest(i.roster.Latest(), i.listPosition())
@@ -154,7 +185,14 @@
 	return position.Position{}
 }
 
-func (i *Instance) setListPosition(p position.Position) { i.readPosition.Store(&p) }
+// listRead records that this instance has read the endpoint list up to the position. A read without records counts as well: it shows that
+// nothing has changed.
+func (i *Instance) listRead(next position.Position) {
+	now := time.Now()
+	i.readPosition.Store(&next)
+	i.latestRead.Store(&now)
+	i.latestOwnRead.Store(&now)
+}
 
 // notOlderThanList reports whether another instance's change is not older than this instance's own read of the log. An endpoint that
 // has been removed from the roster must not be added again by an instance that does not know yet that the endpoint is gone.
