An instance that fetches a peer's state asks another one when the first does not answer

A fetch waited up to 4 s for one peer, which may be dead, cut off or frozen; a third of a large fleet can be. After 0.7 s another holder of the newest catalogue is asked as well.

--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -41,5 +41,6 @@
 	syncInterval           = 250 * time.Millisecond // between checks whether peers have newer state
 	lostCallMargin         = time.Second            // time overdue after which a call counts as lost by the log, not as slow
 	fetchTimeout           = 4 * time.Second        // four round trips of a slow link, and the response
+	fetchHedgeInterval     = 700 * time.Millisecond // after which another peer is asked as well
 	maximumCatalogueBytes  = 64 << 20
 )
--- a/instance/hosted/sync.go
+++ b/instance/hosted/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"dogwooddyke/internal/wait"
@@ -74,24 +75,45 @@
 	return 0
 }
 
-// fetchState fetches the state of another instance and applies what is newer than this instance's.
-func (i *Instance) fetchState(ctx context.Context, from netip.AddrPort) {
+// fetchState fetches the state of other instances, first of the one given, and applies what is newer than this instance's. If the first one
+// does not answer soon, others are asked as well: any of them may have died or be cut off.
+func (i *Instance) fetchState(ctx context.Context, first netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	var state peerState
-	if err := i.node.Call(ctx, from, methodState, peerState{Version: i.catalogueVersion()}, &state); err != nil {
-		i.logger.Warn("could not fetch state from peer", "from", from, "error", err.Error())
+	var calls atomic.Int32
+	fetched, err := wait.First(ctx, fetchHedgeInterval, func(ctx context.Context) (fetchedState, error) {
+		from := first
+		if calls.Add(1) > 1 {
+			from, _ = i.gossiper.newestCatalogue(time.Now())
+		}
+		state := fetchedState{from: from}
+		err := i.node.Call(ctx, from, methodState, peerState{Version: i.catalogueVersion()}, &state.peerState)
+		return state, err
+	})
+	if err != nil {
+		i.logger.Warn("could not fetch state from peer", "from", first, "error", err.Error())
 		return
 	}
+	i.applyFetched(&fetched)
+}
+
+// fetchedState is the state of another instance.
+type fetchedState struct {
+	peerState
+	from netip.AddrPort
+}
+
+// applyFetched applies another instance's state.
+func (i *Instance) applyFetched(state *fetchedState) {
 	if len(state.Catalogue) > 0 {
-		i.applyCompressedCatalogue(state.Catalogue, from)
+		i.applyCompressedCatalogue(state.Catalogue, state.from)
 	}
 	now := time.Now()
 	changed := false
 	for _, c := range state.Endpoints {
 		if i.notOlderThanList(c) && i.roster.Merge(c, now) {
 			changed = true
-			i.observer.endpointChanged(c, from.String())
+			i.observer.endpointChanged(c, state.from.String())
 		}
 	}
 	if state.Listed && !i.listed.Swap(true) || changed {
