A trigger during a check of an entry is not lost

Runner.Trigger made a steady entry due at once, but a check in progress, which might have read the engine's report before it failed, set its next check 5 s or more later. Reconcile also read nextCheck without the mutex that Trigger holds. Both go through beginCheck and endCheck now.

--- a/protocol/order/runner.go
+++ b/protocol/order/runner.go
@@ -66,8 +66,9 @@
 // entryState is the state of one entry under one lease.
 type entryState struct {
 	fence       uint64        // fencing number of the lease
-	nextCheck   time.Time     // when the entry is due for its next check
 	pullLimiter *rate.Limiter // limits pulls to this instance's share of the weight store's rate
+	nextCheck   time.Time     // when the entry is due for its next check; guarded by the runner's mutex, as the fields below
+	triggered   bool          // whether Trigger was called since the latest check began
 	plan        Plan          // result of the last check
 
 	mutex        sync.Mutex // guards the fields below; no other mutex of this package is locked while it is held
@@ -113,23 +114,54 @@
 		now := time.Now()
 		grant, ok := r.Leases.Grant(now, e.Name)
 		s := r.stateFor(e.Name, grant, ok, now)
-		if s == nil || now.Before(s.nextCheck) || !mayOrder(e, grant, now) {
+		if s == nil || !mayOrder(e, grant, now) {
 			continue
 		}
 		if view.Offset < grant.Catalogue {
 			// A former leaseholder used a later catalogue than this instance has, so this instance's orders would revert its changes.
 			continue
 		}
+		if !r.beginCheck(s, now) {
+			continue
+		}
 		group.Go(func() { r.checkEntry(ctx, e, s) })
 	}
 	group.Wait()
 }
 
-// Trigger makes the next Reconcile check an entry that was steady, because one of its engines is known to need an order.
+// Trigger makes the next Reconcile check an entry that was steady, because one of its engines is known to need an order. During a check,
+// which may have read the engine's report already, it makes the next Reconcile check the entry again.
 func (r *Runner) Trigger(entry string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if s, ok := r.entries[entry]; ok && s.plan.Steady {
+	s, ok := r.entries[entry]
+	if !ok {
+		return
+	}
+	s.triggered = true
+	if s.plan.Steady {
+		s.nextCheck = time.Time{}
+	}
+}
+
+// beginCheck reports whether an entry is due for a check, and if so records that one begins.
+func (r *Runner) beginCheck(s *entryState, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if now.Before(s.nextCheck) {
+		return false
+	}
+	s.triggered = false
+	return true
+}
+
+// endCheck records the plan of a check and when the next one is due.
+func (r *Runner) endCheck(s *entryState, plan Plan, engines int, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s.plan = plan
+	s.nextCheck = now.Add(checkInterval(plan, engines))
+	if s.triggered && plan.Steady {
 		s.nextCheck = time.Time{}
 	}
 }
@@ -197,10 +229,7 @@
 	plan := NewPlan(e, observations, s.fence, func(endpoint netip.AddrPort, pulls bool) bool { return s.allowOrder(now, endpoint, pulls) })
 	r.Observer.Planned(e.Name, plan)
 	r.sendOrders(ctx, e, s, plan.Steps)
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	s.plan = plan
-	s.nextCheck = time.Now().Add(checkInterval(plan, len(observations)))
+	r.endCheck(s, plan, len(observations), time.Now())
 }
 
 // recordObservations clears the backoff and the pending order of engines that serve as desired, sets OrderPending in the observations,
