The choice of an engine counts a first token that would be late

The score predicts the end of a run, so a fast engine with several prompts ahead won over a slower one without. A request can now carry the time until which its first token is on time, and the predicted delay beyond half of the time left counts eight times.

--- a/coordination/routing/choice.go
+++ b/coordination/routing/choice.go
@@ -70,7 +70,7 @@
 	candidate.Memory = peak / float64(max(share.Memory, 1))
 	candidate.Batch = e.batch(now)
 	candidate.CachedTokens = min(e.cache.Match(r.spec.Prefix)*blockTokens, float64(r.promptTokens()))
-	candidate.Score = c.score(r, e, candidate, remaining)
+	candidate.Score = c.score(r, e, candidate, remaining) + r.lateFirstTokenCost(e, candidate, now)
 	return candidate
 }
 
@@ -114,6 +114,18 @@
 	return score + c.remoteCost(r, e)
 }
 
+// lateFirstTokenCost returns the seconds that are added to the score of an endpoint where prompts ahead of the request's would delay its
+// first token too long. The predicted end alone prefers a fast endpoint with several prompts ahead to a slower one without.
+func (r *Request) lateFirstTokenCost(e *endpointState, candidate Candidate, now time.Time) float64 {
+	if r.spec.FirstTokenDeadline.IsZero() {
+		return 0
+	}
+	ahead := float64(e.pendingPromptTokens())
+	delay := (ahead + float64(r.promptTokens()) - candidate.CachedTokens) * e.prefillSeconds
+	allowed := firstTokenFraction * r.spec.FirstTokenDeadline.Sub(now).Seconds()
+	return lateFirstTokenWeight * max(delay-max(allowed, 0), 0)
+}
+
 // remoteCost returns the seconds that are added to the score of an endpoint outside the preferred data centre, and zero for one inside it.
 func (c *Core) remoteCost(r *Request, e *endpointState) float64 {
 	preferred, cost := c.config.DataCentre, remoteSeconds
--- a/coordination/routing/constants.go
+++ b/coordination/routing/constants.go
@@ -22,6 +22,8 @@
 	remoteSeconds           = 0.010                  // added to the score of an endpoint in another data centre, in seconds
 	immovableRunSeconds     = 1.0                    // added to the score per run that can't be moved away at short notice, in seconds
 	defaultPromptWeight     = 1.0
+	firstTokenFraction      = 0.5         // of the time left to the first token that a predicted prefill may take; the prediction is too low when prompts arrive together
+	lateFirstTokenWeight    = 8.0         // added to the score, in seconds, per second that the predicted first token exceeds that time
 	priorPrefillSeconds     = 0.0003      // initial estimate per uncached prompt token
 	prefillDecay            = 0.95        // weight of the previous estimate of the prefill time
 	memoryPressureThreshold = 0.85        // fraction of the memory share above which the score of an endpoint rises
--- a/coordination/routing/pool.go
+++ b/coordination/routing/pool.go
@@ -56,6 +56,11 @@
 	p.backlogSeconds = p.backlogSeconds*decay + startRateSeconds*(1-decay)
 }
 
+// Subset returns the endpoints that the instance at an address uses if its router has the default subset size.
+func Subset(self netip.AddrPort, dataCentre string, endpoints []catalogue.Endpoint) []catalogue.Endpoint {
+	return subset(self, dataCentre, endpoints, defaultSubsetSize)
+}
+
 // subset returns the endpoints that an instance uses: up to three quarters from its own data centre, the rest from any. The order is a hash
 // of the endpoint's and the instance's addresses, so that instances use different endpoints.
 func subset(self netip.AddrPort, dataCentre string, endpoints []catalogue.Endpoint, size int) []catalogue.Endpoint {
--- a/coordination/routing/spec.go
+++ b/coordination/routing/spec.go
@@ -21,6 +21,7 @@
 	PreferredDataCentre string           // empty: the instance's own
 	RemoteCost          float64          // seconds added to the score of an endpoint outside the preferred data centre; zero: the default
 	Deadline            time.Time        // latest start of the run; zero: none
+	FirstTokenDeadline  time.Time        // time until which the first token is on time; zero: none
 	Exclude             []netip.AddrPort // endpoints that have already failed this request
 }
 
