In a large fleet, the users of an engine learn at once of runs that start there or leave it

Bundles bring news of a run after 0.3 to 0.6 s.

Moves begin 40 ms after the notice, when these reports have arrived. A report that overtakes others leaves their uses in place, and prompts that are not reported again expire after 1 s: an instance reports them only when they start.

Ruled out: that slow engines alone make first tokens late; with none ahead they do not.

--- a/coordination/evacuation/schedule_test.go
+++ b/coordination/evacuation/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -115,3 +116,21 @@
 	SortRuns(runs)
 	is.Equal(runs, []Run{{"b", 3}, {"c", 3}, {"a", 5}})
 }
+
+// Five instances have a run each at an engine that is reclaimed. As long as none knows of the others' runs, all begin at once, and their
+// copies queue on the engine's link; with their reports they begin one after the other.
+func TestScheduleNeedsReports(t *testing.T) {
+	is := is.New(t)
+	const tokens = 4000
+	var all []Participant
+	for n := range 5 {
+		all = append(all, Participant{Instance: instance(byte(n)), Memory: tokens})
+	}
+	begins := map[time.Time]bool{}
+	for n, p := range all {
+		is.Equal(Schedule(p.Instance, tokens, 0, nil, "e-1", link, noticed, noticed.Add(LatestStop)).Begin, noticed)
+		others := slices.Concat(all[:n], all[n+1:])
+		begins[Schedule(p.Instance, tokens, 0, others, "e-1", link, noticed, noticed.Add(LatestStop)).Begin] = true
+	}
+	is.Equal(len(begins), len(all))
+}
--- a/coordination/gossip/constants.go
+++ b/coordination/gossip/constants.go
@@ -21,6 +21,7 @@
 	maximumBundleBytes      = 16 << 10                // of encoded reports in one bundle
 	maximumReaders          = 8                       // instances that read the endpoint list from the log for all others
 	maximumReadAge          = 2500 * time.Millisecond // time since a reader's latest read after which it is replaced; a read may wait for a heartbeat
+	promptLifetime          = time.Second             // for which prompts of another instance count unless it reports them again
 	startGrace              = 1500 * time.Millisecond // for a listed instance to send its first report
 	maximumPeers            = 4096                    // instances in the table
 	maximumLeaving          = 64                      // leaving endpoints in a report, and as many updates of endpoints
--- a/coordination/gossip/delta.go
+++ b/coordination/gossip/delta.go
@@ -48,6 +48,17 @@
 	return picked, true
 }
 
+// InUse returns the endpoints at which other instances have been told of a use that has not been reported as ended.
+func (d *DeltaTracker) InUse() []netip.AddrPort {
+	var endpoints []netip.AddrPort
+	for a, r := range d.reported {
+		if !r.use.empty() {
+			endpoints = append(endpoints, a)
+		}
+	}
+	return endpoints
+}
+
 // recordChanges marks the uses that differ from what was reported, or have ended, for the next reports.
 func (d *DeltaTracker) recordChanges(uses []Use) {
 	present := make(map[netip.AddrPort]bool, len(uses))
--- a/coordination/gossip/forwarders.go
+++ b/coordination/gossip/forwarders.go
@@ -11,9 +11,9 @@
 // sends what it has collected, as one bundle, to the instances of its data centre and to one forwarder of each other data centre, which
 // passes it on. So the number of messages that an instance sends or receives does not depend on how many runs the fleet starts.
 
-// bundling reports whether the fleet is so large that reports are sent in bundles. Instances that are listed in the log but have not
+// Bundling reports whether the fleet is so large that reports are sent in bundles. Instances that are listed in the log but have not
 // reported yet count, so that a fleet that starts as a whole uses bundles from the beginning.
-func (p *Peers) bundling(now time.Time) bool {
+func (p *Peers) Bundling(now time.Time) bool {
 	if len(p.known) < minimumBundlingPeers {
 		return false
 	}
@@ -60,7 +60,7 @@
 
 // IsForwarder reports whether this instance is one of the forwarders of its data centre.
 func (p *Peers) IsForwarder(dataCentre string, now time.Time) bool {
-	if !p.bundling(now) {
+	if !p.Bundling(now) {
 		return false
 	}
 	return slices.ContainsFunc(p.forwardersIn(dataCentre, true, now), func(f ranked) bool { return f.address == p.self })
--- a/coordination/gossip/peers.go
+++ b/coordination/gossip/peers.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 )
@@ -10,16 +11,26 @@
 	self   netip.AddrPort
 	known  map[netip.AddrPort]*peer
 	totals map[netip.AddrPort]Use // sums of the uses of the counted instances, by endpoint
+
+	promptExpiries []promptExpiry // in order of time
 }
 
 // peer is what is known of one other instance.
 type peer struct {
-	rank     uint64                 // hash of the address
-	counted  bool                   // whether the totals contain its uses
-	report   *Report                // latest report; nil if none was received
-	uses     map[netip.AddrPort]Use // uses by endpoint, merged from the latest full report and the partial ones after it
-	heardAt  time.Time              // when the latest report was received; zero if the instance is known from the log only
-	listedAt time.Time              // when the log last listed the instance
+	rank     uint64                          // hash of the address
+	counted  bool                            // whether the totals contain its uses
+	report   *Report                         // latest report; nil if none was received
+	uses     map[netip.AddrPort]sequencedUse // uses by endpoint, merged from the latest full report and the partial ones after it
+	full     uint64                          // sequence number of the latest full report
+	heardAt  time.Time                       // when the latest report was received; zero if the instance is known from the log only
+	listedAt time.Time                       // when the log last listed the instance
+}
+
+// sequencedUse is a use with the sequence number of the report that listed it. An ended use is kept until the next full report, so that an
+// earlier report that arrives late does not bring it back.
+type sequencedUse struct {
+	Use
+	sequence uint64
 }
 
 // NewPeers returns a table without other instances.
@@ -41,7 +52,7 @@
 
 // NewlySampled returns the uses of a report whose token interval was sampled again since the instance's previous report.
 func (p *Peers) NewlySampled(r *Report) []Use {
-	var previous map[netip.AddrPort]Use
+	var previous map[netip.AddrPort]sequencedUse
 	if k := p.known[r.From]; k != nil && k.report != nil && k.report.Start == r.Start {
 		previous = k.uses
 	}
@@ -68,28 +79,53 @@
 		p.known[r.From] = k
 	}
 	if latest := k.report; latest != nil && (r.Start < latest.Start || r.Start == latest.Start && r.Sequence <= latest.Sequence) {
+		p.applyLate(k, r, now)
 		return false
 	}
 	p.uncount(k)
+	p.recordPrompts(r, now)
 	k.merge(r)
 	k.report, k.heardAt = r, now
 	p.count(k)
 	return true
 }
 
+// applyLate applies the uses of a report that a later one of the same process has overtaken, where the later ones say nothing of them. A
+// report that was sent to this instance directly overtakes those that are still on their way in bundles.
+func (p *Peers) applyLate(k *peer, r *Report, now time.Time) {
+	if r.Start != k.report.Start || r.Sequence <= k.full {
+		return
+	}
+	counted := k.counted
+	p.uncount(k)
+	p.recordPrompts(r, now)
+	if !r.Partial {
+		k.full = r.Sequence
+		maps.DeleteFunc(k.uses, func(_ netip.AddrPort, u sequencedUse) bool { return u.sequence < r.Sequence })
+	}
+	k.mergeUses(r)
+	if counted {
+		p.count(k)
+	}
+}
+
 // merge updates the uses from a newer report: a full report, or one of a restarted process, replaces them all.
 func (k *peer) merge(r *Report) {
 	if !r.Partial || k.report == nil || k.report.Start != r.Start {
-		k.uses = make(map[netip.AddrPort]Use, len(r.Uses))
+		k.uses = make(map[netip.AddrPort]sequencedUse, len(r.Uses))
+		k.full = r.Sequence
 	}
+	k.mergeUses(r)
+}
+
+// mergeUses updates the uses that a report lists, but for those that a later report has listed.
+func (k *peer) mergeUses(r *Report) {
 	for _, u := range r.Uses {
-		if u.empty() {
-			delete(k.uses, u.Endpoint)
+		known, listed := k.uses[u.Endpoint]
+		if listed && known.sequence > r.Sequence || !listed && len(k.uses) >= maximumUses {
 			continue
 		}
-		if len(k.uses) < maximumUses {
-			k.uses[u.Endpoint] = u
-		}
+		k.uses[u.Endpoint] = sequencedUse{u, r.Sequence}
 	}
 }
 
@@ -97,6 +133,9 @@
 func (p *Peers) count(k *peer) {
 	k.counted = true
 	for endpoint, u := range k.uses {
+		if u.empty() {
+			continue
+		}
 		sum := p.totals[endpoint]
 		sum.Running += u.Running
 		sum.Memory += u.Memory
@@ -153,6 +192,7 @@
 			p.uncount(k)
 		}
 	}
+	p.expirePrompts(now)
 	return p.totals
 }
 
@@ -164,7 +204,7 @@
 			continue
 		}
 		if u := k.uses[endpoint]; u.Held > 0 {
-			uses[a] = u
+			uses[a] = u.Use
 		}
 	}
 	return uses
--- a/coordination/gossip/peers_test.go
+++ b/coordination/gossip/peers_test.go
@@ -61,6 +61,36 @@
 	is.Equal(len(p.TotalUses(now)), 0)
 }
 
+// A report that is sent directly overtakes earlier ones that are still on their way in a bundle.
+func TestOvertakenReport(t *testing.T) {
+	second, third := netip.MustParseAddrPort("10.1.0.2:80"), netip.MustParseAddrPort("10.1.0.3:80")
+	full := &Report{From: other, Start: 1, Sequence: 1, Uses: []Use{{Endpoint: endpoint, Running: 1}}}
+	t.Run("uses that later reports do not list are applied", func(t *testing.T) {
+		is := is.New(t)
+		p := NewPeers(self)
+		p.Apply(full, now)
+		p.Apply(&Report{From: other, Start: 1, Sequence: 4, Partial: true, Uses: []Use{{Endpoint: second, Running: 2}}}, now)
+		is.True(!p.Apply(&Report{From: other, Start: 1, Sequence: 3, Partial: true, Uses: []Use{{Endpoint: second, Running: 9}, {Endpoint: third, Running: 3}}}, now))
+		is.Equal(p.TotalUses(now), map[netip.AddrPort]Use{endpoint: {Running: 1}, second: {Running: 2}, third: {Running: 3}})
+	})
+	t.Run("a use that has ended stays ended", func(t *testing.T) {
+		is := is.New(t)
+		p := NewPeers(self)
+		p.Apply(full, now)
+		p.Apply(&Report{From: other, Start: 1, Sequence: 3, Partial: true, Uses: []Use{{Endpoint: endpoint}}}, now)
+		p.Apply(&Report{From: other, Start: 1, Sequence: 2, Partial: true, Uses: []Use{{Endpoint: endpoint, Running: 2}}}, now)
+		is.Equal(len(p.TotalUses(now)), 0)
+	})
+	t.Run("an overtaken full report ends the uses that it does not list", func(t *testing.T) {
+		is := is.New(t)
+		p := NewPeers(self)
+		p.Apply(full, now)
+		p.Apply(&Report{From: other, Start: 1, Sequence: 3, Partial: true, Uses: []Use{{Endpoint: second, Running: 2}}}, now)
+		p.Apply(&Report{From: other, Start: 1, Sequence: 2, Uses: []Use{{Endpoint: third, Running: 1}}}, now)
+		is.Equal(p.TotalUses(now), map[netip.AddrPort]Use{second: {Running: 2}, third: {Running: 1}})
+	})
+}
+
 // TestDeltaTracker guards against reports that grow with the number of endpoints: an instance with runs at sixteen engines starts one more
 // run every 20 ms, and without partial reports each report would list all sixteen.
 func TestDeltaTracker(t *testing.T) {
--- a/coordination/gossip/targets.go
+++ b/coordination/gossip/targets.go
@@ -26,7 +26,7 @@
 // Targets returns the instances to which a report is sent. In a small fleet that is each other instance, and with several data centres one
 // instance in each of the others, which forwards the report there. In a large fleet a report goes to one forwarder only.
 func (p *Peers) Targets(dataCentre string, sequence uint64, now time.Time) []Target {
-	if p.bundling(now) {
+	if p.Bundling(now) {
 		return p.bundledTargets(dataCentre, sequence, now)
 	}
 	return p.directTargets(dataCentre, sequence, now)
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -31,6 +31,8 @@
 	maximumReportedLeaving = 32                      // endpoints that a report lists as leaving
 	reportBatchPause       = 5 * time.Millisecond    // in which the starts of several runs are collected for one report
 	bundleInterval         = 300 * time.Millisecond  // longest time that a forwarder collects reports before it sends them
+	noticeSettleTime       = 40 * time.Millisecond   // after an endpoint's notice, in which the instances of a large fleet report their runs there
+	sharersLifetime        = time.Second             // after which the instances that share engines are computed again
 	shareLifetime          = 2 * time.Second         // time for which this instance's share of an engine is valid
 	registerRetryPause     = 500 * time.Millisecond  // between attempts to register in the log
 	registerSpread         = 2 * time.Second         // within which the instances register again after a restore of the log
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -51,6 +51,7 @@
 	front            *platform.Front
 	observer         *observer
 	gossiper         *gossiper
+	sharers          *sharers
 	scheduler        *moveScheduler
 	callerServer     *http.Server
 	readinessServer  *http.Server
@@ -85,7 +86,8 @@
 		settings:         settings,
 		logger:           logger,
 		roster:           roster.NewTable(),
-		router:           routing.New(routing.Config{Self: settings.Callers, DataCentre: settings.DataCentre, PromptWeight: promptWeight}),
+		router:           routing.New(routing.Config{Self: peerAddress(settings), DataCentre: settings.DataCentre, PromptWeight: promptWeight}),
+		sharers:          newSharers(settings.DataCentre),
 		routerEntries:    make(map[string]bool),
 		registered:       make(chan struct{}),
 		initialized:      make(chan struct{}),
@@ -98,8 +100,8 @@
 	i.gossiper = newGossiper(i)
 	i.node = peer.NewNode(peer.Config{Address: i.gossiper.self, Keys: [][]byte{[]byte(settings.PeerKey)}})
 	i.node.Handle(methodState, i.serveState)
-	i.scheduler = newMoveScheduler(i.gossiper.self, i.gossiper.participants, i.gossiper.reportSoon)
-	i.observer.onGenerationDispatched = i.gossiper.reportSoon
+	i.scheduler = newMoveScheduler(i.gossiper)
+	i.observer.onGenerationDispatched = i.gossiper.reportUse
 	i.runner = &relay.Runner{
 		Endpoints:     platform.NewEngines(),
 		Router:        i.router,
--- a/instance/hosted/entries.go
+++ b/instance/hosted/entries.go
@@ -27,15 +27,19 @@
 	endpoints := i.roster.List()
 	for name, s := range table.Services {
 		i.routerEntries[name] = true
-		i.router.SetEntry(entryOf(s, endpoints), now)
+		entry := entryOf(s, endpoints)
+		i.router.SetEntry(entry, now)
+		i.sharers.setEntry(entry)
 	}
 	for name := range i.routerEntries {
 		if table.Services[name] == nil {
 			delete(i.routerEntries, name)
 			i.router.RemoveEntry(name, now)
+			i.sharers.removeEntry(name)
 		}
 	}
 	i.updateShares(now)
+	i.gossiper.reportLeft()
 	if i.listed.Load() {
 		i.initializedOnce.Do(func() { close(i.initialized) })
 	}
--- a/instance/hosted/gossiper.go
+++ b/instance/hosted/gossiper.go
@@ -10,6 +10,7 @@
 	"dogwooddyke/coordination/evacuation"
 	"dogwooddyke/coordination/gossip"
 	"dogwooddyke/internal/wait"
+	"dogwooddyke/platform"
 	"dogwooddyke/state/endpoint"
 	"dogwooddyke/state/position"
 	"dogwooddyke/state/roster"
@@ -31,6 +32,8 @@
 	deltas         *gossip.DeltaTracker
 	sequence       uint64
 	pendingUpdates []pendingUpdate
+	urgent         []netip.AddrPort        // engines whose users must learn at once of this instance's use of them
+	reportedLeft   map[netip.AddrPort]bool // engines that take no work any more and whose users have been told of this instance's use
 	bundle         gossip.Bundle
 	bundleFilled   chan struct{} // receives requests to send the bundle within bundleInterval
 	bundleUrgent   chan struct{} // receives requests to send the bundle at once
@@ -62,7 +65,7 @@
 }
 
 func newGossiper(i *Instance) *gossiper {
-	self := netip.AddrPortFrom(i.settings.Address, uint16(i.settings.FirstPeerPort))
+	self := peerAddress(i.settings)
 	return &gossiper{
 		instance:     i,
 		self:         self,
@@ -75,6 +78,11 @@
 	}
 }
 
+// peerAddress returns the address under which other instances know an instance.
+func peerAddress(s *platform.Settings) netip.AddrPort {
+	return netip.AddrPortFrom(s.Address, uint16(s.FirstPeerPort))
+}
+
 // open binds the socket for reports.
 func (g *gossiper) open() error {
 	socket, err := datagram.Open(g.self)
@@ -85,6 +93,33 @@
 // reportSoon requests that the next report is sent before the interval ends.
 func (g *gossiper) reportSoon() { signal(g.wake) }
 
+// reportUse requests a report soon to the other users of an engine, because a run was sent to it, or has left it while it is leaving.
+func (g *gossiper) reportUse(engine netip.AddrPort) {
+	g.mutex.Lock()
+	g.urgent = append(g.urgent, engine)
+	g.mutex.Unlock()
+	g.reportSoon()
+}
+
+// reportLeft requests a report soon to the other users of the engines that take no work any more. They leave such an engine one after the
+// other and must know who still has runs there: an old report of runs that have ended since would make them wait for nobody.
+func (g *gossiper) reportLeft() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	left := make(map[netip.AddrPort]bool)
+	for _, a := range g.deltas.InUse() {
+		if g.instance.roster.TakesWork(a) {
+			continue
+		}
+		left[a] = true
+		if !g.reportedLeft[a] {
+			g.urgent = append(g.urgent, a)
+			g.reportSoon()
+		}
+	}
+	g.reportedLeft = left
+}
+
 // signal sends to a channel of capacity one unless a value is pending.
 func signal(c chan struct{}) {
 	select {
@@ -148,6 +183,7 @@
 	}
 	r.Updates = g.nextUpdates()
 	targets := g.peers.Targets(r.DataCentre, r.Sequence, now)
+	targets = append(targets, g.userTargets(targets, now)...)
 	g.mutex.Unlock()
 	data, err := gossip.Encode(r)
 	if err != nil {
@@ -163,6 +199,30 @@
 	}
 }
 
+// userTargets returns, in a large fleet, the other users of the engines in urgent, without those among the other targets; the caller holds
+// the mutex.
+func (g *gossiper) userTargets(others []gossip.Target, now time.Time) []gossip.Target {
+	engines := g.urgent
+	g.urgent = nil
+	if len(engines) == 0 || !g.peers.Bundling(now) {
+		return nil
+	}
+	addresses := g.instance.sharers.of(engines, g.peers.BundleMembers(g.instance.settings.DataCentre, now), now)
+	for _, e := range engines {
+		for a := range g.peers.UsesAt(e, now) {
+			addresses[a] = true
+		}
+	}
+	for _, t := range others {
+		delete(addresses, t.Address)
+	}
+	targets := make([]gossip.Target, 0, len(addresses))
+	for a := range addresses {
+		targets = append(targets, gossip.Target{Address: a})
+	}
+	return targets
+}
+
 // messageOf returns the type of the message that carries a report.
 func messageOf(f gossip.Forwarding) byte {
 	switch f {
@@ -267,6 +327,13 @@
 	return r, true
 }
 
+// isFleetLarge reports whether reports travel in bundles.
+func (g *gossiper) isFleetLarge() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.peers.Bundling(time.Now())
+}
+
 // liveInstances returns the number of live instances, including this one.
 func (g *gossiper) liveInstances() int {
 	g.mutex.Lock()
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -14,7 +14,7 @@
 
 // observer logs and counts each decision about a request, and logs each change of an endpoint.
 type observer struct {
-	onGenerationDispatched func() // called for each dispatch of a generation to an engine
+	onGenerationDispatched func(engine netip.AddrPort) // called for each dispatch of a generation
 	logger                 *slog.Logger
 	metrics                *metrics
 
@@ -40,7 +40,7 @@
 // Dispatched logs to which endpoint a request is sent.
 func (o *observer) Dispatched(d *relay.Dispatch, dispatches int) {
 	if d.Request.Engine != nil {
-		o.onGenerationDispatched()
+		o.onGenerationDispatched(d.Endpoint.Address)
 	}
 	o.logger.Info("dispatched", "id", d.Request.ID, "service", d.Request.Service, "endpoint", d.Endpoint.ID, "address", d.Endpoint.Address,
 		"sent", dispatches, "after", d.After, "copied", d.Copy != nil, "backup", d.Backup, "prompt", d.Request.PromptTokens, "output", d.Request.MaximumTokens, "expected", int(d.ExpectedTokens), "batch", d.Choice.Batch, "filled", roundToThousandths(d.Choice.Memory), "score", roundToThousandths(d.Choice.Score), "leftMs", time.Until(d.Deadline).Milliseconds())
--- a/instance/hosted/scheduler.go
+++ b/instance/hosted/scheduler.go
@@ -14,13 +14,20 @@
 type moveScheduler struct {
 	self         netip.AddrPort
 	participants func(endpoint netip.AddrPort) []evacuation.Participant
+	largeFleet   func() bool // reports whether the other instances report their runs only when an endpoint leaves
 	mutex        sync.Mutex
 	runs         map[netip.AddrPort]map[string]func() int // functions that return the tokens that a run holds, by endpoint and run ID
-	onRunLeft    func()                                   // called when a run has left a leaving endpoint
+	onRunLeft    func(endpoint netip.AddrPort)            // called when a run has left a leaving endpoint
 }
 
-func newMoveScheduler(self netip.AddrPort, participants func(endpoint netip.AddrPort) []evacuation.Participant, onRunLeft func()) *moveScheduler {
-	return &moveScheduler{self: self, participants: participants, onRunLeft: onRunLeft, runs: make(map[netip.AddrPort]map[string]func() int)}
+func newMoveScheduler(g *gossiper) *moveScheduler {
+	return &moveScheduler{
+		self:         g.self,
+		participants: g.participants,
+		largeFleet:   g.isFleetLarge,
+		onRunLeft:    g.reportUse,
+		runs:         make(map[netip.AddrPort]map[string]func() int),
+	}
 }
 
 // Register adds a run with a function that returns the tokens that it holds. The returned function removes the run, and calls onRunLeft
@@ -34,7 +41,7 @@
 	s.runs[at.Address][id] = heldTokens
 	return func() {
 		if s.remove(at.Address, id) && at.Leaving() {
-			s.onRunLeft()
+			s.onRunLeft(at.Address)
 		}
 	}
 }
@@ -60,6 +67,15 @@
 	return evacuation.Schedule(s.self, own, before, s.participants(from.Address), from.ID, link, noticed, latest)
 }
 
+// SettleTime returns the time after a notice in which the other instances' reports arrive. In a small fleet their latest reports are recent
+// enough.
+func (s *moveScheduler) SettleTime() time.Duration {
+	if s.largeFleet() {
+		return noticeSettleTime
+	}
+	return 0
+}
+
 // Ready reports whether all runs that are moved before this one have left its endpoint.
 func (s *moveScheduler) Ready(r *relay.Request, from relay.Endpoint) bool {
 	_, before := s.ownTokens(from.Address, r.ID)
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -100,6 +100,9 @@
 		return
 	}
 	m.handover.Noticed = time.Now()
+	if err := wait.For(ctx, m.execution.runner.MoveScheduler.SettleTime()); err != nil {
+		return
+	}
 	latest := m.handover.Noticed.Add(evacuation.LatestStop)
 	plan := m.execution.runner.MoveScheduler.Plan(m.execution.request, m.from, m.handover.Noticed, latest)
 	m.localOnly = plan.LocalOnly
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -37,6 +37,8 @@
 	Register(from Endpoint, id string, heldTokens func() int) (unregister func())
 	// Plan returns when a run should be copied, and whether the time allows only copies within the data centre.
 	Plan(r *Request, from Endpoint, noticed, latest time.Time) evacuation.Plan
+	// SettleTime returns the time after a notice in which the other instances' reports of their runs at the endpoint arrive.
+	SettleTime() time.Duration
 	// Ready reports whether all runs ahead of this one have been moved.
 	Ready(r *Request, from Endpoint) bool
 }
@@ -98,6 +100,9 @@
 		MaximumTokens: request.MaximumTokens,
 		Deadline:      latestStart(request),
 	}
+	if request.Route.Target > 0 {
+		x.spec.FirstTokenDeadline = request.Arrived.Add(request.Route.Target)
+	}
 	if request.Engine != nil && request.Engine.Moves {
 		x.spec.MovableRuns = movableRuns(request)
 	}
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -201,6 +201,18 @@
 	return services
 }
 
+// TakesWork reports whether an endpoint at an address is neither gone nor leaving.
+func (t *Table) TakesWork(address netip.AddrPort) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, e := range t.entries {
+		if !e.gone && !e.endpoint.Leaving && e.endpoint.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Snapshot returns the endpoints that are not gone, as changes that another table can apply.
 func (t *Table) Snapshot() []Change {
 	t.mutex.Lock()
