A fetch of a peer's state brings only what is new, packed, and counts as a read

An instance that waited for its own list fetched the endpoints of a peer, 600 kB as JSON, four times a second.

The caller now names the position that it knows; the reply holds the endpoints that have changed since, packed, and the position up to which the peer knows them. A fetched list counts as read; an instance that the log refuses fetches at once when reports show a change that it does not know. Older instances are answered as before.

--- a/instance/hosted/consumer.go
+++ b/instance/hosted/consumer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"dogwooddyke/internal/wait"
@@ -22,6 +23,7 @@
 	onList        func(records []platform.Record, end position.Position) // called with the newest record of each key, and the position after them
 	onRecords     func(records []platform.Record)                        // called with the records of a read, if any
 	onRead        func(next position.Position)                           // called after each read with the position of the next one; nil: not called
+	lost          *atomic.Bool                                           // set while calls to the log fail; nil: not set
 	next          position.Position                                      // log position up to which all records have been processed
 	lostPosition  position.Position                                      // value of next when the latest outage of the log began; an overdue call counts as an outage
 	latestFailure time.Time                                              // time of the latest call that failed or was overdue
@@ -172,6 +174,9 @@
 	}
 	c.recordFailure(time.Now())
 	c.failures++
+	if c.lost != nil {
+		c.lost.Store(true)
+	}
 	if c.failures == 1 {
 		c.instance.logger.Warn("log lost", "topic", c.topic, "error", err.Error())
 	}
@@ -208,4 +213,7 @@
 		}
 	}
 	c.failures = 0
+	if c.lost != nil {
+		c.lost.Store(false)
+	}
 }
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -62,6 +62,8 @@
 	latestRead       atomic.Pointer[time.Time]         // time of the latest known read of the endpoint list by any instance; nil until this one has read it
 	latestOwnRead    atomic.Pointer[time.Time]         // time of this instance's latest read of the endpoint list; nil: none
 	readPosition     atomic.Pointer[position.Position] // log position up to which this instance has read the endpoint list; nil: not read
+	fetched          atomic.Pointer[position.Position] // log position up to which the latest fetched state knew the endpoints; nil: none
+	listLost         atomic.Bool                       // whether reads of the endpoint list fail
 	restored         chan struct{}                     // receives requests to register in the log again after it was restored
 	restoredAt       atomic.Pointer[time.Time]         // time of the latest restore of the log whose lists do not agree yet; nil: none
 	listed           atomic.Bool                       // whether the endpoint list has been read or fetched at least once
--- a/instance/hosted/sync.go
+++ b/instance/hosted/sync.go
@@ -4,22 +4,27 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"dogwooddyke/internal/wait"
+	"dogwooddyke/state/position"
 	"dogwooddyke/state/roster"
 )
 
 // methodState is the RPC method that returns the endpoints and the catalogue of another instance.
 const methodState = "hosted.known"
 
-// peerState is the request and the response of methodState; a request sets only Version.
+// peerState is the request and the response of methodState.
 type peerState struct {
-	Version   int64           `json:"version"`             // of the caller's catalogue in a request, of Catalogue in a response
-	Catalogue []byte          `json:"catalogue,omitempty"` // gzip-compressed catalogue of the log; empty: not newer than the caller's
-	Endpoints []roster.Change `json:"endpoints,omitempty"` // endpoints that are not gone
-	Listed    bool            `json:"listed"`              // whether the instance knows the endpoint list
+	Version   int64             `json:"version"`             // of the caller's catalogue in a request, of Catalogue in a response
+	Catalogue []byte            `json:"catalogue,omitempty"` // gzip-compressed catalogue of the log; empty: not newer than the caller's
+	Endpoints []roster.Change   `json:"endpoints,omitempty"` // endpoints that are not gone; only in a response to a request without Packs
+	Listed    bool              `json:"listed"`              // whether the instance knows the endpoint list
+	Packs     bool              `json:"packs,omitempty"`     // in a request: the caller understands Packed and Known
+	Known     position.Position `json:"known,omitzero"`      // up to which the caller knows the endpoints in a request, the answering instance in a response
+	Packed    []byte            `json:"packed,omitempty"`    // gzip-compressed endpoints that are not gone and have changed after the request's Known
 }
 
 // serveState handles methodState.
@@ -28,7 +33,10 @@
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, err
 	}
-	reply := peerState{Endpoints: i.roster.Snapshot(), Listed: i.listed.Load()}
+	reply := peerState{Listed: i.listed.Load()}
+	if err := i.addEndpoints(&reply, &request); err != nil {
+		return nil, err
+	}
 	if c := i.catalogue.Load(); c != nil && c.version > request.Version {
 		compressed, err := c.compressed()
 		if err != nil {
@@ -39,6 +47,29 @@
 	return reply, nil
 }
 
+// addEndpoints adds the endpoints that the caller may not know to a reply.
+func (i *Instance) addEndpoints(reply, request *peerState) error {
+	known := i.knownPosition()
+	endpoints := i.roster.Snapshot()
+	if !request.Packs {
+		reply.Endpoints = endpoints
+		return nil
+	}
+	if i.listed.Load() {
+		reply.Known = known
+	}
+	endpoints = slices.DeleteFunc(endpoints, func(c roster.Change) bool { return c.Before(request.Known) })
+	if len(endpoints) == 0 {
+		return nil
+	}
+	data, err := json.Marshal(endpoints)
+	if err != nil {
+		return err
+	}
+	reply.Packed, err = compress(data)
+	return err
+}
+
 // syncWithPeers fetches the state of another instance while this one does not receive it from the log: because the log refuses its
 // calls, does not answer, or is unreachable while this instance starts. It returns when the context ends.
 func (i *Instance) syncWithPeers(ctx context.Context) {
@@ -55,7 +86,7 @@
 			behindSince = now
 		}
 		late := !behindSince.IsZero() && now.Sub(behindSince) >= syncInterval
-		if late || i.listStale(now) {
+		if late || i.listStale(now) || i.missesReported(now) {
 			i.fetchState(ctx, from)
 		}
 	}
@@ -68,6 +99,12 @@
 	return latest == nil || now.Sub(*latest) > i.settings.Heartbeat+heartbeatMargin+i.gossiper.readerInterval()
 }
 
+// missesReported reports whether this instance, which can't read the list from the log, does not know a change that others know.
+func (i *Instance) missesReported(now time.Time) bool {
+	known := position.Latest(i.knownPosition(), i.fetchedPosition())
+	return i.listLost.Load() && known.Before(i.gossiper.latest(now))
+}
+
 func (i *Instance) catalogueVersion() int64 {
 	if table := i.table.Load(); table != nil {
 		return table.Version
@@ -87,14 +124,17 @@
 			from, _ = i.gossiper.newestCatalogue(time.Now())
 		}
 		state := fetchedState{from: from}
-		err := i.node.Call(ctx, from, methodState, peerState{Version: i.catalogueVersion()}, &state.peerState)
+		request := peerState{Version: i.catalogueVersion(), Packs: true, Known: i.fetchedPosition()}
+		err := i.node.Call(ctx, from, methodState, request, &state.peerState)
 		return state, err
 	})
 	if err != nil {
 		i.logger.Warn("could not fetch state from peer", "from", first, "error", err.Error())
 		return
 	}
-	i.applyFetched(&fetched)
+	if err := i.applyFetched(&fetched); err != nil {
+		i.logger.Error("could not decode state of peer", "source", fetched.from, "error", err.Error())
+	}
 }
 
 // fetchedState is the state of another instance.
@@ -104,21 +144,55 @@
 }
 
 // applyFetched applies another instance's state.
-func (i *Instance) applyFetched(state *fetchedState) {
+func (i *Instance) applyFetched(state *fetchedState) error {
 	if len(state.Catalogue) > 0 {
 		i.applyCompressedCatalogue(state.Catalogue, state.from)
 	}
+	endpoints, err := state.endpoints()
+	if err != nil {
+		return err
+	}
 	now := time.Now()
 	changed := false
-	for _, c := range state.Endpoints {
+	for _, c := range endpoints {
 		if i.notOlderThanList(c) && i.roster.Merge(c, now) {
 			changed = true
 			i.observer.endpointChanged(c, state.from.String())
 		}
 	}
+	if state.Listed {
+		// Without this, an instance that can't read the list itself would fetch it again and again.
+		i.latestRead.Store(&now)
+		i.fetched.Store(&state.Known)
+	}
 	if state.Listed && !i.listed.Swap(true) || changed {
 		i.refreshRouter()
 	}
+	return nil
+}
+
+// endpoints returns the endpoints of the state.
+func (s *fetchedState) endpoints() ([]roster.Change, error) {
+	if len(s.Packed) == 0 {
+		return s.Endpoints, nil
+	}
+	data, err := decompress(s.Packed)
+	if err != nil {
+		return nil, err
+	}
+	var endpoints []roster.Change
+	if err := json.Unmarshal(data, &endpoints); err != nil {
+		return nil, err
+	}
+	return endpoints, nil
+}
+
+// fetchedPosition returns the log position up to which this instance has read the endpoint list or fetched it, the zero position if neither.
+func (i *Instance) fetchedPosition() position.Position {
+	if p := i.fetched.Load(); p != nil {
+		return position.Latest(*p, i.listPosition())
+	}
+	return i.listPosition()
 }
 
 // applyCompressedCatalogue decompresses another instance's catalogue and applies it.
--- a/instance/hosted/topics.go
+++ b/instance/hosted/topics.go
@@ -66,7 +66,7 @@
 }
 
 func (i *Instance) consumeEndpoints(ctx context.Context) {
-	c := &consumer{instance: i, topic: platform.TopicEndpoints, maximumWait: i.settings.Heartbeat, pause: i.pauseBeforeRead, onRead: i.listRead, onRegained: i.restartCatalogueRead}
+	c := &consumer{instance: i, topic: platform.TopicEndpoints, maximumWait: i.settings.Heartbeat, lost: &i.listLost, pause: i.pauseBeforeRead, onRead: i.listRead, onRegained: i.restartCatalogueRead}
 	c.onList = func(records []platform.Record, end position.Position) {
 		changes := i.decodeEndpoints(records)
 		i.announceChanges(i.roster.Replace(changes, end, missingGrace, time.Now()))
