Changes of endpoints count also in an overtaken report; bounds

A report that a direct one overtook lost its changes of endpoints, until its sender's next whole report. They are applied now, as they go by their position. A bundle holds at most 4,096 reports of each kind, and reads wait for the registration once, not before each read while the log takes no writes.

--- a/coordination/gossip/bundle.go
+++ b/coordination/gossip/bundle.go
@@ -11,11 +11,16 @@
 	remote [][]byte // forwarded by another data centre
 }
 
-// AddLocal adds a report of an instance of the forwarder's own data centre.
-func (b *Bundle) AddLocal(report []byte) { b.local = append(b.local, report) }
+// AddLocal adds a report of an instance of the forwarder's own data centre; the oldest is dropped if there are too many.
+func (b *Bundle) AddLocal(report []byte) { b.local = appendBounded(b.local, report) }
 
-// AddRemote adds a report that a forwarder of another data centre has sent.
-func (b *Bundle) AddRemote(report []byte) { b.remote = append(b.remote, report) }
+// AddRemote adds a report that a forwarder of another data centre has sent; the oldest is dropped if there are too many.
+func (b *Bundle) AddRemote(report []byte) { b.remote = appendBounded(b.remote, report) }
+
+func appendBounded(reports [][]byte, report []byte) [][]byte {
+	reports = append(reports, report)
+	return reports[max(len(reports)-maximumBundledReports, 0):]
+}
 
 // Take empties the bundle and returns what goes to the instances of the forwarder's data centre, and what goes to the other data centres.
 func (b *Bundle) Take() (members, dataCentres [][]byte) {
--- a/coordination/gossip/constants.go
+++ b/coordination/gossip/constants.go
@@ -18,6 +18,7 @@
 	readerInterval          = time.Second             // longest time between two reports of a reader or a forwarder
 	maximumForwarderSilence = 2500 * time.Millisecond // time since a forwarder's latest report after which another one is used
 	maximumContacts         = 8                       // listed instances that a starting instance of a large fleet reports to directly
+	maximumBundledReports   = 4096                    // that a forwarder collects for its next bundles, of each kind
 	maximumBundleBytes      = 16 << 10                // of encoded reports in one bundle
 	maximumReaders          = 8                       // instances that read the endpoint list from the log for all others
 	maximumReadAge          = 2500 * time.Millisecond // time since a reader's latest read after which it is replaced; a read may wait for a heartbeat
--- a/instance/hosted/bundles_test.go
+++ b/instance/hosted/bundles_test.go
@@ -36,7 +36,25 @@
 		r, err := gossip.Decode(encoded)
 		is.NoErr(err)
 		forwarded += len(r.Updates)
+		for _, u := range r.Updates {
+			is.Equal(u.Position, change.Position)
+		}
 	}
 	is.Equal(forwarded, 1)
 	is.Equal(len(i.gossiper.bundleUrgent), 1)
 }
+
+// A change of an endpoint counts also in a report that a later one has overtaken.
+func TestOvertakenUpdate(t *testing.T) {
+	is := is.New(t)
+	i := New(newFleet(t).newSettings(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	from, address := netip.MustParseAddrPort("10.1.0.1:7200"), netip.MustParseAddrPort("10.0.0.1:80")
+	receive := func(sequence uint64, updates ...roster.Change) {
+		report, err := gossip.Encode(&gossip.Report{From: from, Start: 1, Sequence: sequence, Partial: true, Updates: updates})
+		is.NoErr(err)
+		i.gossiper.receiveReport(report, messageReport)
+	}
+	receive(2)
+	receive(1, roster.Change{ID: "m-1", Position: position.Position{Offset: 5}, Endpoint: &roster.Endpoint{ID: "m-1", Service: "model", Address: address}})
+	is.Equal(len(i.roster.List()), 1)
+}
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -13,7 +13,7 @@
 	logReadWait            = 28 * time.Second        // maximum wait of one read of the catalogue's topic for new records
 	listPausePerReader     = 45 * time.Millisecond   // for each reader, in a reader's pause between two reads of the endpoint list
 	minimumListPause       = 200 * time.Millisecond  // shortest pause between two reads of the endpoint list
-	registrationGrace      = 500 * time.Millisecond  // for which the first read of the endpoint list waits for the registration
+	registrationGrace      = 500 * time.Millisecond  // for which reads of the endpoint list wait for the registration
 	maximumUnreadTime      = 60 * time.Second        // between reads of the endpoint list by an instance that is not a reader
 	missedUpdateGrace      = 200 * time.Millisecond  // time for updates in transit to arrive before the log is read for them
 	readCheckInterval      = 200 * time.Millisecond  // between checks whether this instance has become a reader
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -68,7 +68,7 @@
 	restoredAt       atomic.Pointer[time.Time]         // time of the latest restore of the log whose lists do not agree yet; nil: none
 	listed           atomic.Bool                       // whether the endpoint list has been read or fetched at least once
 	restartCatalogue chan struct{}                     // receives requests to restart the current read of the catalogue's topic
-	registered       chan struct{}                     // closed once this instance has registered in the log
+	registered       chan struct{}                     // closed once this instance has registered in the log, or has waited for registrationGrace
 	registeredOnce   sync.Once
 	initialized      chan struct{} // closed once the catalogue and the endpoint list are known
 	initializedOnce  sync.Once
--- a/instance/hosted/gossiper.go
+++ b/instance/hosted/gossiper.go
@@ -303,7 +303,8 @@
 }
 
 // apply applies an encoded report, and returns whether it was newer than what is known of its sender, and the report without the changes
-// of endpoints that this instance knew already.
+// of endpoints that this instance knew already. The changes of a report that another one has overtaken count as well: they go by their
+// position in the log.
 func (g *gossiper) apply(report []byte) (*gossip.Report, bool) {
 	r, err := gossip.Decode(report)
 	if err != nil {
@@ -315,15 +316,14 @@
 	sampled := g.peers.NewlySampled(r)
 	fresh := g.peers.Apply(r, now)
 	g.mutex.Unlock()
+	r.Updates = g.instance.applyUpdates(r)
 	if !fresh {
 		return r, false
 	}
 	for _, u := range sampled {
 		g.instance.router.ObservePeerInterval(u.Endpoint, u.Interval, now)
 	}
-	news := g.instance.applyReport(r)
 	g.instance.recordPeerRead(r, now)
-	r.Updates = news
 	return r, true
 }
 
--- a/instance/hosted/reports.go
+++ b/instance/hosted/reports.go
@@ -13,8 +13,8 @@
 	return ids[:min(len(ids), maximumReportedLeaving)]
 }
 
-// applyReport applies the endpoint changes of another instance's report, and returns those that this instance did not know.
-func (i *Instance) applyReport(r *gossip.Report) []roster.Change {
+// applyUpdates applies the changes of endpoints in another instance's report, and returns those that this instance did not know.
+func (i *Instance) applyUpdates(r *gossip.Report) []roster.Change {
 	var news []roster.Change
 	now := time.Now()
 	for _, c := range r.Updates {
--- a/instance/hosted/topics.go
+++ b/instance/hosted/topics.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -130,25 +129,20 @@
 	return nil
 }
 
-// awaitRegistration waits until this instance knows the registered instances, among which the readers are chosen, or for
-// registrationGrace if the log does not answer. It returns an error if the context ends.
+// awaitRegistration waits until this instance knows the registered instances, among which the readers are chosen, but for no longer than
+// registrationGrace once, if the log does not take the registration. It returns an error if the context ends.
 func (i *Instance) awaitRegistration(ctx context.Context) error {
-	ctx, cancel := context.WithTimeoutCause(ctx, registrationGrace, errRegistrationLate)
-	defer cancel()
+	timer := time.NewTimer(registrationGrace)
+	defer timer.Stop()
 	select {
 	case <-i.registered:
-		return nil
+	case <-timer.C:
+		i.registeredOnce.Do(func() { close(i.registered) })
 	case <-ctx.Done():
-		if errors.Is(context.Cause(ctx), errRegistrationLate) {
-			return nil
-		}
-		return ctx.Err()
 	}
+	return ctx.Err()
 }
 
-// errRegistrationLate ends the wait for the registration.
-var errRegistrationLate = errors.New("registration is late")
-
 // missesChange reports whether others know a change that this instance does not know, and does not learn of within missedUpdateGrace or
 // somewhat more. The time is random, since many instances may miss the same change.
 func (i *Instance) missesChange(ctx context.Context) bool {
