A restarted instance takes a peer's word that an engine has been removed after a restore

The three others removed it and said so, but their lists were older than the two instances' own, so the news was dropped. A removal in the same era now counts for an endpoint that is missing from the own list.

--- a/instance/hosted/reports.go
+++ b/instance/hosted/reports.go
@@ -18,7 +18,7 @@
 	var news []roster.Change
 	now := time.Now()
 	for _, c := range r.Updates {
-		if i.notOlderThanList(c) && i.roster.Apply(c, now) {
+		if (i.notOlderThanList(c) || i.confirmsMissing(c)) && i.roster.Apply(c, now) {
 			news = append(news, c)
 			i.observer.endpointChanged(c, r.From.String())
 		}
@@ -36,6 +36,12 @@
 	return news
 }
 
+// confirmsMissing reports whether a change removes an endpoint that is missing from this instance's own list. After a restore of the log an
+// instance that has known an endpoint for longer can tell sooner whether it has been removed.
+func (i *Instance) confirmsMissing(c roster.Change) bool {
+	return c.Endpoint == nil && c.Era == i.listPosition().Era && i.roster.IsMissing(c.ID)
+}
+
 // recordPeerRead records that another instance has read the endpoint list. It does nothing if this instance has not read the list
 // itself before, or if the report shows a change that this instance does not know.
 func (i *Instance) recordPeerRead(r *gossip.Report, now time.Time) {
--- a/instance/hosted/restore_test.go
+++ b/instance/hosted/restore_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"io"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -11,8 +13,11 @@
 
 	"github.com/matryer/is"
 
+	"dogwooddyke/coordination/gossip"
 	"dogwooddyke/platform"
 	"dogwooddyke/platform/standin"
+	"dogwooddyke/state/position"
+	"dogwooddyke/state/roster"
 )
 
 // restoredFleet returns a fleet with one engine, m-1, whose entry was written again after the returned copy of the log was made, and an
@@ -109,6 +114,23 @@
 	})
 }
 
+// An instance that was restarted shortly before a restore of the log can't tell whether the copy lacks an engine or the engine has been
+// removed since. It must take the word of an instance that has known the engine for longer than any copy is old, whose list is older.
+func TestConfirmedMissing(t *testing.T) {
+	is := is.New(t)
+	i := New(newFleet(t).newSettings(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	now := time.Now()
+	at := func(era, offset int64) position.Position { return position.Position{Era: era, Offset: offset} }
+	engine := &roster.Endpoint{ID: "m-1", Service: "model", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	i.roster.Apply(roster.Change{ID: "m-1", Position: at(1, 9), Endpoint: engine}, now)
+	i.roster.Replace(nil, at(2, 7), missingGrace, now)
+	i.listRead(at(2, 7))
+	is.Equal(len(i.roster.List()), 1)
+	is.Equal(len(i.applyUpdates(&gossip.Report{Updates: []roster.Change{{ID: "m-1", Position: at(1, 8)}}})), 0) // of the former era
+	is.Equal(len(i.applyUpdates(&gossip.Report{Updates: []roster.Change{{ID: "m-1", Position: at(2, 6)}}})), 1)
+	is.Equal(len(i.roster.List()), 0)
+}
+
 // A log that deletes records as soon as they are listed must not be asked in a tight loop.
 func TestPauseBeforeList(t *testing.T) {
 	pauses := func(t *testing.T, uselessLists int) (pause time.Duration, logged string) {
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -235,6 +235,14 @@
 	return t.latest
 }
 
+// IsMissing reports whether an endpoint is missing from the list but may be alive.
+func (t *Table) IsMissing(id string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.entries[id]
+	return e != nil && !e.gone && !e.missingSince.IsZero()
+}
+
 // MissingCount returns the number of endpoints that are missing from the list but may be alive.
 func (t *Table) MissingCount() int {
 	t.mutex.Lock()
