A fetched state is complete up to the position that it names

The position was that of the newest change that the peer knew, which may have come in a report while an earlier one was lost. It is now the position up to which the peer has read or fetched the list itself.

--- a/instance/hosted/sync.go
+++ b/instance/hosted/sync.go
@@ -49,15 +49,14 @@
 
 // addEndpoints adds the endpoints that the caller may not know to a reply.
 func (i *Instance) addEndpoints(reply, request *peerState) error {
-	known := i.knownPosition()
+	// The position is read first, so that the snapshot lacks no change up to it. Changes that reports have brought may have gaps.
+	known := i.fetchedPosition()
 	endpoints := i.roster.Snapshot()
 	if !request.Packs {
 		reply.Endpoints = endpoints
 		return nil
 	}
-	if i.listed.Load() {
-		reply.Known = known
-	}
+	reply.Known = known
 	endpoints = slices.DeleteFunc(endpoints, func(c roster.Change) bool { return c.Before(request.Known) })
 	if len(endpoints) == 0 {
 		return nil
