--- a/instance/hosted/gossiper.go
+++ b/instance/hosted/gossiper.go
@@ -7,19 +7,17 @@
 	"sync"
 	"time"
 
-	"dogwooddyke/coordination/evacuation"
 	"dogwooddyke/coordination/gossip"
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/platform"
 	"dogwooddyke/state/endpoint"
-	"dogwooddyke/state/position"
 	"dogwooddyke/state/roster"
 	"dogwooddyke/transport/datagram"
 )
 
 // gossiper reports to the other instances what this one has in progress, and applies their reports.
 //
-// Lock order: mutex is locked before the mutexes of the roster and the router; it is not held while a report is sent.
+// Lock order: mutex is locked before the mutexes of the roster, the router and the sharers; it is not held while a report is sent.
 type gossiper struct {
 	instance *Instance
 	socket   *datagram.Socket
@@ -102,7 +100,7 @@
 }
 
 // reportLeft requests a report soon to the other users of the engines that take no work any more. They leave such an engine one after the
-// other and must know who still has runs there: an old report of runs that have ended since would make them wait for nobody.
+// other and must know who still has runs there: an old report of runs that have ended since would make them wait without need.
 func (g *gossiper) reportLeft() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -150,13 +148,6 @@
 	return g.peers.NextReport(g.instance.settings.DataCentre, time.Now())
 }
 
-// readerInterval returns the longest time between two reports of an instance that reads the endpoint list for all.
-func (g *gossiper) readerInterval() time.Duration {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.peers.ReaderInterval()
-}
-
 // sendReport sends one report to all other instances, to some of them through an instance that forwards it.
 func (g *gossiper) sendReport() {
 	now := time.Now()
@@ -242,18 +233,6 @@
 	}
 }
 
-// forward sends a report from another data centre to the other instances of this one.
-func (g *gossiper) forward(from netip.AddrPort, report []byte) {
-	g.mutex.Lock()
-	addresses := g.peers.LivePeersIn(g.instance.settings.DataCentre, time.Now())
-	g.mutex.Unlock()
-	for _, a := range addresses {
-		if a != from {
-			g.send(a, messageReport, report)
-		}
-	}
-}
-
 // ownUses returns what this instance has in progress, by endpoint.
 func (g *gossiper) ownUses(now time.Time) []gossip.Use {
 	var uses []gossip.Use
@@ -270,134 +249,3 @@
 	}
 	return uses
 }
-
-// receiveReports handles the messages of other instances until the socket is closed.
-func (g *gossiper) receiveReports() {
-	g.socket.Receive(func(message []byte) {
-		if len(message) == 0 {
-			return
-		}
-		body := message[1:]
-		switch message[0] {
-		case messageBundle, messageRemoteBundle:
-			g.receiveBundle(body, message[0] == messageRemoteBundle)
-		default:
-			g.receiveReport(body, message[0])
-		}
-	})
-}
-
-// receiveReport applies a report, and forwards it as the type of its message asks for.
-func (g *gossiper) receiveReport(report []byte, message byte) {
-	r, fresh := g.apply(report)
-	if !fresh {
-		return
-	}
-	g.instance.updateShares(time.Now())
-	switch message {
-	case messageForward:
-		g.forward(r.From, report)
-	case messageCollect:
-		g.forwardLater(r, report, false)
-	}
-}
-
-// apply applies an encoded report, and returns whether it was newer than what is known of its sender, and the report without the changes
-// of endpoints that this instance knew already. The changes of a report that another one has overtaken count as well: they go by their
-// position in the log.
-func (g *gossiper) apply(report []byte) (*gossip.Report, bool) {
-	r, err := gossip.Decode(report)
-	if err != nil {
-		g.instance.observer.recordUnreadable("report", err)
-		return nil, false
-	}
-	g.mutex.Lock()
-	now := time.Now()
-	sampled := g.peers.NewlySampled(r)
-	fresh := g.peers.Apply(r, now)
-	g.mutex.Unlock()
-	r.Updates = g.instance.applyUpdates(r)
-	if !fresh {
-		return r, false
-	}
-	for _, u := range sampled {
-		g.instance.router.ObservePeerInterval(u.Endpoint, u.Interval, now)
-	}
-	g.instance.recordPeerRead(r, now)
-	return r, true
-}
-
-// isFleetLarge reports whether reports travel in bundles.
-func (g *gossiper) isFleetLarge() bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.peers.Bundling(time.Now())
-}
-
-// liveInstances returns the number of live instances, including this one.
-func (g *gossiper) liveInstances() int {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.peers.LiveCount(time.Now()) + 1
-}
-
-// peerUses returns the sums of what the other instances have in progress at the given endpoints, in the same order.
-func (g *gossiper) peerUses(endpoints []netip.AddrPort, now time.Time) []gossip.Use {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	totals := g.peers.TotalUses(now)
-	uses := make([]gossip.Use, len(endpoints))
-	for n, a := range endpoints {
-		uses[n] = totals[a]
-	}
-	return uses
-}
-
-// readerStatus reports whether this instance reads the endpoint list from the log, and returns the number of instances that do.
-func (g *gossiper) readerStatus(now time.Time) (bool, int) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.peers.IsReader(now), g.peers.ReaderCount(now)
-}
-
-// shouldProbe reports whether this instance is one of those that retry a lost log often.
-func (g *gossiper) shouldProbe(now time.Time) bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.peers.ShouldProbe(now)
-}
-
-// latest returns the log position of the newest change of an endpoint that other instances know.
-func (g *gossiper) latest(now time.Time) position.Position {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.peers.Latest(now)
-}
-
-// newestCatalogue returns the other instance with the newest catalogue, and that version.
-func (g *gossiper) newestCatalogue(now time.Time) (netip.AddrPort, int64) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.peers.NewestCatalogue(now)
-}
-
-// participants returns the other instances whose runs hold KV memory at an endpoint.
-func (g *gossiper) participants(endpoint netip.AddrPort) []evacuation.Participant {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	var participants []evacuation.Participant
-	for a, u := range g.peers.UsesAt(endpoint, time.Now()) {
-		participants = append(participants, evacuation.Participant{Instance: a, Memory: u.Held})
-	}
-	return participants
-}
-
-// addPeers adds the instances that are registered in the log.
-func (g *gossiper) addPeers(addresses []netip.AddrPort) {
-	now := time.Now()
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	for _, a := range addresses {
-		g.peers.Add(a, now)
-	}
-}
--- /dev/null
+++ b/instance/hosted/receiver.go
@@ -0,0 +1,76 @@
+package hosted
+
+import (
+	"net/netip"
+	"time"
+
+	"dogwooddyke/coordination/gossip"
+)
+
+// receiveReports handles the messages of other instances until the socket is closed.
+func (g *gossiper) receiveReports() {
+	g.socket.Receive(func(message []byte) {
+		if len(message) == 0 {
+			return
+		}
+		body := message[1:]
+		switch message[0] {
+		case messageBundle, messageRemoteBundle:
+			g.receiveBundle(body, message[0] == messageRemoteBundle)
+		default:
+			g.receiveReport(body, message[0])
+		}
+	})
+}
+
+// receiveReport applies a report, and forwards it as the type of its message asks for.
+func (g *gossiper) receiveReport(report []byte, message byte) {
+	r, fresh := g.apply(report)
+	if !fresh {
+		return
+	}
+	g.instance.updateShares(time.Now())
+	switch message {
+	case messageForward:
+		g.forward(r.From, report)
+	case messageCollect:
+		g.forwardLater(r, report, false)
+	}
+}
+
+// apply applies an encoded report, and returns whether it was newer than what is known of its sender, and the report without the changes
+// of endpoints that this instance knew already. The changes of a report that another one has overtaken count as well: they go by their
+// position in the log.
+func (g *gossiper) apply(report []byte) (*gossip.Report, bool) {
+	r, err := gossip.Decode(report)
+	if err != nil {
+		g.instance.observer.recordUnreadable("report", err)
+		return nil, false
+	}
+	g.mutex.Lock()
+	now := time.Now()
+	sampled := g.peers.NewlySampled(r)
+	fresh := g.peers.Apply(r, now)
+	g.mutex.Unlock()
+	r.Updates = g.instance.applyUpdates(r)
+	if !fresh {
+		return r, false
+	}
+	for _, u := range sampled {
+		g.instance.router.ObservePeerInterval(u.Endpoint, u.Interval, now)
+	}
+	g.instance.recordPeerRead(r, now)
+	return r, true
+}
+
+// forward sends a report from another data centre to the other instances of this one.
+func (g *gossiper) forward(from netip.AddrPort, report []byte) {
+	g.mutex.Lock()
+	addresses := g.peers.LivePeersIn(g.instance.settings.DataCentre, time.Now())
+	g.mutex.Unlock()
+	for _, a := range addresses {
+		if a != from {
+			g.send(a, messageReport, report)
+		}
+	}
+}
--- a/instance/hosted/sharers.go
+++ b/instance/hosted/sharers.go
@@ -10,8 +10,8 @@
 )
 
 // sharers finds the other instances of this data centre that use the same engines as this one. They must learn at once that a prompt has
-// been sent to an engine: it keeps the engine busy for a fraction of a second, which is over before a bundle tells them. It is safe for
-// concurrent use, and its mutex is the innermost.
+// been sent to an engine, because the engine processes it in less time than a bundle takes to arrive. It is safe for concurrent use, and no
+// other mutex is locked while its own is held.
 type sharers struct {
 	dataCentre string
 
--- a/state/roster/restore_test.go
+++ b/state/roster/restore_test.go
@@ -18,6 +18,17 @@
 		return c
 	}
 	copied := []Change{inEra(listed("a", 3, false), 2)}
+	// nineAndEight returns a table of nine endpoints, and a list of the new era that lacks one of them.
+	nineAndEight := func() (*Table, []Change) {
+		table := NewTable()
+		var list []Change
+		for n := range 9 {
+			c := listed(string(rune('a'+n)), int64(n+1), false)
+			table.Apply(c, now)
+			list = append(list, inEra(c, 2))
+		}
+		return table, list[:8]
+	}
 	t.Run("a notice at an offset that was used before is applied", func(t *testing.T) {
 		is := is.New(t)
 		table := NewTable()
@@ -54,14 +65,7 @@
 	})
 	t.Run("a single endpoint that the copy lacks stays for the grace period", func(t *testing.T) {
 		is := is.New(t)
-		table := NewTable()
-		for n := range 9 {
-			table.Apply(listed(string(rune('a'+n)), int64(n+1), false), now)
-		}
-		var list []Change
-		for n := range 8 {
-			list = append(list, inEra(listed(string(rune('a'+n)), int64(n+1), false), 2))
-		}
+		table, list := nineAndEight()
 		is.Equal(len(table.Replace(list, restored(8), grace, now)), 0)
 		is.Equal(table.MissingCount(), 1)
 		table.Expire(grace, now.Add(grace-1))
@@ -71,14 +75,7 @@
 	})
 	t.Run("a single endpoint that is older than any copy is removed at once", func(t *testing.T) {
 		is := is.New(t)
-		table := NewTable()
-		for n := range 9 {
-			table.Apply(listed(string(rune('a'+n)), int64(n+1), false), now)
-		}
-		var list []Change
-		for n := range 8 {
-			list = append(list, inEra(listed(string(rune('a'+n)), int64(n+1), false), 2))
-		}
+		table, list := nineAndEight()
 		is.Equal(len(table.Replace(list, restored(8), grace, now.Add(maximumCopyAge))), 1)
 		is.Equal(len(table.List()), 8)
 	})
