--- a/instance/hosted/restore_test.go
+++ b/instance/hosted/restore_test.go
@@ -115,7 +115,7 @@
 }
 
 // An instance that was restarted shortly before a restore of the log can't tell whether the copy lacks an engine or the engine has been
-// removed since. It must take the word of an instance that has known the engine for longer than any copy is old, whose list is older.
+// removed since. It must accept the report of an instance that has known the engine for longer than any copy is old, whose list is older.
 func TestConfirmedMissing(t *testing.T) {
 	is := is.New(t)
 	i := New(newFleet(t).newSettings(), slog.New(slog.NewTextHandler(io.Discard, nil)))
--- a/instance/hosted/sharers_test.go
+++ b/instance/hosted/sharers_test.go
@@ -47,11 +47,11 @@
 			}
 		}
 	})
-	t.Run("nobody for an engine of another data centre", func(t *testing.T) {
+	t.Run("no instance for an engine of another data centre", func(t *testing.T) {
 		is := is.New(t)
 		is.Equal(len(s.of([]netip.AddrPort{entry.Endpoints[50].Address}, instances, now)), 0)
 	})
-	t.Run("nobody once the entry is removed", func(t *testing.T) {
+	t.Run("no instance once the entry is removed", func(t *testing.T) {
 		is := is.New(t)
 		s.removeEntry("model")
 		is.Equal(len(s.of([]netip.AddrPort{entry.Endpoints[0].Address}, instances, now)), 0)
