--- a/coordination/gossip/forwarders.go
+++ b/coordination/gossip/forwarders.go
@@ -9,7 +9,7 @@
 // In a large fleet, a report that is sent to each instance directly costs as many messages as there are instances, for each start of a
 // run on any of them. There, a few forwarders in each data centre collect the reports of its instances. At a fixed interval a forwarder
 // sends what it has collected, as one bundle, to the instances of its data centre and to one forwarder of each other data centre, which
-// passes it on. So the number of messages that an instance sends or receives does not depend on how many runs the fleet starts.
+// passes it on. So the number of bundles that an instance sends or receives does not depend on how many runs the fleet starts.
 
 // Bundling reports whether the fleet is so large that reports are sent in bundles. Instances that are listed in the log but have not
 // reported yet count, so that a fleet that starts as a whole uses bundles from the beginning.
