Logs and metrics say which endpoints name a rate limit, and what is sent to them

Cause: the lines of the incident do not tell whether an instance reads an endpoint's limit, or reads it and keeps to the whole of it alone: nothing says that a limit was named, nor that a dispatch goes to an endpoint that names one.

An unreadable value is logged and leaves what is known. Nothing is decided by it yet.

--- a/instance/hosted/metrics.go
+++ b/instance/hosted/metrics.go
@@ -12,15 +12,17 @@
 // metrics holds the instance's counters and histograms. Latencies are labelled by kind of route and by workspace, both from the
 // catalogue, so that the catalogue bounds the number of label values.
 type metrics struct {
-	registry     *prometheus.Registry
-	ended        *prometheus.CounterVec
-	declined     *prometheus.CounterVec
-	retries      *prometheus.CounterVec
-	moves        *prometheus.CounterVec
-	restores     prometheus.Counter
-	timeToAnswer *prometheus.HistogramVec
-	totalTime    *prometheus.HistogramVec
-	longestPause *prometheus.HistogramVec
+	registry          *prometheus.Registry
+	ended             *prometheus.CounterVec
+	declined          *prometheus.CounterVec
+	retries           *prometheus.CounterVec
+	moves             *prometheus.CounterVec
+	restores          prometheus.Counter
+	limitedEndpoints  prometheus.Gauge
+	limitedDispatches prometheus.Counter
+	timeToAnswer      *prometheus.HistogramVec
+	totalTime         *prometheus.HistogramVec
+	longestPause      *prometheus.HistogramVec
 }
 
 // maximumWorkspaceLabels limits the workspaces that have a label value of their own; further workspaces share one.
@@ -35,17 +37,19 @@
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: name, Help: help}, labels)
 	}
 	m := &metrics{
-		registry:     prometheus.NewRegistry(),
-		ended:        counter("requests_total", "Requests by how they ended and why.", "class", "outcome", "reason"),
-		declined:     counter("declined_total", "Requests that came to no endpoint, by status.", "status"),
-		retries:      counter("repeats_total", "Dispatches that failed, by whether another one followed.", "again"),
-		moves:        counter("moves_total", "Copies of runs, by whether the run stopped with it and whether it failed.", "last", "failed"),
-		restores:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "log_restores_total", Help: "Restores of the platform's log from an older copy."}),
-		timeToAnswer: histogram("first_seconds", "Time to the beginning of the answer."),
-		totalTime:    histogram("whole_seconds", "Time to the end of the answer."),
-		longestPause: histogram("pause_seconds", "Longest time between two events of a stream."),
+		registry:          prometheus.NewRegistry(),
+		ended:             counter("requests_total", "Requests by how they ended and why.", "class", "outcome", "reason"),
+		declined:          counter("declined_total", "Requests that came to no endpoint, by status.", "status"),
+		retries:           counter("repeats_total", "Dispatches that failed, by whether another one followed.", "again"),
+		moves:             counter("moves_total", "Copies of runs, by whether the run stopped with it and whether it failed.", "last", "failed"),
+		restores:          prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "log_restores_total", Help: "Restores of the platform's log from an older copy."}),
+		limitedEndpoints:  prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "dogwooddyke", Name: "limited_endpoints", Help: "Endpoints that name a limit on the rate of requests."}),
+		limitedDispatches: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "limited_dispatches_total", Help: "Dispatches to endpoints whose rate limit was known."}),
+		timeToAnswer:      histogram("first_seconds", "Time to the beginning of the answer."),
+		totalTime:         histogram("whole_seconds", "Time to the end of the answer."),
+		longestPause:      histogram("pause_seconds", "Longest time between two events of a stream."),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.timeToAnswer, m.totalTime, m.longestPause)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.limitedEndpoints, m.limitedDispatches, m.timeToAnswer, m.totalTime, m.longestPause)
 	return m
 }
 
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dogwooddyke/protocol/relay"
+	"dogwooddyke/state/ratelimit"
 	"dogwooddyke/state/roster"
 )
 
@@ -19,11 +20,12 @@
 	metrics                *metrics
 
 	mutex              sync.Mutex
-	labelledWorkspaces map[string]bool // workspaces that have a label value of their own
+	labelledWorkspaces map[string]bool  // workspaces that have a label value of their own
+	rateLimits         *ratelimit.Table // that endpoints have named
 }
 
 func newObserver(logger *slog.Logger) *observer {
-	return &observer{logger: logger, metrics: newMetrics(), labelledWorkspaces: make(map[string]bool)}
+	return &observer{logger: logger, metrics: newMetrics(), labelledWorkspaces: make(map[string]bool), rateLimits: ratelimit.NewTable()}
 }
 
 // workspaceLabel returns the label value of a workspace; workspaces beyond the first maximumWorkspaceLabels share one.
@@ -42,10 +44,46 @@
 	if d.Request.Engine != nil {
 		o.onGenerationDispatched(d.Endpoint.Address)
 	}
-	o.logger.Info("dispatched", "id", d.Request.ID, "service", d.Request.Service, "endpoint", d.Endpoint.ID, "address", d.Endpoint.Address,
+	limited := o.rateLimit(d.Endpoint).Named
+	if limited {
+		o.metrics.limitedDispatches.Inc()
+	}
+	o.logger.Info("dispatched", "id", d.Request.ID, "service", d.Request.Service, "endpoint", d.Endpoint.ID, "address", d.Endpoint.Address, "limited", limited,
 		"sent", dispatches, "after", d.After, "copied", d.Copy != nil, "backup", d.Backup, "prompt", d.Request.PromptTokens, "output", d.Request.MaximumTokens, "expected", int(d.ExpectedTokens), "batch", d.Choice.Batch, "filled", roundToThousandths(d.Choice.Memory), "score", roundToThousandths(d.Choice.Score), "leftMs", time.Until(d.Deadline).Milliseconds())
 }
 
+// rateLimit returns the rate limit of an endpoint.
+func (o *observer) rateLimit(e relay.Endpoint) ratelimit.Limit {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.rateLimits.Limit(e.RateLimitKey())
+}
+
+// RateLimitStated records what an answer says of its endpoint's rate limit, and logs a change.
+func (o *observer) RateLimitStated(e relay.Endpoint, sent time.Time, stated relay.RateLimit) {
+	if stated.Err != nil {
+		o.logger.Warn("could not read the rate limit of an endpoint", "endpoint", e.ID, "error", stated.Err.Error())
+		return
+	}
+	news := ratelimit.News{Endpoint: e.RateLimitKey(), Limit: stated.Limit, At: sent}
+	if stated.Limit.Named {
+		news.At = time.Now()
+	}
+	o.mutex.Lock()
+	changed := o.rateLimits.Apply(news)
+	named := len(o.rateLimits.Named())
+	o.mutex.Unlock()
+	if changed {
+		o.metrics.limitedEndpoints.Set(float64(named))
+		o.rateLimitChanged(e, stated.Limit, "answer")
+	}
+}
+
+// rateLimitChanged logs a change of an endpoint's rate limit and where this instance learnt of it.
+func (o *observer) rateLimitChanged(e relay.Endpoint, limit ratelimit.Limit, source string) {
+	o.logger.Info("rate limit changed", "endpoint", e.ID, "address", e.Address, "named", limit.Named, "perSecond", limit.PerSecond, "source", source)
+}
+
 // roundToThousandths rounds to three decimal places.
 func roundToThousandths(value float64) float64 { return math.Round(value*1000) / 1000 }
 
--- a/instance/hosted/topics.go
+++ b/instance/hosted/topics.go
@@ -233,5 +233,5 @@
 // At returns the endpoint that was started last at an address, and whether there is one.
 func (a rosterAdapter) At(service string, address netip.AddrPort) (relay.Endpoint, bool) {
 	e, notice, found := a.table.Lookup(service, address)
-	return relay.Endpoint{ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Notice: notice}, found
+	return relay.Endpoint{ID: e.ID, Address: e.Address, Born: e.Born, DataCentre: e.DataCentre, Notice: notice}, found
 }
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/state/ratelimit"
 	"dogwooddyke/state/route"
 )
 
@@ -35,10 +36,16 @@
 type Endpoint struct {
 	ID         string // identifies one start of the endpoint's process
 	Address    netip.AddrPort
+	Born       int64 // start of the process by the endpoint's clock, in Unix milliseconds; zero if unknown
 	DataCentre string
 	Notice     <-chan struct{} // closed when the endpoint is leaving
 }
 
+// RateLimitKey returns the identity under which the endpoint's rate limit is known.
+func (e Endpoint) RateLimitKey() ratelimit.Endpoint {
+	return ratelimit.EndpointOf(e.Address, e.ID, e.Born)
+}
+
 // Leaving reports whether the endpoint has announced that it is leaving.
 func (e Endpoint) Leaving() bool {
 	select {
@@ -76,6 +83,14 @@
 	Encoded  bool        // the body has a content encoding, so its bytes are not those that the endpoint produced
 	Unframed bool        // the end of the body is marked only by the end of the connection
 	Body     io.ReadCloser
+
+	RateLimit RateLimit // that the answer names
+}
+
+// RateLimit is what an answer of an endpoint says of its rate limit.
+type RateLimit struct {
+	Limit ratelimit.Limit
+	Err   error // why the value can't be read; the answer then says nothing of the limit
 }
 
 // NotRunError reports that an endpoint certainly did not run a dispatch.
@@ -83,6 +98,8 @@
 	Status        int   // HTTP status of the endpoint's refusal; zero if the dispatch did not reach it
 	AddressReused bool  // the address belongs to another endpoint than the expected one
 	Cause         error // why the dispatch did not reach the endpoint; nil if it did
+
+	RateLimit RateLimit // that the refusal names
 }
 
 // Error returns the cause on one line.
