A rate limit that an endpoint names is kept by all instances together

Callers saw nothing, the endpoint in need did: it got as many requests after naming a limit as before. Cause: no decision used the limit; and what an endpoint says in an answer to one instance binds all of them, so that each keeping to it by itself would not be enough.

Change: each request to an endpoint with a limit needs a permit. The limit has one steward among the instances, found by rendezvous hashing among those that have run long enough to know the others; it grants permits at the rate that the endpoint names, to whoever asks, valid for half a second. Limits travel with the reports, so an instance need not be told by the endpoint itself. A steward uses the part of the rate that belongs to the instances it hears of; the rest is left to those that may be cut off and take themselves for stewards. Requests take an endpoint without a limit where there is one, wait for a permit that comes within half of the time to their first token, and are refused at once with the time of the next one otherwise. Runs in progress may overdraw by three requests, which new requests pay back. A single request now and then notices that a limit of zero has ended.

--- a/coordination/gossip/peers.go
+++ b/coordination/gossip/peers.go
@@ -22,6 +22,7 @@
 	report   *Report                         // latest report; nil if none was received
 	uses     map[netip.AddrPort]sequencedUse // uses by endpoint, merged from the latest full report and the partial ones after it
 	full     uint64                          // sequence number of the latest full report
+	since    time.Time                       // start of the process by this instance's clock; zero if no report has told it
 	heardAt  time.Time                       // when the latest report was received; zero if the instance is known from the log only
 	listedAt time.Time                       // when the log last listed the instance
 }
@@ -85,6 +86,7 @@
 	p.uncount(k)
 	p.recordPrompts(r, now)
 	k.merge(r)
+	k.updateStart(r, now)
 	k.report, k.heardAt = r, now
 	p.count(k)
 	return true
@@ -163,9 +165,10 @@
 	}
 }
 
-// isLive reports whether an instance counts as running, that is, whether a report of it was received within the expiry time.
+// isLive reports whether an instance counts as running, that is, whether a report of it was received within the expiry time and did not say
+// that it was the last one.
 func (p *Peers) isLive(k *peer, now time.Time) bool {
-	return k.report != nil && now.Sub(k.heardAt) <= p.expiry()
+	return k.report != nil && !k.report.Stopping && now.Sub(k.heardAt) <= p.expiry()
 }
 
 // expiry returns the time without a report after which an instance counts as having nothing in progress.
--- a/coordination/gossip/report.go
+++ b/coordination/gossip/report.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"dogwooddyke/coordination/quota"
 	"dogwooddyke/state/position"
 	"dogwooddyke/state/roster"
 )
@@ -27,6 +28,9 @@
 	LatestOffset int64           `cbor:"12,keyasint,omitempty"` // log offset of the newest change of an endpoint that the sender knows
 	LatestEra    int64           `cbor:"14,keyasint,omitempty"` // era of LatestOffset
 	Bundles      bool            `cbor:"15,keyasint,omitempty"` // whether the sender understands and forwards bundles of reports
+	Uptime       time.Duration   `cbor:"16,keyasint,omitempty"` // time since the start of the sender's process
+	Stopping     bool            `cbor:"17,keyasint,omitempty"` // whether the sender ends after this report
+	RateLimits   []quota.Notice  `cbor:"18,keyasint,omitempty"` // limits that the sender has learnt of, or for which it grants permits
 }
 
 // Latest returns the log position of the newest change of an endpoint that the sender knows.
@@ -86,10 +90,18 @@
 	if len(r.Uses) > maximumUses || len(r.Leaving) > maximumLeaving || len(r.Updates) > maximumLeaving {
 		return nil, oops.In("gossip").Errorf("report lists too many uses, leaving endpoints or updates")
 	}
+	if len(r.RateLimits) > maximumLeaving || r.Uptime < 0 {
+		return nil, oops.In("gossip").With("from", r.From).Errorf("report lists too many rate limits, or its uptime is negative")
+	}
 	for _, u := range r.Uses {
 		if err := u.check(); err != nil {
 			return nil, oops.In("gossip").With("from", r.From).Wrap(err)
 		}
 	}
+	for _, n := range r.RateLimits {
+		if err := n.Check(); err != nil {
+			return nil, oops.In("gossip").With("from", r.From).Wrap(err)
+		}
+	}
 	return r, nil
 }
--- /dev/null
+++ b/coordination/quota/exchange.go
@@ -0,0 +1,347 @@
+package quota
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"dogwooddyke/coordination/routing"
+	"dogwooddyke/state/ratelimit"
+)
+
+// How limits and permits travel:
+//
+//	endpoint's answer -> Learn    the instance knows the limit, and tells the others in its next reports (Notices, Receive)
+//	router.PermitAsks -> Round    asks the endpoint's steward, which may be this instance
+//	ReceiveAsk        -> Steward  the steward grants permits, or says when to ask again
+//	ReceiveGrant      -> router   the router starts requests with the permits
+
+// Router needs permits and takes them.
+type Router interface {
+	PermitAsks(now time.Time) []routing.PermitAsk
+	Grant(g routing.PermitGrant, now time.Time)
+	SetRateLimit(address netip.AddrPort, limited bool, expected float64, now time.Time)
+}
+
+// Fleet is what this instance knows of the others.
+type Fleet interface {
+	// Steward returns the instance that grants the permits of an endpoint, and whether one is known.
+	Steward(e ratelimit.Endpoint) (netip.AddrPort, bool)
+	// Size returns the number of live instances, and of those that may be live though this instance does not hear of them.
+	Size() (live, silent int)
+}
+
+// Network sends messages to other instances; they may be lost.
+type Network interface {
+	SendAsk(to netip.AddrPort, ask []byte)
+	SendGrant(to netip.AddrPort, grant []byte)
+}
+
+// Observer is notified of changes; its methods must be fast and safe for concurrent use.
+type Observer interface {
+	// RateLimitChanged is called when the limit of an endpoint has changed notably, with the source of the news.
+	RateLimitChanged(n ratelimit.News, named int, source string)
+	// PermitsAsked is called for each answer to an ask, and for each ask that had no steward.
+	PermitsAsked(result Result, permits int)
+	// MessageUnreadable is called for a message that could not be decoded.
+	MessageUnreadable(err error)
+}
+
+// Result is how an ask for permits ended; it is a label of metrics.
+type Result string
+
+// The results of asks for permits.
+const (
+	ResultGranted   Result = "granted"
+	ResultDenied    Result = "denied"
+	ResultNoSteward Result = "noSteward"
+)
+
+// Config is what an exchange works with; all fields are required.
+type Config struct {
+	Self      netip.AddrPort
+	Router    Router
+	Fleet     Fleet
+	Network   Network
+	Observer  Observer
+	OnNotices func() // called when the next report should be sent soon, because it carries news
+}
+
+// Exchange holds what this instance knows of the limits of endpoints, asks the stewards for permits, and grants them where this instance is
+// the steward. It is safe for concurrent use. Lock order: mutex is locked before that of the router; Fleet and Network are not called while
+// it is held.
+type Exchange struct {
+	config Config
+	wanted chan struct{} // receives a value when the router may have asks
+
+	mutex     sync.Mutex
+	limits    *ratelimit.Table
+	steward   *Steward
+	endpoints map[ratelimit.Endpoint]bool    // of the catalogue and the endpoint list
+	current   map[netip.AddrPort]uint64      // start of the endpoint at an address
+	reported  map[ratelimit.Endpoint]*notice // latest notable change of each limit
+	live      int                            // live instances when the endpoints were last set
+	number    uint64                         // of the latest ask
+	answered  map[netip.AddrPort]uint64      // number of the latest ask with an answer, by endpoint
+}
+
+// notice is a change of a limit that this instance's reports carry.
+type notice struct {
+	limit       ratelimit.Limit
+	reportsLeft int // further reports that carry it
+}
+
+// NewExchange returns an exchange that knows no limit; Run must be called.
+func NewExchange(c Config) *Exchange {
+	return &Exchange{
+		config:    c,
+		wanted:    make(chan struct{}, 1),
+		limits:    ratelimit.NewTable(),
+		steward:   NewSteward(),
+		endpoints: make(map[ratelimit.Endpoint]bool),
+		current:   make(map[netip.AddrPort]uint64),
+		reported:  make(map[ratelimit.Endpoint]*notice),
+		answered:  make(map[netip.AddrPort]uint64),
+	}
+}
+
+// Want says that the router may have asks. It does not block and locks nothing.
+func (x *Exchange) Want() {
+	select {
+	case x.wanted <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends the router's asks until the context ends.
+func (x *Exchange) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-x.wanted:
+			x.Round(time.Now())
+		}
+	}
+}
+
+// Round sends the asks that the router has now.
+func (x *Exchange) Round(now time.Time) {
+	for _, ask := range x.config.Router.PermitAsks(now) {
+		x.ask(ask, now)
+	}
+}
+
+// ask sends an ask to the steward of its endpoint, or decides it if this instance is the steward.
+func (x *Exchange) ask(a routing.PermitAsk, now time.Time) {
+	x.mutex.Lock()
+	x.number++
+	e := ratelimit.Endpoint{Address: a.Endpoint, Start: x.current[a.Endpoint]}
+	news, _ := x.limits.Latest(e)
+	message := &Ask{
+		From:     x.config.Self,
+		Number:   x.number,
+		Notice:   noticeOf(news, now),
+		Count:    a.Count,
+		Patience: max(a.Patience, 0),
+		Urgent:   a.Urgent,
+		Spent:    min(a.Spent, maximumCount),
+	}
+	message.Notice.Endpoint, message.Notice.Start = e.Address, e.Start
+	x.mutex.Unlock()
+	steward, known := x.config.Fleet.Steward(e)
+	switch {
+	case !known:
+		x.config.Observer.PermitsAsked(ResultNoSteward, 0)
+		x.config.Router.Grant(routing.PermitGrant{Endpoint: a.Endpoint, Urgent: a.Urgent, RetryAt: now.Add(otherStewardDelay)}, now)
+	case steward == x.config.Self:
+		x.applyGrant(x.decide(message, now), now)
+	default:
+		data, err := encode(message)
+		if err != nil {
+			x.config.Observer.MessageUnreadable(err)
+			return
+		}
+		x.config.Network.SendAsk(steward, data)
+	}
+}
+
+// ReceiveAsk decides an ask of another instance and sends the answer.
+func (x *Exchange) ReceiveAsk(data []byte, now time.Time) {
+	ask := &Ask{}
+	if err := decode(data, ask); err != nil {
+		x.config.Observer.MessageUnreadable(err)
+		return
+	}
+	x.apply(ask.Notice.News(now), "ask of "+ask.From.String(), false, now)
+	answer, err := encode(x.decide(ask, now))
+	if err != nil {
+		x.config.Observer.MessageUnreadable(err)
+		return
+	}
+	x.config.Network.SendGrant(ask.From, answer)
+}
+
+// decide returns the answer to an ask. An instance that does not take itself for the endpoint's steward grants nothing: the instances may
+// differ for a moment in who it is.
+func (x *Exchange) decide(ask *Ask, now time.Time) *Grant {
+	e := ratelimit.Endpoint{Address: ask.Notice.Endpoint, Start: ask.Notice.Start}
+	steward, known := x.config.Fleet.Steward(e)
+	live, silent := x.config.Fleet.Size()
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	grant := &Grant{Number: ask.Number, Notice: ask.Notice, RetryAfter: otherStewardDelay, Urgent: ask.Urgent}
+	if news, found := x.limits.Latest(e); found {
+		grant.Notice = noticeOf(news, now)
+	}
+	if !known || steward != x.config.Self || !grant.Notice.Named {
+		return grant
+	}
+	// Silent instances may be cut off and take themselves for stewards; their part of the rate is left to them.
+	part := float64(live) / float64(live+silent)
+	need := Need{Count: ask.Count, Patience: ask.Patience, Urgent: ask.Urgent, Spent: ask.Spent}
+	decision := x.steward.Decide(e, need, part*max(grant.Notice.PerSecond, minimumRate), now)
+	grant.Delays, grant.RetryAfter = decision.Delays, decision.RetryAfter
+	return grant
+}
+
+// ReceiveGrant takes the answer of another instance to an ask.
+func (x *Exchange) ReceiveGrant(data []byte, now time.Time) {
+	grant := &Grant{}
+	if err := decode(data, grant); err != nil {
+		x.config.Observer.MessageUnreadable(err)
+		return
+	}
+	x.apply(grant.Notice.News(now), "grant", false, now)
+	x.applyGrant(grant, now)
+}
+
+// applyGrant passes the permits of an answer to the router, unless the answer has been received before or is older than another one.
+func (x *Exchange) applyGrant(grant *Grant, now time.Time) {
+	address := grant.Notice.Endpoint
+	x.mutex.Lock()
+	fresh := grant.Number > x.answered[address] && grant.Number <= x.number && x.current[address] == grant.Notice.Start
+	if fresh {
+		x.answered[address] = grant.Number
+	}
+	x.mutex.Unlock()
+	if !fresh {
+		return
+	}
+	result := routing.PermitGrant{Endpoint: address, Urgent: grant.Urgent, RetryAt: now.Add(grant.RetryAfter + rand.N(grant.RetryAfter/2+1))}
+	for _, d := range grant.Delays {
+		from := now.Add(d)
+		result.Permits = append(result.Permits, routing.Permit{From: from, Until: from.Add(permitLifetime)})
+	}
+	if len(result.Permits) > 0 {
+		x.config.Observer.PermitsAsked(ResultGranted, len(result.Permits))
+	} else {
+		x.config.Observer.PermitsAsked(ResultDenied, 0)
+	}
+	x.config.Router.Grant(result, now)
+}
+
+// Learn records what an answer of an endpoint says of its limit. A notable change is reported to all instances.
+func (x *Exchange) Learn(n ratelimit.News, now time.Time) {
+	if x.apply(n, "answer", true, now) {
+		x.config.OnNotices()
+	}
+}
+
+// Receive records limits that another instance has reported.
+func (x *Exchange) Receive(notices []Notice, from netip.AddrPort, now time.Time) {
+	for _, n := range notices {
+		x.apply(n.News(now), from.String(), false, now)
+	}
+}
+
+// apply records news of an endpoint that this instance knows, and reports whether they are a notable change. With report set, the next
+// reports carry such a change.
+func (x *Exchange) apply(n ratelimit.News, source string, report bool, now time.Time) bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if !x.endpoints[n.Endpoint] || !x.limits.Apply(n) {
+		return false
+	}
+	x.setInRouter(n.Endpoint, now)
+	known := x.reported[n.Endpoint]
+	if known == nil {
+		known = &notice{}
+		x.reported[n.Endpoint] = known
+	}
+	if known.limit.Named == n.Limit.Named && math.Abs(known.limit.PerSecond-n.Limit.PerSecond) <= notableChange*known.limit.PerSecond {
+		return false
+	}
+	known.limit = n.Limit
+	if report {
+		known.reportsLeft = newsRepeats
+	}
+	x.config.Observer.RateLimitChanged(n, len(x.limits.Named()), source)
+	return true
+}
+
+// setInRouter passes what is known of an endpoint's limit to the router; the caller holds the mutex.
+func (x *Exchange) setInRouter(e ratelimit.Endpoint, now time.Time) {
+	if x.current[e.Address] != e.Start {
+		return
+	}
+	limit := x.limits.Limit(e)
+	x.config.Router.SetRateLimit(e.Address, limit.Named, max(limit.PerSecond, minimumRate)/float64(max(x.live, 1)), now)
+}
+
+// Limit returns the limit of an endpoint.
+func (x *Exchange) Limit(e ratelimit.Endpoint) ratelimit.Limit {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.limits.Limit(e)
+}
+
+// SetEndpoints replaces the endpoints that this instance knows, forgets what it knows of others, and passes the limits to the router, which
+// may have forgotten them.
+func (x *Exchange) SetEndpoints(endpoints []ratelimit.Endpoint, now time.Time) {
+	live, _ := x.config.Fleet.Size()
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.live = live
+	clear(x.endpoints)
+	clear(x.current)
+	for _, e := range endpoints {
+		x.endpoints[e] = true
+		x.current[e.Address] = e.Start
+	}
+	keep := func(e ratelimit.Endpoint) bool { return x.endpoints[e] }
+	x.limits.Retain(keep)
+	x.steward.Retain(keep)
+	for e := range x.reported {
+		if !keep(e) {
+			delete(x.reported, e)
+		}
+	}
+	for _, e := range endpoints {
+		x.setInRouter(e, now)
+	}
+}
+
+// Notices returns the limits for this instance's next report: those that have changed lately and, in a full report, those of the endpoints
+// that it is the steward of, for instances that were not there when they changed.
+func (x *Exchange) Notices(full bool, now time.Time) []Notice {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	var notices []Notice
+	for e, r := range x.reported {
+		changed := r.reportsLeft > 0
+		if changed {
+			r.reportsLeft--
+		}
+		if news, found := x.limits.Latest(e); found && (changed || full && news.Limit.Named && x.steward.Grants(e, now)) {
+			notices = append(notices, noticeOf(news, now))
+		}
+		if len(notices) == maximumNews {
+			break
+		}
+	}
+	return notices
+}
--- a/coordination/routing/admission.go
+++ b/coordination/routing/admission.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"dogwooddyke/state/length"
@@ -107,6 +108,10 @@
 	for _, p := range c.sortedPools {
 		p.backlogged = p.missRound == c.round
 	}
+	c.refuseRateLimited(now)
+	if c.queue.size > 0 && slices.ContainsFunc(c.sortedPools, (*pool).anyLimited) {
+		c.wantPermits()
+	}
 	return c.decidedRequests
 }
 
@@ -175,7 +180,12 @@
 	for _, l := range r.limiters {
 		l.Started(now)
 	}
+	e.quota.take(r, now)
 	e.addRun(r)
+	if r.pool.anyLimited() {
+		r.pool.started = true
+		c.wantPermits()
+	}
 	if c.config.Observer != nil {
 		c.config.Observer.Admitted(r.spec.Entry, r.spec.Workspace, r.submitted, now)
 	}
--- a/coordination/routing/backup.go
+++ b/coordination/routing/backup.go
@@ -20,7 +20,8 @@
 	var best *endpointState
 	least := math.Inf(1)
 	for _, e := range r.pool.endpoints {
-		if e == r.endpoint || r.ineligibility(e, now) != "" {
+		verdict := r.ineligibility(e, now)
+		if e == r.endpoint || verdict != "" && verdict != VerdictRateLimited {
 			continue
 		}
 		e.refreshProfile(now)
@@ -32,6 +33,9 @@
 		if e.dataCentre != r.endpoint.dataCentre {
 			filled += remoteBackupFill
 		}
+		if e.quota.limited {
+			filled += limitedBackupFill // the run would need a permit to continue there
+		}
 		if filled < least {
 			best, least = e, filled
 		}
--- a/coordination/routing/choice.go
+++ b/coordination/routing/choice.go
@@ -94,6 +94,9 @@
 	if e.health.Blocked(now) {
 		return VerdictEjected
 	}
+	if !e.quota.allows(r, now) {
+		return VerdictRateLimited
+	}
 	return ""
 }
 
--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -34,6 +34,9 @@
 	WorkspaceBound int     // limit on queued requests of one workspace
 	PromptWeight   float64 // weight in the score of a second that the prompts ahead take, relative to a second of the answer itself
 	Observer       Observer
+
+	// OnPermitsWanted is called when PermitAsks may have something to return, under the router's lock: it must not block or call the router.
+	OnPermitsWanted func()
 }
 
 func (c *Config) applyDefaults() {
--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -20,13 +20,14 @@
 
 // The verdicts on a candidate: whether it fits, or which condition it fails.
 const (
-	VerdictFits     Verdict = "fits"
-	VerdictExcluded Verdict = "excluded"
-	VerdictLeaving  Verdict = "leaving"
-	VerdictNotReady Verdict = "notReady"
-	VerdictEjected  Verdict = "ejected"
-	VerdictNoSlots  Verdict = "slots"
-	VerdictNoMemory Verdict = "memory"
+	VerdictFits        Verdict = "fits"
+	VerdictExcluded    Verdict = "excluded"
+	VerdictLeaving     Verdict = "leaving"
+	VerdictNotReady    Verdict = "notReady"
+	VerdictEjected     Verdict = "ejected"
+	VerdictRateLimited Verdict = "rateLimited" // the endpoint limits the rate of requests, and there is no permit
+	VerdictNoSlots     Verdict = "slots"
+	VerdictNoMemory    Verdict = "memory"
 )
 
 // addCandidate adds a candidate unless maximumCandidates are kept already.
--- a/coordination/routing/endpoint.go
+++ b/coordination/routing/endpoint.go
@@ -25,6 +25,7 @@
 	peerSamples        int // samples of speed that came from other instances
 	cache              *endpoint.Cache
 	health             endpoint.Health
+	quota              quota
 	runs               []*Request // requests of this instance in progress there
 	backups            []*Request // runs at other endpoints whose backup is kept there
 	profile            profile
--- a/coordination/routing/estimate.go
+++ b/coordination/routing/estimate.go
@@ -37,7 +37,11 @@
 		}
 		slots := c.shareSlots(e, now)
 		seconds := remaining*e.speed.Step(slots).Seconds() + float64(r.promptTokens())*e.prefillSeconds
-		rate += float64(slots) / max(seconds, 0.01)
+		starts := float64(slots) / max(seconds, 0.01)
+		if e.quota.limited {
+			starts = min(starts, e.quota.expected)
+		}
+		rate += starts
 	}
 	return rate
 }
@@ -67,7 +71,7 @@
 // hasFreeSlot reports whether this instance's share has a free slot on any endpoint.
 func (c *Core) hasFreeSlot(r *Request, now time.Time) bool {
 	for _, e := range r.pool.endpoints {
-		if !e.leaving() && e.running() < c.shareSlots(e, now) {
+		if !e.leaving() && e.quota.allows(r, now) && e.running() < c.shareSlots(e, now) {
 			return true
 		}
 	}
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -6,14 +6,20 @@
 )
 
 // Place starts a request immediately on the most suitable endpoint, even if none has room. When an engine is reclaimed while the others
-// are full, its runs must continue elsewhere at the cost of the runs there, because they would be lost if they were queued.
+// are full, its runs must continue elsewhere at the cost of the runs there, because they would be lost if they were queued. If only a permit
+// is missing, Place asks for one and refuses with ReasonRateLimit: the caller should try again shortly.
 func (c *Core) Place(spec *RequestSpec, now time.Time) *Request {
 	r := c.newRequest(spec, now)
+	r.inProgress = true
 	if r.pool == nil {
 		c.refuse(r, ReasonNoEndpoint, time.Time{}, now)
 		return r
 	}
 	e := c.preferredEndpoint(r, now)
+	if e == nil && spec.PreferredEndpoint.IsValid() && c.demandUrgentPermit(r, now) {
+		c.refuse(r, ReasonRateLimit, time.Time{}, now)
+		return r
+	}
 	if e == nil {
 		e = c.chooseEndpoint(r, now)
 	}
@@ -21,7 +27,11 @@
 		e = c.leastFilled(r, now)
 	}
 	if e == nil {
-		c.refuse(r, ReasonNoEndpoint, time.Time{}, now)
+		reason := ReasonNoEndpoint
+		if c.demandUrgentPermit(r, now) {
+			reason = ReasonRateLimit
+		}
+		c.refuse(r, reason, time.Time{}, now)
 		return r
 	}
 	r.workspaceAccount = c.servedTokens.Begin(spec.Workspace)
--- a/coordination/routing/pool.go
+++ b/coordination/routing/pool.go
@@ -23,6 +23,8 @@
 	misses          int       // requests that found no endpoint in missRound
 	speedChecked    time.Time // when ejectSlow last ran
 	latenessChecked time.Time // when refuseLate last ran
+	started         bool      // a request has started since asksAhead last ran
+	nextAsked       int       // index of the endpoint that is asked for permits first
 
 	backlogStarts  float64   // decayed number of starts while the pool was backlogged
 	backlogSeconds float64   // decayed time during which the pool was backlogged
--- a/coordination/routing/request.go
+++ b/coordination/routing/request.go
@@ -30,6 +30,7 @@
 	workspaceAccount *workspace.Account    // tokens served to the workspace
 	limiters         [2]*workspace.Limiter // the workspace's, and the workspace's on the entry
 	phase            phase
+	inProgress       bool // a run that continues at another endpoint
 	refusal          *RefusalError
 	decision         Decision
 	decided          chan struct{} // closed when the request is admitted or refused; nil unless a Router has queued it
--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -104,6 +104,23 @@
 	r.core.ObservePeerInterval(address, interval, now)
 }
 
+// SetRateLimit sets whether an endpoint limits the rate of its requests, and the permits per second that this instance can expect.
+func (r *Router) SetRateLimit(address netip.AddrPort, limited bool, expected float64, now time.Time) {
+	r.update(now, func(c *Core) { c.SetRateLimit(address, limited, expected) })
+}
+
+// PermitAsks returns the asks for permits that are to be sent now.
+func (r *Router) PermitAsks(now time.Time) []PermitAsk {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.PermitAsks(now)
+}
+
+// Grant adds the permits of an answer to an ask.
+func (r *Router) Grant(g PermitGrant, now time.Time) {
+	r.update(now, func(c *Core) { c.Grant(g) })
+}
+
 // SetLimitShare replaces this instance's share of the limits with the given key.
 func (r *Router) SetLimitShare(key LimitKey, share workspace.Share, now time.Time) {
 	r.update(now, func(c *Core) { c.SetLimitShare(key, share) })
--- a/coordination/routing/slot.go
+++ b/coordination/routing/slot.go
@@ -39,6 +39,14 @@
 	return s.router.core.ReserveBackup(s.request, now)
 }
 
+// Resend notes that the run's request is sent to its endpoint once more, which uses a permit if the endpoint limits its rate.
+func (s *Slot) Resend(now time.Time) {
+	s.router.mu.Lock()
+	defer s.router.mu.Unlock()
+	s.request.inProgress = true
+	s.request.endpoint.quota.take(s.request, now)
+}
+
 // Release ends the run and frees the slot; further calls do nothing.
 func (s *Slot) Release(outcome Outcome, now time.Time) {
 	s.router.update(now, func(c *Core) { c.Release(s.request, outcome, now) })
--- a/coordination/routing/spec.go
+++ b/coordination/routing/spec.go
@@ -52,10 +52,16 @@
 	ReasonQueueFull      Reason = "queueFull"      // the queue of the instance or of the workspace is full
 	ReasonDeadline       Reason = "deadline"       // the request can't start before its deadline
 	ReasonWorkspaceLimit Reason = "workspaceLimit" // the workspace's limits delay the start past the deadline
+	ReasonRateLimit      Reason = "rateLimit"      // the endpoints limit the rate of requests, and none permits the request in time
 	ReasonDraining       Reason = "draining"       // the instance takes no new work
 	ReasonCancelled      Reason = "cancelled"      // the caller disconnected while the request was queued
 )
 
+// MayPassWithoutExclusions reports whether the request might have been admitted if it excluded no endpoint.
+func (r *RefusalError) MayPassWithoutExclusions() bool {
+	return r.Reason == ReasonNoEndpoint || r.Reason == ReasonRateLimit
+}
+
 // Error returns the reason in one line.
 func (r *RefusalError) Error() string {
 	return "not admitted: " + string(r.Reason)
--- a/instance/hosted/bundles.go
+++ b/instance/hosted/bundles.go
@@ -17,6 +17,8 @@
 	messageCollect                  // a report that the receiver forwards in its next bundle
 	messageBundle                   // reports that a forwarder has collected
 	messageRemoteBundle             // the same from another data centre, which the receiver forwards in its own
+	messageAsk                      // an ask for permits of an endpoint
+	messageGrant                    // the answer to an ask for permits
 )
 
 // addToBundle adds a report to the next bundle; remote reports come from another data centre. A report that carries changes
@@ -29,7 +31,7 @@
 		g.bundle.AddLocal(encoded)
 	}
 	g.mutex.Unlock()
-	if len(r.Uses) > 0 || len(r.Updates) > 0 || r.From == g.self {
+	if len(r.Uses) > 0 || len(r.Updates) > 0 || len(r.RateLimits) > 0 || r.From == g.self {
 		signal(g.bundleFilled)
 	}
 	if len(r.Updates) > 0 {
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -17,6 +17,7 @@
 	"github.com/samber/oops"
 	"github.com/sourcegraph/conc"
 
+	"dogwooddyke/coordination/quota"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/platform"
@@ -38,7 +39,8 @@
 //
 //	log -> consumer -> state/route, state/roster -> the router's entries
 //
-// Lock order: Instance.mutex is locked before the mutexes of the gossiper, the roster and the router.
+// Lock order: Instance.mutex is locked before the mutex of the gossiper, that one before the mutex of quotas, and that one before the mutexes
+// of the roster and the router.
 
 // Instance holds the components of one instance and runs them.
 type Instance struct {
@@ -51,6 +53,7 @@
 	front            *platform.Front
 	observer         *observer
 	gossiper         *gossiper
+	quotas           *quota.Exchange
 	sharers          *sharers
 	scheduler        *moveScheduler
 	callerServer     *http.Server
@@ -88,7 +91,6 @@
 		settings:         settings,
 		logger:           logger,
 		roster:           roster.NewTable(),
-		router:           routing.New(routing.Config{Self: peerAddress(settings), DataCentre: settings.DataCentre, PromptWeight: promptWeight}),
 		sharers:          newSharers(settings.DataCentre),
 		routerEntries:    make(map[string]bool),
 		registered:       make(chan struct{}),
@@ -97,13 +99,22 @@
 		restored:         make(chan struct{}, 1),
 		news:             make(chan struct{}, 1),
 	}
+	i.router = routing.New(routing.Config{
+		Self:            peerAddress(settings),
+		DataCentre:      settings.DataCentre,
+		PromptWeight:    promptWeight,
+		OnPermitsWanted: func() { i.quotas.Want() },
+	})
 	i.log = platform.NewLog(settings.Log, i.logRestored)
 	i.observer = newObserver(logger)
 	i.gossiper = newGossiper(i)
+	i.quotas = i.newQuotas()
 	i.node = peer.NewNode(peer.Config{Address: i.gossiper.self, Keys: [][]byte{[]byte(settings.PeerKey)}})
 	i.node.Handle(methodState, i.serveState)
 	i.scheduler = newMoveScheduler(i.gossiper)
 	i.observer.onGenerationDispatched = i.gossiper.reportUse
+	i.observer.onRateLimitStated = i.rateLimitStated
+	i.observer.rateLimit = i.quotas.Limit
 	i.runner = &relay.Runner{
 		Endpoints:     platform.NewEngines(),
 		Router:        i.router,
@@ -158,6 +169,7 @@
 	i.group.Go(func() { i.register(ctx) })
 	i.group.Go(func() { i.consumeCatalogue(ctx) })
 	i.group.Go(func() { i.consumeEndpoints(ctx) })
+	i.group.Go(func() { i.quotas.Run(ctx) })
 	i.group.Go(func() { i.tick(ctx) })
 	i.logger.Info("started", "dataCentre", i.settings.DataCentre)
 	return nil
--- a/instance/hosted/entries.go
+++ b/instance/hosted/entries.go
@@ -38,6 +38,7 @@
 			i.sharers.removeEntry(name)
 		}
 	}
+	i.updateQuotas(now)
 	i.updateShares(now)
 	i.gossiper.reportLeft()
 	if i.listed.Load() {
--- a/instance/hosted/gossiper.go
+++ b/instance/hosted/gossiper.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dogwooddyke/coordination/gossip"
@@ -17,13 +18,15 @@
 
 // gossiper reports to the other instances what this one has in progress, and applies their reports.
 //
-// Lock order: mutex is locked before the mutexes of the roster, the router and the sharers; it is not held while a report is sent.
+// Lock order: mutex is locked before the mutexes of the quota exchange, the roster, the router and the sharers; it is not held while a report is sent.
 type gossiper struct {
-	instance *Instance
-	socket   *datagram.Socket
-	self     netip.AddrPort
-	start    int64         // start of this process, in Unix nanoseconds
-	wake     chan struct{} // receives requests to send the next report before the interval ends
+	instance  *Instance
+	socket    *datagram.Socket
+	self      netip.AddrPort
+	start     int64         // start of this process, in Unix nanoseconds
+	startedAt time.Time     // the same by the steady clock
+	ending    atomic.Bool   // whether the next report is the last one
+	wake      chan struct{} // receives requests to send the next report before the interval ends
 
 	mutex          sync.Mutex
 	peers          *gossip.Peers
@@ -68,6 +71,7 @@
 		instance:     i,
 		self:         self,
 		start:        time.Now().UnixNano(),
+		startedAt:    time.Now(),
 		wake:         make(chan struct{}, 1),
 		peers:        gossip.NewPeers(self),
 		deltas:       gossip.NewDeltaTracker(),
@@ -139,6 +143,7 @@
 		}
 		timer.Stop()
 	}
+	g.ending.Store(true)
 	g.sendReport()
 }
 
@@ -160,6 +165,8 @@
 		LatestOffset: latest.Offset,
 		LatestEra:    latest.Era,
 		Bundles:      true,
+		Uptime:       now.Sub(g.startedAt),
+		Stopping:     g.ending.Load(),
 	}
 	if table := g.instance.table.Load(); table != nil {
 		r.Catalogue = table.Version
@@ -173,6 +180,7 @@
 		r.Leaving = g.instance.leavingEndpoints()
 	}
 	r.Updates = g.nextUpdates()
+	r.RateLimits = g.instance.quotas.Notices(!r.Partial, now)
 	targets := g.peers.Targets(r.DataCentre, r.Sequence, now)
 	targets = append(targets, g.userTargets(targets, now)...)
 	g.mutex.Unlock()
--- a/instance/hosted/metrics.go
+++ b/instance/hosted/metrics.go
@@ -20,6 +20,8 @@
 	restores          prometheus.Counter
 	limitedEndpoints  prometheus.Gauge
 	limitedDispatches prometheus.Counter
+	permitAsks        *prometheus.CounterVec
+	permits           prometheus.Counter
 	timeToAnswer      *prometheus.HistogramVec
 	totalTime         *prometheus.HistogramVec
 	longestPause      *prometheus.HistogramVec
@@ -45,11 +47,13 @@
 		restores:          prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "log_restores_total", Help: "Restores of the platform's log from an older copy."}),
 		limitedEndpoints:  prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "dogwooddyke", Name: "limited_endpoints", Help: "Endpoints that name a limit on the rate of requests."}),
 		limitedDispatches: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "limited_dispatches_total", Help: "Dispatches to endpoints whose rate limit was known."}),
+		permitAsks:        counter("permit_asks_total", "Asks for permits of endpoints that limit their rate, by result.", "result"),
+		permits:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "permits_total", Help: "Permits that this instance was granted; an unused one lapses."}),
 		timeToAnswer:      histogram("first_seconds", "Time to the beginning of the answer."),
 		totalTime:         histogram("whole_seconds", "Time to the end of the answer."),
 		longestPause:      histogram("pause_seconds", "Longest time between two events of a stream."),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.limitedEndpoints, m.limitedDispatches, m.timeToAnswer, m.totalTime, m.longestPause)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.limitedEndpoints, m.limitedDispatches, m.permitAsks, m.permits, m.timeToAnswer, m.totalTime, m.longestPause)
 	return m
 }
 
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"dogwooddyke/coordination/quota"
 	"dogwooddyke/protocol/relay"
 	"dogwooddyke/state/ratelimit"
 	"dogwooddyke/state/roster"
@@ -15,17 +16,19 @@
 
 // observer logs and counts each decision about a request, and logs each change of an endpoint.
 type observer struct {
-	onGenerationDispatched func(engine netip.AddrPort) // called for each dispatch of a generation
+	onGenerationDispatched func(engine netip.AddrPort)                                   // called for each dispatch of a generation
+	onRateLimitStated      func(e relay.Endpoint, sent time.Time, limit ratelimit.Limit) // called for each answer that says whether its endpoint limits its rate
+	rateLimit              func(e ratelimit.Endpoint) ratelimit.Limit                    // returns the limit of an endpoint
 	logger                 *slog.Logger
 	metrics                *metrics
 
 	mutex              sync.Mutex
-	labelledWorkspaces map[string]bool  // workspaces that have a label value of their own
-	rateLimits         *ratelimit.Table // that endpoints have named
+	labelledWorkspaces map[string]bool // workspaces that have a label value of their own
 }
 
 func newObserver(logger *slog.Logger) *observer {
-	return &observer{logger: logger, metrics: newMetrics(), labelledWorkspaces: make(map[string]bool), rateLimits: ratelimit.NewTable()}
+	unlimited := func(ratelimit.Endpoint) ratelimit.Limit { return ratelimit.Limit{} }
+	return &observer{rateLimit: unlimited, logger: logger, metrics: newMetrics(), labelledWorkspaces: make(map[string]bool)}
 }
 
 // workspaceLabel returns the label value of a workspace; workspaces beyond the first maximumWorkspaceLabels share one.
@@ -44,7 +47,7 @@
 	if d.Request.Engine != nil {
 		o.onGenerationDispatched(d.Endpoint.Address)
 	}
-	limited := o.rateLimit(d.Endpoint).Named
+	limited := o.rateLimit(d.Endpoint.RateLimitKey()).Named
 	if limited {
 		o.metrics.limitedDispatches.Inc()
 	}
@@ -52,38 +55,30 @@
 		"sent", dispatches, "after", d.After, "copied", d.Copy != nil, "backup", d.Backup, "prompt", d.Request.PromptTokens, "output", d.Request.MaximumTokens, "expected", int(d.ExpectedTokens), "batch", d.Choice.Batch, "filled", roundToThousandths(d.Choice.Memory), "score", roundToThousandths(d.Choice.Score), "leftMs", time.Until(d.Deadline).Milliseconds())
 }
 
-// rateLimit returns the rate limit of an endpoint.
-func (o *observer) rateLimit(e relay.Endpoint) ratelimit.Limit {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return o.rateLimits.Limit(e.RateLimitKey())
-}
-
-// RateLimitStated records what an answer says of its endpoint's rate limit, and logs a change.
+// RateLimitStated passes on what an answer says of its endpoint's rate limit, or logs why that can't be read.
 func (o *observer) RateLimitStated(e relay.Endpoint, sent time.Time, stated relay.RateLimit) {
 	if stated.Err != nil {
 		o.logger.Warn("could not read the rate limit of an endpoint", "endpoint", e.ID, "error", stated.Err.Error())
 		return
 	}
-	news := ratelimit.News{Endpoint: e.RateLimitKey(), Limit: stated.Limit, At: sent}
-	if stated.Limit.Named {
-		news.At = time.Now()
-	}
-	o.mutex.Lock()
-	changed := o.rateLimits.Apply(news)
-	named := len(o.rateLimits.Named())
-	o.mutex.Unlock()
-	if changed {
-		o.metrics.limitedEndpoints.Set(float64(named))
-		o.rateLimitChanged(e, stated.Limit, "answer")
-	}
+	o.onRateLimitStated(e, sent, stated.Limit)
 }
 
-// rateLimitChanged logs a change of an endpoint's rate limit and where this instance learnt of it.
-func (o *observer) rateLimitChanged(e relay.Endpoint, limit ratelimit.Limit, source string) {
-	o.logger.Info("rate limit changed", "endpoint", e.ID, "address", e.Address, "named", limit.Named, "perSecond", limit.PerSecond, "source", source)
+// RateLimitChanged logs a notable change of an endpoint's rate limit, and counts the endpoints that name one.
+func (o *observer) RateLimitChanged(n ratelimit.News, named int, source string) {
+	o.metrics.limitedEndpoints.Set(float64(named))
+	o.logger.Info("rate limit changed", "address", n.Endpoint.Address, "named", n.Limit.Named, "perSecond", n.Limit.PerSecond, "source", source)
 }
 
+// PermitsAsked counts the asks for permits by their result, and the permits.
+func (o *observer) PermitsAsked(result quota.Result, permits int) {
+	o.metrics.permitAsks.WithLabelValues(string(result)).Inc()
+	o.metrics.permits.Add(float64(permits))
+}
+
+// MessageUnreadable logs a message between instances that could not be encoded or decoded.
+func (o *observer) MessageUnreadable(err error) { o.recordUnreadable("permits", err) }
+
 // roundToThousandths rounds to three decimal places.
 func roundToThousandths(value float64) float64 { return math.Round(value*1000) / 1000 }
 
--- /dev/null
+++ b/instance/hosted/quota.go
@@ -0,0 +1,84 @@
+package hosted
+
+import (
+	"net/netip"
+	"time"
+
+	"dogwooddyke/coordination/member"
+	"dogwooddyke/coordination/quota"
+	"dogwooddyke/protocol/relay"
+	"dogwooddyke/state/ratelimit"
+)
+
+// quotaFleet tells the quota exchange of the other instances.
+type quotaFleet struct {
+	gossiper *gossiper
+}
+
+// Steward returns the instance that grants the permits of an endpoint: one of the live instances that have run for a while.
+func (q quotaFleet) Steward(e ratelimit.Endpoint) (netip.AddrPort, bool) {
+	settled := q.gossiper.settledInstances(time.Now())
+	if len(settled) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return member.Rendezvous(e.String(), settled), true
+}
+
+// Size returns the number of live instances, and of those that may be live though this instance does not hear of them.
+func (q quotaFleet) Size() (live, silent int) { return q.gossiper.fleetSize(time.Now()) }
+
+// SendAsk sends an ask for permits to a steward.
+func (g *gossiper) SendAsk(to netip.AddrPort, ask []byte) { g.send(to, messageAsk, ask) }
+
+// SendGrant sends the answer to an ask for permits.
+func (g *gossiper) SendGrant(to netip.AddrPort, grant []byte) { g.send(to, messageGrant, grant) }
+
+// settledInstances returns the live instances that have run for the settle time, with this one if it has.
+func (g *gossiper) settledInstances(now time.Time) []netip.AddrPort {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	settled := g.peers.Settled(now)
+	if now.Sub(g.startedAt) >= g.peers.SettleTime() {
+		settled = append(settled, g.self)
+	}
+	return settled
+}
+
+// fleetSize returns the number of live instances, this one included, and of those that may be live though this instance does not hear of them.
+func (g *gossiper) fleetSize(now time.Time) (live, silent int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.peers.LiveCount(now) + 1, g.peers.SilentCount(now)
+}
+
+// rateLimitStated passes what an answer says of its endpoint's rate limit to the quota exchange.
+func (i *Instance) rateLimitStated(e relay.Endpoint, sent time.Time, limit ratelimit.Limit) {
+	now := time.Now()
+	news := ratelimit.News{Endpoint: e.RateLimitKey(), Limit: limit, At: sent}
+	if limit.Named {
+		news.At = now
+	}
+	i.quotas.Learn(news, now)
+}
+
+// updateQuotas tells the quota exchange which endpoints there are; the router's entries must be up to date.
+func (i *Instance) updateQuotas(now time.Time) {
+	endpoints := i.roster.List()
+	known := make([]ratelimit.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		known = append(known, ratelimit.EndpointOf(e.Address, e.ID, e.Born))
+	}
+	i.quotas.SetEndpoints(known, now)
+}
+
+// newQuotas returns the exchange of permits with the other instances.
+func (i *Instance) newQuotas() *quota.Exchange {
+	return quota.NewExchange(quota.Config{
+		Self:      i.gossiper.self,
+		Router:    i.router,
+		Fleet:     quotaFleet{i.gossiper},
+		Network:   i.gossiper,
+		Observer:  i.observer,
+		OnNotices: i.gossiper.reportSoon,
+	})
+}
--- a/instance/hosted/receiver.go
+++ b/instance/hosted/receiver.go
@@ -17,6 +17,10 @@
 		switch message[0] {
 		case messageBundle, messageRemoteBundle:
 			g.receiveBundle(body, message[0] == messageRemoteBundle)
+		case messageAsk:
+			g.instance.quotas.ReceiveAsk(body, time.Now())
+		case messageGrant:
+			g.instance.quotas.ReceiveGrant(body, time.Now())
 		default:
 			g.receiveReport(body, message[0])
 		}
@@ -53,6 +57,7 @@
 	fresh := g.peers.Apply(r, now)
 	g.mutex.Unlock()
 	r.Updates = g.instance.applyUpdates(r)
+	g.instance.quotas.Receive(r.RateLimits, r.From, now)
 	if !fresh {
 		return r, false
 	}
--- a/protocol/relay/constants.go
+++ b/protocol/relay/constants.go
@@ -19,6 +19,8 @@
 	infeasibleCopyCost    = 30.0                   // the same if there is no time for a copy to another data centre
 	turnPollInterval      = 8 * time.Millisecond   // time between two checks whether the runs ahead have been moved
 	maximumRestores       = 4                      // times that one request continues from a backup
+	permitWait            = 250 * time.Millisecond // for which a run that is to continue from a backup waits for a permit of the endpoint
+	permitPollInterval    = 10 * time.Millisecond  // between two checks for such a permit
 	dropTimeout           = time.Second            // timeout for freeing a copy that is not used
 	remoteCopyFactor      = 1.3                    // usual duration of a copy, as a multiple of that of a copy within a data centre
 	outputDivisor         = 4                      // ratio of a request's output limit to the output that its run usually has when it is moved
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -246,6 +246,8 @@
 	if m.slot != nil {
 		x.release(routing.OutcomeCancelled)
 		x.slot = m.slot
+	} else {
+		x.slot.Resend(time.Now())
 	}
 	next := *d
 	next.Endpoint, next.After, next.Copy = m.endpoint, x.lastEvent, &m.copy
--- a/protocol/relay/restore.go
+++ b/protocol/relay/restore.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"errors"
 	"net/netip"
 	"time"
 
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/internal/wait"
 )
 
 // chooseBackup returns the endpoint to which the memory of a long run is copied while it continues; the zero value if there is none.
@@ -30,7 +32,7 @@
 	spec.PreferredEndpoint = d.Backup
 	spec.GeneratedTokens = int(x.passedTokens.Load())
 	spec.Exclude = append(spec.Exclude[:len(spec.Exclude):len(spec.Exclude)], d.Endpoint.Address)
-	slot, err := x.runner.Router.Place(&spec)
+	slot, err := x.placeWithPermit(&spec)
 	if err != nil {
 		return nil
 	}
@@ -46,3 +48,19 @@
 	next.Endpoint, next.After, next.Copy = backup, x.lastEvent, &Copy{Source: d.Backup, Handle: x.request.ID}
 	return &next
 }
+
+// placeWithPermit returns a slot for a run that continues at another endpoint. If only a permit is missing, which the router then asks for,
+// it waits for that a little.
+func (x *execution) placeWithPermit(spec *routing.RequestSpec) (*routing.Slot, error) {
+	deadline := time.Now().Add(permitWait)
+	for {
+		slot, err := x.runner.Router.Place(spec)
+		refusal, ok := errors.AsType[*routing.RefusalError](err)
+		if !ok || refusal.Reason != routing.ReasonRateLimit || !time.Now().Before(deadline) {
+			return slot, err
+		}
+		if err := wait.For(x.ctx, permitPollInterval); err != nil {
+			return nil, err
+		}
+	}
+}
--- a/state/ratelimit/limit.go
+++ b/state/ratelimit/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +20,9 @@
 	Start   uint64 // hash of the endpoint's id and of the time of its start
 }
 
+// String returns the address and the start.
+func (e Endpoint) String() string { return fmt.Sprintf("%s/%x", e.Address, e.Start) }
+
 // EndpointOf returns the identity of the endpoint with the id that was started at the given time by its own clock.
 func EndpointOf(address netip.AddrPort, id string, born int64) Endpoint {
 	return Endpoint{Address: address, Start: xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(id), uint64(born)))}
