An instance that hears of no other does not spend the retry budget of the whole fleet

Cause, of the same class as the rate limits: the retries that all instances together may make beside those of their requests are divided by the instances that one hears of. One that has just started hears of none, and one that is cut off of none after 2 s (10 s in a large fleet): each took all of them for itself.

Change: instances that are listed or were heard of count while they may be live, and one that knows no other has no part of these retries until the log has told it whether there are any.

--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -73,6 +73,7 @@
 	restartCatalogue chan struct{}                     // receives requests to restart the current read of the catalogue's topic
 	registered       chan struct{}                     // closed once this instance has registered in the log, or has waited for registrationGrace
 	registeredOnce   sync.Once
+	othersListed     atomic.Bool   // whether the log has listed the registered instances
 	initialized      chan struct{} // closed once the catalogue and the endpoint list are known
 	initializedOnce  sync.Once
 	renewSharesAt    time.Time     // time at which the shares are updated without a report; used by tick only
@@ -248,12 +249,18 @@
 	return idleTickInterval
 }
 
-// retryLimits returns the limits of the retry budget that all instances share.
+// retryLimits returns the limits of the retry budget that all instances share. Instances that are not heard of count, since they may spend
+// their parts; an instance that knows no other and has not read from the log whether there are any has no part yet.
 func (i *Instance) retryLimits() relay.RetryLimits {
-	return relay.RetryLimits{
+	live, silent := i.gossiper.fleetSize(time.Now())
+	limits := relay.RetryLimits{
 		Ratio:     i.settings.RetryRatio,
 		Extra:     i.settings.ExtraRetries,
 		Window:    i.settings.RetryWindow,
-		Instances: i.gossiper.liveInstances(),
+		Instances: live + silent,
 	}
+	if limits.Instances == 1 && !i.othersListed.Load() {
+		limits.Extra = 0
+	}
+	return limits
 }
--- a/instance/hosted/fleet_test.go
+++ b/instance/hosted/fleet_test.go
@@ -184,3 +184,9 @@
 	is.NoErr(scanner.Err())
 	is.Equal(next, count+1)
 }
+
+// live returns the number of live instances that an instance knows, itself included.
+func live(i *Instance) int {
+	count, _ := i.gossiper.fleetSize(time.Now())
+	return count
+}
--- a/instance/hosted/hosted_test.go
+++ b/instance/hosted/hosted_test.go
@@ -185,7 +185,7 @@
 	first, second := f.startInstance(), f.startInstance()
 	f.awaitReady(first)
 	f.awaitReady(second)
-	f.eventually("peers", func() bool { return first.gossiper.liveInstances() == 2 && second.gossiper.liveInstances() == 2 })
+	f.eventually("peers", func() bool { return live(first) == 2 && live(second) == 2 })
 	t.Run("catalogue and endpoint list are fetched from a peer", func(t *testing.T) {
 		is := is.New(t)
 		// The log refuses all calls of the third instance.
--- a/instance/hosted/peers.go
+++ b/instance/hosted/peers.go
@@ -23,13 +23,6 @@
 	return g.peers.Bundling(time.Now())
 }
 
-// liveInstances returns the number of live instances, including this one.
-func (g *gossiper) liveInstances() int {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.peers.LiveCount(time.Now()) + 1
-}
-
 // peerUses returns the sums of what the other instances have in progress at the given endpoints, in the same order.
 func (g *gossiper) peerUses(endpoints []netip.AddrPort, now time.Time) []gossip.Use {
 	g.mutex.Lock()
--- a/instance/hosted/register.go
+++ b/instance/hosted/register.go
@@ -71,6 +71,7 @@
 		addresses = append(addresses, other.Address)
 	}
 	i.gossiper.addPeers(addresses)
+	i.othersListed.Store(true)
 	i.registeredOnce.Do(func() { close(i.registered) })
 	i.gossiper.reportSoon()
 	i.logger.Info("registered", "instances", len(addresses), "era", written.Era)
