An instance that starts is told the rate limits by the stewards

Cause: a starting instance knew no limit until an endpoint told it, or until a steward's next full report, 2 s later in a small fleet and up to 10 s in a large one; each start sent its first requests past the limits.

Change: a steward that first hears of a process sends it the limits that it grants permits for; what is told before the endpoint list is read is kept until then.

--- a/coordination/gossip/fleet.go
+++ b/coordination/gossip/fleet.go
@@ -20,6 +20,12 @@
 	return settled
 }
 
+// IsNewcomer reports whether the sender's process has just started: the latest report is the first one of it that was received.
+func (p *Peers) IsNewcomer(r *Report) bool {
+	k := p.known[r.From]
+	return k != nil && k.report == r && k.newcomer && r.Uptime > 0 && r.Uptime < p.SettleTime()
+}
+
 // SettleTime returns the time from the start of a process until it is settled, in which it hears of each live instance that it can reach.
 func (p *Peers) SettleTime() time.Duration { return p.expiry() }
 
--- a/coordination/gossip/peers.go
+++ b/coordination/gossip/peers.go
@@ -23,6 +23,7 @@
 	uses     map[netip.AddrPort]sequencedUse // uses by endpoint, merged from the latest full report and the partial ones after it
 	full     uint64                          // sequence number of the latest full report
 	since    time.Time                       // start of the process by this instance's clock; zero if no report has told it
+	newcomer bool                            // whether the latest report is the first one of its process
 	heardAt  time.Time                       // when the latest report was received; zero if the instance is known from the log only
 	listedAt time.Time                       // when the log last listed the instance
 }
@@ -87,6 +88,7 @@
 	p.recordPrompts(r, now)
 	k.merge(r)
 	k.updateStart(r, now)
+	k.newcomer = k.report == nil || k.report.Start != r.Start
 	k.report, k.heardAt = r, now
 	p.count(k)
 	return true
--- a/coordination/quota/constants.go
+++ b/coordination/quota/constants.go
@@ -11,6 +11,7 @@
 	leastRetryDelay    = 20 * time.Millisecond  // from a denial to the next ask
 	otherStewardDelay  = 300 * time.Millisecond // the same if another instance is the steward, or none is known
 	recentAsk          = 10 * time.Second       // since the latest ask, in which the steward of an endpoint reports its limit
+	earlyLifetime      = 30 * time.Second       // for which news of an unknown endpoint are kept
 	newsRepeats        = 3                      // reports that carry each change of a limit
 	maximumNews        = 64                     // limits in a report
 	notableChange      = 0.1                    // relative difference of a rate from which it is reported to all instances
--- a/coordination/quota/exchange.go
+++ b/coordination/quota/exchange.go
@@ -80,12 +80,13 @@
 	mutex     sync.Mutex
 	limits    *ratelimit.Table
 	steward   *Steward
-	endpoints map[ratelimit.Endpoint]bool    // of the catalogue and the endpoint list
-	current   map[netip.AddrPort]uint64      // start of the endpoint at an address
-	reported  map[ratelimit.Endpoint]*notice // latest notable change of each limit
-	live      int                            // live instances when the endpoints were last set
-	number    uint64                         // of the latest ask
-	answered  map[netip.AddrPort]uint64      // number of the latest ask with an answer, by endpoint
+	endpoints map[ratelimit.Endpoint]bool           // of the catalogue and the endpoint list
+	current   map[netip.AddrPort]uint64             // start of the endpoint at an address
+	reported  map[ratelimit.Endpoint]*notice        // latest notable change of each limit
+	early     map[ratelimit.Endpoint]ratelimit.News // of endpoints that this instance does not know yet
+	live      int                                   // live instances when the endpoints were last set
+	number    uint64                                // of the latest ask
+	answered  map[netip.AddrPort]uint64             // number of the latest ask with an answer, by endpoint
 }
 
 // notice is a change of a limit that this instance's reports carry.
@@ -105,6 +106,7 @@
 		current:   make(map[netip.AddrPort]uint64),
 		reported:  make(map[ratelimit.Endpoint]*notice),
 		answered:  make(map[netip.AddrPort]uint64),
+		early:     make(map[ratelimit.Endpoint]ratelimit.News),
 	}
 }
 
@@ -258,12 +260,24 @@
 	}
 }
 
-// apply records news of an endpoint that this instance knows, and reports whether they are a notable change. With report set, the next
-// reports carry such a change.
+// apply records news, and reports whether they are a notable change of an endpoint's limit. With report set, the next reports carry such a
+// change.
 func (x *Exchange) apply(n ratelimit.News, source string, report bool, now time.Time) bool {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	if !x.endpoints[n.Endpoint] || !x.limits.Apply(n) {
+	return x.record(n, source, report, now)
+}
+
+// record is apply for a caller that holds the mutex. News of an endpoint that this instance does not know yet are kept for later: one that
+// starts is told the limits before it has read the endpoint list.
+func (x *Exchange) record(n ratelimit.News, source string, report bool, now time.Time) bool {
+	if !x.endpoints[n.Endpoint] {
+		if known, found := x.early[n.Endpoint]; len(x.early) < maximumAccounts && (!found || n.At.After(known.At)) {
+			x.early[n.Endpoint] = n
+		}
+		return false
+	}
+	if !x.limits.Apply(n) {
 		return false
 	}
 	x.setInRouter(n.Endpoint, now)
@@ -323,25 +337,51 @@
 	for _, e := range endpoints {
 		x.setInRouter(e, now)
 	}
+	for e, n := range x.early {
+		if keep(e) {
+			x.record(n, "earlier report", false, now)
+		}
+		if keep(e) || now.Sub(n.At) > earlyLifetime {
+			delete(x.early, e)
+		}
+	}
 }
 
-// Notices returns the limits for this instance's next report: those that have changed lately and, in a full report, those of the endpoints
-// that it is the steward of, for instances that were not there when they changed.
+// Notices returns the limits for this instance's next report: those that have changed lately and, in a full report, those that it grants
+// permits for, in case that others have missed the change.
 func (x *Exchange) Notices(full bool, now time.Time) []Notice {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	var notices []Notice
 	for e, r := range x.reported {
 		changed := r.reportsLeft > 0
+		if len(notices) == maximumNews || !changed && !(full && x.grants(e, now)) {
+			continue
+		}
 		if changed {
 			r.reportsLeft--
 		}
-		if news, found := x.limits.Latest(e); found && (changed || full && news.Limit.Named && x.steward.Grants(e, now)) {
+		if news, found := x.limits.Latest(e); found {
 			notices = append(notices, noticeOf(news, now))
 		}
-		if len(notices) == maximumNews {
-			break
+	}
+	return notices
+}
+
+// Granted returns the limits that this instance grants permits for.
+func (x *Exchange) Granted(now time.Time) []Notice {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	var notices []Notice
+	for _, news := range x.limits.Named() {
+		if len(notices) < maximumNews && x.grants(news.Endpoint, now) {
+			notices = append(notices, noticeOf(news, now))
 		}
 	}
 	return notices
 }
+
+// grants reports whether this instance has lately granted permits of an endpoint that limits its rate; the caller holds the mutex.
+func (x *Exchange) grants(e ratelimit.Endpoint, now time.Time) bool {
+	return x.limits.Limit(e).Named && x.steward.Grants(e, now)
+}
--- a/instance/hosted/gossiper.go
+++ b/instance/hosted/gossiper.go
@@ -156,25 +156,9 @@
 // sendReport sends one report to all other instances, to some of them through an instance that forwards it.
 func (g *gossiper) sendReport() {
 	now := time.Now()
-	latest := g.instance.roster.Latest()
-	r := &gossip.Report{
-		From:         g.self,
-		Start:        g.start,
-		DataCentre:   g.instance.settings.DataCentre,
-		ReadAge:      g.instance.readAge(now),
-		LatestOffset: latest.Offset,
-		LatestEra:    latest.Era,
-		Bundles:      true,
-		Uptime:       now.Sub(g.startedAt),
-		Stopping:     g.ending.Load(),
-	}
-	if table := g.instance.table.Load(); table != nil {
-		r.Catalogue = table.Version
-	}
 	uses := g.ownUses(now)
 	g.mutex.Lock()
-	g.sequence++
-	r.Sequence = g.sequence
+	r := g.nextReport(now)
 	r.Uses, r.Partial = g.deltas.Pick(uses, g.peers.FullReportInterval(), now)
 	if !r.Partial {
 		r.Leaving = g.instance.leavingEndpoints()
@@ -198,6 +182,28 @@
 	}
 }
 
+// nextReport returns the next report without uses and changes; the caller must hold the mutex.
+func (g *gossiper) nextReport(now time.Time) *gossip.Report {
+	g.sequence++
+	latest := g.instance.roster.Latest()
+	r := &gossip.Report{
+		From:         g.self,
+		Start:        g.start,
+		Sequence:     g.sequence,
+		DataCentre:   g.instance.settings.DataCentre,
+		ReadAge:      g.instance.readAge(now),
+		LatestOffset: latest.Offset,
+		LatestEra:    latest.Era,
+		Bundles:      true,
+		Uptime:       now.Sub(g.startedAt),
+		Stopping:     g.ending.Load(),
+	}
+	if table := g.instance.table.Load(); table != nil {
+		r.Catalogue = table.Version
+	}
+	return r
+}
+
 // userTargets returns, in a large fleet, the other users of the engines in urgent, without those among the other targets; the caller holds
 // the mutex.
 func (g *gossiper) userTargets(others []gossip.Target, now time.Time) []gossip.Target {
--- a/instance/hosted/limits_test.go
+++ b/instance/hosted/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -139,6 +140,20 @@
 		is.True(mostInWindow(f.one, told) <= allowedInWindow(20))
 		is.True(mostInWindow(f.other, told) <= allowedInWindow(20))
 	})
+	t.Run("an instance that starts is told by the others", func(t *testing.T) {
+		is := is.New(t)
+		f := newLimitedFleet(t)
+		f.one.Limit("1")
+		f.awaitLimits(1)
+		granted := func() bool {
+			f.read()
+			return slices.ContainsFunc(f.instances, func(i *Instance) bool { return len(i.quotas.Granted(time.Now())) == 1 })
+		}
+		f.eventually("a steward", granted)
+		i := f.startInstance()
+		f.eventually("limit known", func() bool { return testutil.ToFloat64(i.observer.metrics.limitedEndpoints) == 1 })
+		is.Equal(i.front.InFlight(), 0)
+	})
 	t.Run("the end of a limit reaches all instances", func(t *testing.T) {
 		f := newLimitedFleet(t)
 		f.one.Limit("1")
--- a/instance/hosted/quota.go
+++ b/instance/hosted/quota.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"dogwooddyke/coordination/gossip"
 	"dogwooddyke/coordination/member"
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/protocol/relay"
@@ -33,6 +34,24 @@
 // SendGrant sends the answer to an ask for permits.
 func (g *gossiper) SendGrant(to netip.AddrPort, grant []byte) { g.send(to, messageGrant, grant) }
 
+// sendRateLimits tells an instance that has just started the limits of the endpoints that this one is the steward of.
+func (g *gossiper) sendRateLimits(to netip.AddrPort, now time.Time) {
+	limits := g.instance.quotas.Granted(now)
+	if len(limits) == 0 {
+		return
+	}
+	g.mutex.Lock()
+	r := g.nextReport(now)
+	g.mutex.Unlock()
+	r.Partial, r.RateLimits = true, limits
+	data, err := gossip.Encode(r)
+	if err != nil {
+		g.instance.logger.Error("could not encode report", "error", err.Error())
+		return
+	}
+	g.send(to, messageReport, data)
+}
+
 // settledInstances returns the live instances that have run for the settle time, with this one if it has.
 func (g *gossiper) settledInstances(now time.Time) []netip.AddrPort {
 	g.mutex.Lock()
--- a/instance/hosted/receiver.go
+++ b/instance/hosted/receiver.go
@@ -55,7 +55,11 @@
 	now := time.Now()
 	sampled := g.peers.NewlySampled(r)
 	fresh := g.peers.Apply(r, now)
+	newcomer := fresh && g.peers.IsNewcomer(r)
 	g.mutex.Unlock()
+	if newcomer {
+		g.sendRateLimits(r.From, now)
+	}
 	r.Updates = g.instance.applyUpdates(r)
 	g.instance.quotas.Receive(r.RateLimits, r.From, now)
 	if !fresh {
