The soak has engines name limits on the rate of requests, and checks that they are kept

Limits between 0 and 1.5 requests a second are drawn from a source of their own, so each seed keeps its other faults; several hold at once, move and end.

--- a/cmd/dykectl/soak.go
+++ b/cmd/dykectl/soak.go
@@ -21,6 +21,7 @@
 	Instances       int     `long:"instances" value-name:"N" default:"5" description:"instances, each a process"`
 	Engines         int     `long:"engines" value-name:"N" default:"6" description:"stand-in engines"`
 	Callers         int     `long:"callers" value-name:"N" default:"24" description:"callers that send one request after the other"`
+	WithoutLimits   bool    `long:"withoutLimits" description:"has no engine name a limit on the rate of requests, as for seeds of older runs"`
 	WithoutRestores bool    `long:"withoutRestores" description:"never restores the log from an older copy, as for seeds of older runs"`
 	Keep            string  `long:"keep" value-name:"DIRECTORY" description:"where settings and logs of failed runs are kept"`
 }
@@ -67,7 +68,7 @@
 	}
 	options := &soak.Options{
 		Binary: c.Binary, Directory: directory, Seed: seed, Seconds: c.Seconds, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers,
-		WithoutRestores: c.WithoutRestores,
+		WithoutLimits: c.WithoutLimits, WithoutRestores: c.WithoutRestores,
 	}
 	if err := options.Check(); err != nil {
 		return false, &exitError{exitBadInput, errors.Join(err, os.RemoveAll(directory))}
--- a/experiment/soak/constants.go
+++ b/experiment/soak/constants.go
@@ -9,6 +9,12 @@
 	mostPause     = 600 * time.Millisecond
 	leastFault    = 200 * time.Millisecond
 	mostFault     = 2500 * time.Millisecond
+	leastLimit    = 5 * time.Second // that an engine names a limit
+	mostLimit     = 9 * time.Second
+	mostRate      = 15                     // tenths of a request a second of a limit; engines here get up to ten times that
+	limitLearning = 3 * time.Second        // after an engine first names a limit, in which it may get more
+	limitWindow   = 4 * time.Second        // in which its requests are counted
+	limitExcuse   = 4 * time.Second        // after a fault of an instance, in which its requests are not counted
 	leastCalm     = 700 * time.Millisecond // between two restores of the log
 	mostCalm      = 9 * time.Second
 	copyInterval  = 500 * time.Millisecond // between two copies of the log that are kept
--- a/experiment/soak/fault.go
+++ b/experiment/soak/fault.go
@@ -50,6 +50,8 @@
 		defer l.set(modePass)
 	case kindReclaim, kindCrash:
 		return s.lose(ctx, p)
+	case kindLimit:
+		return s.limit(ctx, p)
 	case kindCatalogue:
 		s.publish()
 		return true
--- a/experiment/soak/ledger.go
+++ b/experiment/soak/ledger.go
@@ -40,6 +40,7 @@
 	mutex    sync.Mutex
 	records  []record
 	troubles []trouble
+	limits   []*limitation
 }
 
 func (l *ledger) record(r record) {
--- a/experiment/soak/ledger_test.go
+++ b/experiment/soak/ledger_test.go
@@ -1,11 +1,15 @@
 package soak
 
 import (
+	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"dogwooddyke/platform/standin"
 )
 
 func TestJudge(t *testing.T) {
@@ -56,17 +60,17 @@
 func TestPlan(t *testing.T) {
 	t.Run("same seed, same faults", func(t *testing.T) {
 		is := is.New(t)
-		is.Equal(plan(7, time.Minute, true), plan(7, time.Minute, true))
+		is.Equal(plan(7, time.Minute, true, true), plan(7, time.Minute, true, true))
 	})
 	t.Run("all kinds, within the time", func(t *testing.T) {
 		is := is.New(t)
 		seen := map[kind]bool{}
-		for _, s := range plan(1, 2*time.Minute, true) {
+		for _, s := range plan(1, 2*time.Minute, true, true) {
 			seen[s.kind] = true
 			is.True(s.at >= quietLead && s.at < 2*time.Minute-quietTail)
 			is.True(s.mode > modePass && s.mode <= modeOneWay)
 		}
-		is.Equal(len(seen), len(shares)+1)
+		is.Equal(len(seen), len(shares)+2)
 	})
 }
 
@@ -87,3 +91,42 @@
 		})
 	}
 }
+
+func TestJudgeLimits(t *testing.T) {
+	engines := standin.NewEngines()
+	began := time.Now().Add(-limitLearning - time.Second)
+	limited := func(perSecond float64, requests int, troubles ...trouble) []string {
+		e := engines.Start("e-1")
+		defer e.Close()
+		l := &ledger{troubles: troubles, limits: []*limitation{{engine: e, perSecond: perSecond, began: began}}}
+		for n := range requests {
+			id := fmt.Sprint("r-", n)
+			request, err := http.NewRequest(http.MethodGet, "http://"+e.Address().String()+"/", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set(standin.HeaderRequest, id)
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			l.records = append(l.records, record{id: id, instance: 1})
+		}
+		return l.judgeLimits(3)
+	}
+	t.Run("as many as allowed", func(t *testing.T) {
+		is.New(t).Equal(len(limited(1, 11)), 0)
+	})
+	t.Run("more", func(t *testing.T) {
+		is.New(t).Equal(len(limited(1, 12)), 1)
+	})
+	t.Run("more by an instance that stood still", func(t *testing.T) {
+		frozen := trouble{step: step{kind: kindFreeze, target: 4}, began: began, ended: time.Now()}
+		is.New(t).Equal(len(limited(1, 12, frozen)), 0)
+	})
+	t.Run("more beside another instance that stood still", func(t *testing.T) {
+		frozen := trouble{step: step{kind: kindFreeze, target: 2}, began: began, ended: time.Now()}
+		is.New(t).Equal(len(limited(1, 12, frozen)), 1)
+	})
+}
--- /dev/null
+++ b/experiment/soak/limit.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"dogwooddyke/internal/wait"
+	"dogwooddyke/platform/standin"
+)
+
+// limitation is a limit that an engine named.
+type limitation struct {
+	engine    *standin.Engine
+	perSecond float64
+	began     time.Time
+	ended     time.Time
+}
+
+// limit has an engine name a limit for a while. The latest limit of an engine holds; an earlier one ends with it.
+func (s *site) limit(ctx context.Context, p step) bool {
+	e := s.any(p.target).engine
+	rate := float64(p.target%(mostRate+1)) / 10
+	l := &limitation{engine: e, perSecond: rate, began: time.Now()}
+	s.ledger.limited(l)
+	e.Limit(strconv.FormatFloat(rate, 'f', 1, 64))
+	err := wait.For(ctx, p.last)
+	if s.ledger.unlimited(l) {
+		e.Limit("")
+	}
+	return err == nil
+}
+
+// limited records a limit, which ends the one that the engine has named before.
+func (l *ledger) limited(added *limitation) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, other := range l.limits {
+		if other.engine == added.engine && other.ended.IsZero() {
+			other.ended = added.began
+		}
+	}
+	l.limits = append(l.limits, added)
+}
+
+// unlimited records the end of a limit, and reports whether it still held.
+func (l *ledger) unlimited(ended *limitation) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !ended.ended.IsZero() {
+		return false
+	}
+	ended.ended = time.Now()
+	return true
+}
+
+// judgeLimits lists the limits beyond which engines got requests. It counts those of all instances without a fault of their own, whether
+// the engine has told them of its limit or not.
+func (l *ledger) judgeLimits(instances int) []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	instanceOf := make(map[string]int, len(l.records))
+	for _, r := range l.records {
+		instanceOf[r.id] = r.instance
+	}
+	var broken []string
+	for _, limit := range l.limits {
+		var arrivals []time.Time
+		for _, seen := range limit.engine.Seen() {
+			instance, known := instanceOf[seen.Header.Get(standin.HeaderRequest)]
+			counts := seen.At.After(limit.began.Add(limitLearning)) && (limit.ended.IsZero() || seen.At.Before(limit.ended))
+			if counts && known && !l.limitExcused(instance, instances, seen.At) {
+				arrivals = append(arrivals, seen.At)
+			}
+		}
+		allowed := int(1.5*limit.perSecond*limitWindow.Seconds()) + 5
+		if most := mostWithin(arrivals, limitWindow); most > allowed {
+			broken = append(broken, fmt.Sprintf("over the limit: %d requests in %s at %s, %d allowed at %.1f a second, from %s to %s",
+				most, limitWindow, limit.engine.ID, allowed, limit.perSecond, limit.began.Format("05.000"), limit.ended.Format("05.000")))
+		}
+	}
+	return broken
+}
+
+// limitExcused tells whether a fault of its own process excuses an instance's request to an engine with a limit.
+func (l *ledger) limitExcused(instance, instances int, at time.Time) bool {
+	for _, t := range l.troubles {
+		switch t.step.kind {
+		case kindKill, kindStop, kindFreeze:
+			if t.step.target%instances == instance && at.After(t.began) && at.Before(t.ended.Add(limitExcuse)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mostWithin returns the largest number of times, which are in order, that lie within one window.
+func mostWithin(times []time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for n, at := range times {
+		for at.Sub(times[first]) > window {
+			first++
+		}
+		most = max(most, n-first+1)
+	}
+	return most
+}
--- a/experiment/soak/options.go
+++ b/experiment/soak/options.go
@@ -17,6 +17,7 @@
 	Engines   int
 	Callers   int
 
+	WithoutLimits   bool // engines name no limits on the rate of requests, as for seeds of older runs
 	WithoutRestores bool // the log is not restored from older copies, as for seeds of older runs
 }
 
--- a/experiment/soak/plan.go
+++ b/experiment/soak/plan.go
@@ -24,6 +24,7 @@
 	kindEngine    kind = "engine"    // the way to an engine is harmed
 	kindCatalogue kind = "catalogue" // a new version moves a route
 	kindRestore   kind = "restore"   // the log comes back from an older copy
+	kindLimit     kind = "limit"     // an engine names a limit on the rate of requests
 )
 
 // shares are the weights of the kinds.
@@ -55,7 +56,7 @@
 }
 
 // plan draws the faults of a run; the same seed gives the same ones.
-func plan(seed uint64, span time.Duration, withRestores bool) []step {
+func plan(seed uint64, span time.Duration, withRestores, withLimits bool) []step {
 	random := rand.New(rand.NewPCG(seed, 0x50a4))
 	total := 0
 	for _, s := range shares {
@@ -76,6 +77,9 @@
 	if withRestores {
 		steps = append(steps, restores(seed, span)...)
 	}
+	if withLimits {
+		steps = append(steps, limits(seed, span)...)
+	}
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
@@ -90,6 +94,16 @@
 	return steps
 }
 
+// limits draws the limits that engines name, from a source of their own as well. One may move or end at any time, and several may hold at once.
+func limits(seed uint64, span time.Duration) []step {
+	random := rand.New(rand.NewPCG(seed, 0x11a7))
+	var steps []step
+	for at := between(random, quietLead, mostCalm/2); at < span-quietTail; at += between(random, leastCalm, mostCalm/2) {
+		steps = append(steps, step{at: at, kind: kindLimit, target: random.IntN(1 << 16), mode: modeSilence, last: between(random, leastLimit, mostLimit)})
+	}
+	return steps
+}
+
 func between(random *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(random.Int64N(int64(most-least)))
 }
--- a/experiment/soak/run.go
+++ b/experiment/soak/run.go
@@ -53,6 +53,7 @@
 	close(over)
 	background.Wait()
 	report.Broken = append(report.Broken, s.ledger.judge(o.Instances, s.engines.Ran)...)
+	report.Broken = append(report.Broken, s.ledger.judgeLimits(o.Instances)...)
 	report.Counts = s.ledger.counts()
 	for _, t := range s.ledger.troubles {
 		report.Faults[t.step.kind]++
@@ -71,7 +72,7 @@
 		c := newCaller(n, s.options.Seed, s.nodes, s.ledger)
 		callers.Go(func() { c.run(ctx) })
 	}
-	for _, p := range plan(s.options.Seed, span, !s.options.WithoutRestores) {
+	for _, p := range plan(s.options.Seed, span, !s.options.WithoutRestores, !s.options.WithoutLimits) {
 		if wait.For(ctx, time.Until(started.Add(p.at))) != nil {
 			break
 		}
