Engines of the own interface name a rate limit in their load reports, and instances keep it

Change: the engine model and its stand-in (fault limit) name requestsPerSecond in GET /load; the steward that polls the report passes it on with the shares, as all of the report; instances get their permits by an RPC call, quota.ask, from the steward of the engine. An instance grants permits from 3 s after its start.

--- a/coordination/quota/exchange.go
+++ b/coordination/quota/exchange.go
@@ -173,18 +173,24 @@
 
 // ReceiveAsk decides an ask of another instance and sends the answer.
 func (x *Exchange) ReceiveAsk(data []byte, now time.Time) {
-	ask := &Ask{}
-	if err := decode(data, ask); err != nil {
-		x.config.Observer.MessageUnreadable(err)
-		return
-	}
-	x.apply(ask.Notice.News(now), "ask of "+ask.From.String(), false, now)
-	answer, err := encode(x.decide(ask, now))
+	from, answer, err := x.Answer(data, now)
 	if err != nil {
 		x.config.Observer.MessageUnreadable(err)
 		return
 	}
-	x.config.Network.SendGrant(ask.From, answer)
+	x.config.Network.SendGrant(from, answer)
+}
+
+// Answer decides an ask of another instance, and returns the address of that instance and the answer; it returns an error if the ask can't be
+// decoded.
+func (x *Exchange) Answer(data []byte, now time.Time) (from netip.AddrPort, answer []byte, err error) {
+	ask := &Ask{}
+	if err := decode(data, ask); err != nil {
+		return netip.AddrPort{}, nil, err
+	}
+	x.apply(ask.Notice.News(now), "ask of "+ask.From.String(), false, now)
+	answer, err = encode(x.decide(ask, now))
+	return ask.From, answer, err
 }
 
 // decide returns the answer to an ask. An instance that does not take itself for the endpoint's steward grants nothing: the instances may
--- a/coordination/quota/exchange_test.go
+++ b/coordination/quota/exchange_test.go
@@ -163,7 +163,7 @@
 
 func FuzzReceive(f *testing.F) {
 	f.Add([]byte{0xa0})
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		router := fakeRouter{limited: make(map[netip.AddrPort]bool)}
 		x := quota.NewExchange(quota.Config{
 			Self: self, Router: &router, Fleet: &fakeFleet{steward: self, live: 1}, Network: &fakeNetwork{}, Observer: tolerantObserver{}, OnNotices: func() {},
--- a/instance/constants.go
+++ b/instance/constants.go
@@ -48,4 +48,6 @@
 	pollWorkers       = 16
 	loadTimeout       = 2 * time.Second
 	explainTimeout    = time.Second
+	permitTimeout     = 150 * time.Millisecond // of asking a steward for permits
+	quotaSettleTime   = 3 * time.Second        // from the start of an instance until it grants permits
 )
--- a/instance/core.go
+++ b/instance/core.go
@@ -17,6 +17,7 @@
 	"dogwooddyke/coordination/claim"
 	"dogwooddyke/coordination/lease"
 	"dogwooddyke/coordination/member"
+	"dogwooddyke/coordination/quota"
 	"dogwooddyke/coordination/replica"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/coordination/share"
@@ -73,20 +74,24 @@
 	loops   *member.Loops
 	router  *routing.Router
 	shares  *share.Exchange
+	quotas  *quota.Exchange
 	loads   *endpoint.Loads
-	runner  *answer.Runner
-	log     *platform.Log
-	claims  *claim.Client
-	steward *claim.Steward
-	calls   *call.Runner
-	leases  *lease.Leases
-	orders  *order.Runner
-	signer  *answer.Signer
-	clients *endpoint.Clients
-	meter   *traffic.Meter // of control over HTTP
-	node    *peer.Node
-	peers   evidence
-	handler *caller.Handler
+
+	loadRouter *loadRouter // the router, for load reports
+	startedAt  time.Time
+	runner     *answer.Runner
+	log        *platform.Log
+	claims     *claim.Client
+	steward    *claim.Steward
+	calls      *call.Runner
+	leases     *lease.Leases
+	orders     *order.Runner
+	signer     *answer.Signer
+	clients    *endpoint.Clients
+	meter      *traffic.Meter // of control over HTTP
+	node       *peer.Node
+	peers      evidence
+	handler    *caller.Handler
 
 	keepers   []*certificate.Keeper
 	callers   *http.Server
@@ -122,6 +127,7 @@
 		ring:      explanation.NewRing(settings.Explanations),
 		listeners: listeners,
 		meter:     newMeter(),
+		startedAt: time.Now(),
 	}
 	i.clients = endpoint.NewMeteredClients(i.meter)
 	if err := i.wirePeers(); err != nil {
@@ -152,6 +158,7 @@
 	i.keep(ctx, "catalogue", i.replica.Run)
 	i.keep(ctx, "tick", i.tick)
 	i.keep(ctx, "shares", i.exchangeShares)
+	i.keep(ctx, "permits", i.quotas.Run)
 	i.keep(ctx, "loads", i.pollLoads)
 	i.keep(ctx, "caches", i.pollCaches)
 	i.keep(ctx, "leaving", i.watchLeaving)
--- a/instance/loops.go
+++ b/instance/loops.go
@@ -53,6 +53,7 @@
 	}
 	i.followEntries(former, view, now)
 	i.followWorkspaces(former, view, now)
+	i.followEndpoints(now)
 	i.view.Store(view)
 }
 
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -58,8 +58,11 @@
 		DataCentre: i.settings.DataCentre,
 		SubsetSize: i.settings.Subset,
 		Observer:   &routingObserver{instance: i},
+
+		OnPermitsWanted: func() { i.quotas.Want() },
 	})
-	i.shares = share.NewExchange(i.peers, i.members, i.router)
+	i.wireQuotas()
+	i.shares = share.NewExchange(i.peers, i.members, i.loadRouter)
 	i.loads = endpoint.NewLoads(i.clients)
 	i.node.Handle(share.Method, i.shares.Serve)
 }
--- a/standin/apply.go
+++ b/standin/apply.go
@@ -61,6 +61,7 @@
 		load = seconds(lag.Value)
 		events = load
 	}
+	e.tuneRateLimit()
 	if config.LoadLag != load || config.CacheDelay != events {
 		e.model.SetLag(load, events)
 	}
@@ -79,3 +80,16 @@
 	e.order = firstOrder(&e.config)
 	e.loads++
 }
+
+// tuneRateLimit sets the limit that the model's load reports name.
+func (e *Engine) tuneRateLimit() {
+	now := time.Now()
+	fault, limited := e.faults.find(FaultLimit)
+	named := e.model.Truth(now).RateLimit
+	switch {
+	case limited && (named == nil || *named != fault.Value):
+		e.model.SetRateLimit(&fault.Value, now)
+	case !limited && named != nil:
+		e.model.SetRateLimit(nil, now)
+	}
+}
--- a/standin/constants.go
+++ b/standin/constants.go
@@ -11,6 +11,7 @@
 	maximumFaultUses = 1_000_000
 	maximumLag       = 3600    // seconds
 	maximumSlowness  = 1000    // factor
+	maximumRateLimit = 1e6     // requests a second
 	maximumReaders   = 64      // streams of one generation
 	maximumOrders    = 1024    // fencing numbers kept
 	maximumEvents    = 1000    // cache events in one answer
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -49,7 +49,7 @@
 	config.Retention = cmp.Or(config.Retention, defaultRetention)
 	e := &Engine{
 		server: newServer(FaultDie, FaultStall, FaultSilence, FaultDropAnswer, FaultLag, FaultSlow, FaultOutage,
-			FaultPause, FaultDuplicate, FaultLose, FaultReorder, FaultForeign, FaultLeave),
+			FaultPause, FaultDuplicate, FaultLose, FaultReorder, FaultForeign, FaultLimit, FaultLeave),
 		config:      config,
 		model:       model.New(config.Sizes, time.Now()),
 		generations: make(map[string]*generation),
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -30,6 +30,7 @@
 	FaultLose       FaultKind = "lose"       // value: events of each generation that are left out; elsewhere requests cut before their effect
 	FaultReorder    FaultKind = "reorder"    // value: events of each generation that swap places with the next
 	FaultForeign    FaultKind = "foreign"    // value: events of each generation that carry another generation's id
+	FaultLimit      FaultKind = "limit"      // value: requests a second that an engine says it takes
 	FaultLeave      FaultKind = "leave"      // an engine's state becomes leaving
 )
 
@@ -95,6 +96,8 @@
 		return 1, maximumFaultUses
 	case f.Kind == FaultLag:
 		return 0, maximumLag
+	case f.Kind == FaultLimit:
+		return 0, maximumRateLimit
 	case f.Kind == FaultSlow:
 		return 1 / float64(maximumSlowness), maximumSlowness
 	default:
--- a/standin/load.go
+++ b/standin/load.go
@@ -27,9 +27,10 @@
 		State          State     `json:"state"`
 		Model          string    `json:"model"`
 		Version        string    `json:"version"`
+		RateLimit      *float64  `json:"requestsPerSecond,omitempty"`
 	}{
 		load.At, load.Running, load.Waiting, load.UsedTokens, load.CapacityTokens, load.Preemptions,
-		told.State, told.Model, told.Version,
+		told.State, told.Model, told.Version, load.RateLimit,
 	})
 }
 
--- a/standin/model/load.go
+++ b/standin/model/load.go
@@ -10,6 +10,7 @@
 	UsedTokens     int
 	CapacityTokens int
 	Preemptions    int
+	RateLimit      *float64 // requests per second that the engine takes from all callers together; nil: any number
 }
 
 // history keeps samples of the load, so that it can be reported late.
--- a/standin/model/model.go
+++ b/standin/model/model.go
@@ -38,6 +38,8 @@
 	history  history
 	counters Counters
 	events   []Event
+
+	rateLimit *float64 // requests per second; nil: none
 }
 
 // New makes an idle model; now is the time of its first load report.
@@ -123,6 +125,12 @@
 // SetSpeed changes the speed factor from the next step on.
 func (m *Model) SetSpeed(speed float64) { m.config.Speed = speed }
 
+// SetRateLimit has the load reports name a limit on the requests per second, or none if it is nil. The model itself takes each request.
+func (m *Model) SetRateLimit(perSecond *float64, now time.Time) {
+	m.rateLimit = perSecond
+	m.record(now)
+}
+
 // SetLag changes the age of the loads and of the cache events that are told.
 func (m *Model) SetLag(load, events time.Duration) {
 	m.config.LoadLag = load
@@ -143,6 +151,7 @@
 		UsedTokens:     m.used,
 		CapacityTokens: m.config.Capacity,
 		Preemptions:    m.counters.Preemptions,
+		RateLimit:      m.rateLimit,
 	}
 }
 
--- a/transport/endpoint/load.go
+++ b/transport/endpoint/load.go
@@ -27,6 +27,9 @@
 	if err := l.get(ctx, address, "/load", &load); err != nil {
 		return endpoint.Load{}, err
 	}
+	if limit := load.RateLimit; limit != nil && !(*limit >= 0) {
+		return endpoint.Load{}, oops.In("endpoint").Errorf("/load of %s: requestsPerSecond is negative: %g", address, *limit)
+	}
 	return load, nil
 }
 
