An endpoint's error answer is forwarded if the request's repeat gets none

Cause: a repeatable request that an endpoint answered with an error was sent again; if the repeat was not admitted, as now happens while the other endpoints limit their rates, or got no answer, the caller was told 502 though an answer was there.

Change: the latest error answer is kept and forwarded, with the endpoint's status and signature, when nothing better comes.

Evidence: the new case of TestFailures got 502 before.

--- a/instance/hosted/hosted_test.go
+++ b/instance/hosted/hosted_test.go
@@ -109,6 +109,21 @@
 		is.Equal(response.StatusCode, http.StatusOK)
 		is.Equal(f.engines.Ran("f3"), 2)
 	})
+	t.Run("an error response is forwarded if no endpoint answers to the repeat", func(t *testing.T) {
+		is := is.New(t)
+		var failed atomic.Bool
+		both(func(w http.ResponseWriter, r *http.Request) bool {
+			if failed.Swap(true) {
+				return one.Lost(w, r)
+			}
+			w.Header().Set(standin.HeaderSignature, "signed")
+			w.WriteHeader(http.StatusInternalServerError)
+			return true
+		})
+		response, _ := f.request(requestSpec{instance: i, method: "GET", path: "/read/", id: "f3b"})
+		is.Equal(response.StatusCode, http.StatusInternalServerError)
+		is.Equal(response.Header.Get(standin.HeaderSignature), "signed")
+	})
 	t.Run("an endpoint's own error response is forwarded", func(t *testing.T) {
 		is := is.New(t)
 		both(func(w http.ResponseWriter, _ *http.Request) bool {
--- a/protocol/relay/buffered.go
+++ b/protocol/relay/buffered.go
@@ -30,12 +30,12 @@
 	if !IsSuccess(reply.Status) {
 		x.exclude(d.Endpoint.Address)
 		x.release(routing.OutcomeFailed)
+		x.keep(reply, body)
 		if x.shouldRetry(&statusError{reply.Status}) {
 			x.run()
 			return nil
 		}
-		x.result.Outcome = OutcomeFailed
-		return x.deliver(reply, body)
+		return x.deliverKept()
 	}
 	x.release(routing.OutcomeFinished)
 	x.result.Outcome = OutcomeServed
@@ -78,6 +78,21 @@
 	}
 }
 
+// keptAnswer is an endpoint's own answer with an error status. It is forwarded if the request is not run again, or only without an answer.
+type keptAnswer struct {
+	reply *Reply
+	body  []byte
+}
+
+// keep keeps an endpoint's answer with an error status.
+func (x *execution) keep(reply *Reply, body []byte) { x.kept = &keptAnswer{reply, body} }
+
+// deliverKept forwards the kept answer.
+func (x *execution) deliverKept() error {
+	x.result.Outcome, x.result.Status = OutcomeFailed, x.kept.reply.Status
+	return x.deliver(x.kept.reply, x.kept.body)
+}
+
 // deliver forwards a buffered answer.
 func (x *execution) deliver(reply *Reply, body []byte) error {
 	if x.request.Method != http.MethodHead {
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -85,6 +85,7 @@
 	lastEvent    int64        // id of the last event that the caller has received; zero if it has none
 	lastEventAt  time.Time    // when the latest event was forwarded
 	passedTokens atomic.Int32 // tokens forwarded to the caller
+	kept         *keptAnswer  // latest answer with an error status; nil if there is none
 }
 
 // Run runs a request and sends its answer to the sink; the context must be done when the caller disconnects.
@@ -288,10 +289,13 @@
 	x.setUnansweredOutcome()
 }
 
-// setUnansweredOutcome sets the outcome of a request that has no complete answer: interrupted if a part of the answer was forwarded,
+// setUnansweredOutcome sets the outcome of a request that has no complete answer. An answer with an error status that an endpoint has given to
+// an earlier dispatch is forwarded; without one the outcome is interrupted if a part of the answer was forwarded,
 // unknown if an endpoint may have run the request, else not run.
 func (x *execution) setUnansweredOutcome() {
 	switch {
+	case x.kept != nil && !x.result.Begun:
+		_ = x.deliverKept() // deliver has set the outcome if the caller has left
 	case x.result.Begun:
 		x.result.Outcome = OutcomeInterrupted
 	case x.mayHaveRun > 0:
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -126,12 +126,12 @@
 	if err != nil {
 		return err
 	}
+	x.keep(reply, body)
 	if x.shouldRetry(failure) {
 		x.run()
 		return nil
 	}
-	x.result.Outcome = OutcomeFailed
-	return x.deliver(reply, body)
+	return x.deliverKept()
 }
 
 // handleStreamFailure releases the slot after a stream that broke off, and returns the cause.
