Runs continue at endpoints with a rate limit; only limits are passed to the router

Each change of the endpoint list passed every endpoint to the router, with an admission for each; now those with a limit only.

--- a/coordination/quota/exchange.go
+++ b/coordination/quota/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -84,6 +85,7 @@
 	current   map[netip.AddrPort]uint64             // start of the endpoint at an address
 	reported  map[ratelimit.Endpoint]*notice        // latest notable change of each limit
 	early     map[ratelimit.Endpoint]ratelimit.News // of endpoints that this instance does not know yet
+	limited   map[netip.AddrPort]bool               // endpoints that the router takes for limited
 	live      int                                   // live instances when the endpoints were last set
 	number    uint64                                // of the latest ask
 	answered  map[netip.AddrPort]uint64             // number of the latest ask with an answer, by endpoint
@@ -106,6 +108,7 @@
 		current:   make(map[netip.AddrPort]uint64),
 		reported:  make(map[ratelimit.Endpoint]*notice),
 		answered:  make(map[netip.AddrPort]uint64),
+		limited:   make(map[netip.AddrPort]bool),
 		early:     make(map[ratelimit.Endpoint]ratelimit.News),
 	}
 }
@@ -309,6 +312,10 @@
 		return
 	}
 	limit := x.limits.Limit(e)
+	if !limit.Named && !x.limited[e.Address] {
+		return
+	}
+	x.limited[e.Address] = limit.Named
 	x.config.Router.SetRateLimit(e.Address, limit.Named, max(limit.PerSecond, minimumRate)/float64(max(x.live, 1)), now)
 }
 
@@ -333,6 +340,7 @@
 		x.current[e.Address] = e.Start
 	}
 	keep := func(e ratelimit.Endpoint) bool { return x.endpoints[e] }
+	maps.DeleteFunc(x.limited, func(a netip.AddrPort, _ bool) bool { _, known := x.current[a]; return !known })
 	x.limits.Retain(keep)
 	x.steward.Retain(keep)
 	for e := range x.reported {
--- a/instance/hosted/limits_test.go
+++ b/instance/hosted/limits_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"dogwooddyke/platform"
 	"dogwooddyke/platform/standin"
 )
 
@@ -162,3 +165,50 @@
 		f.awaitLimits(0)
 	})
 }
+
+func TestRunContinuesAtEndpointWithRateLimit(t *testing.T) {
+	for name, lose := range map[string]func(f *fleet, id string, e *standin.Engine){
+		"from its backup": func(_ *fleet, _ string, e *standin.Engine) { e.Close() },
+		"after its endpoint's notice": func(f *fleet, id string, e *standin.Engine) {
+			f.log.Put(platform.TopicEndpoints, id, e.Entry("model", "a", "draining"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.publishCatalogue(1, "desk")
+			engines := map[string]*standin.Engine{"m-1": f.startEngine("m-1", "model"), "m-2": f.startEngine("m-2", "model")}
+			for _, e := range engines {
+				e.Limit("2")
+			}
+			i := f.startInstance()
+			f.awaitReady(i)
+			f.eventually("endpoints", func() bool { return len(i.roster.List()) == 2 })
+			sent := 0
+			start := func(events int) *http.Response {
+				sent++
+				return f.send(requestSpec{instance: i, method: "POST", path: "/long/", id: fmt.Sprint("s", sent), headers: map[string]string{standin.HeaderTokens: fmt.Sprint("100,", events)}})
+			}
+			f.eventually("limits known", func() bool {
+				response := start(1)
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+				return testutil.ToFloat64(i.observer.metrics.limitedEndpoints) == 2
+			})
+			var response *http.Response
+			f.eventually("admitted", func() bool {
+				response = start(300)
+				if response.StatusCode != http.StatusOK {
+					_ = response.Body.Close()
+				}
+				return response.StatusCode == http.StatusOK
+			})
+			defer func() { _ = response.Body.Close() }()
+			first, found := strings.CutPrefix(response.Header.Get(standin.HeaderSignature), "signed-by-")
+			is.True(found)
+			lose(f, first, engines[first])
+			assertEvents(t, response.Body, fmt.Sprint("s", sent), 300)
+			is.Equal(f.engines.Ran(fmt.Sprint("s", sent)), 1)
+		})
+	}
+}
