--- a/coordination/gossip/constants.go
+++ b/coordination/gossip/constants.go
@@ -28,5 +28,6 @@
 	listedLifetime          = 30 * time.Second        // the same for one that the log has listed and that was never heard of
 	maximumPeers            = 4096                    // instances in the table
 	maximumLeaving          = 64                      // leaving endpoints in a report, and as many updates of endpoints
+	maximumRateLimits       = 64                      // rate limits in a report
 	maximumUses             = 512                     // endpoints whose use a report lists, and whose use is recorded for one instance
 )
--- a/coordination/gossip/report.go
+++ b/coordination/gossip/report.go
@@ -90,7 +90,7 @@
 	if len(r.Uses) > maximumUses || len(r.Leaving) > maximumLeaving || len(r.Updates) > maximumLeaving {
 		return nil, oops.In("gossip").Errorf("report lists too many uses, leaving endpoints or updates")
 	}
-	if len(r.RateLimits) > maximumLeaving || r.Uptime < 0 {
+	if len(r.RateLimits) > maximumRateLimits || r.Uptime < 0 {
 		return nil, oops.In("gossip").With("from", r.From).Errorf("report lists too many rate limits, or its uptime is negative")
 	}
 	for _, u := range r.Uses {
