A limit that no answer has confirmed for a while is tried by one request

Cause: only an answer ends a limit; after a pause without requests nobody had one, the rate was low, and a steward that was new waited for one interval between two permits.

--- a/coordination/quota/steward.go
+++ b/coordination/quota/steward.go
@@ -15,8 +15,9 @@
 // account holds when the next permit of an endpoint is due. Granting one moves that time by the interval between two permits; it stays behind
 // the present by burstDuration at most, so that permits that nobody asks for do not add up.
 type account struct {
-	due    time.Time
-	usedAt time.Time // of the latest ask
+	due      time.Time
+	usedAt   time.Time // of the latest ask
+	probedAt time.Time // of the latest permit that was granted because the limit was in doubt
 }
 
 // NewSteward returns a steward that has granted nothing.
@@ -28,6 +29,7 @@
 	Patience time.Duration // until which a permit must become valid
 	Urgent   bool          // for runs in progress; granted at once even if it is not due, within maximumOverdraft
 	Spent    int           // requests that were sent without a permit
+	Doubtful bool          // no answer has confirmed the limit for staleNews: the endpoint may take any number of requests by now
 }
 
 // Decision is what a steward grants.
@@ -36,8 +38,9 @@
 	RetryAfter time.Duration   // until another ask with the same patience may succeed
 }
 
-// Decide grants permits of an endpoint at the given rate per second, which is above zero. A steward that has granted none before does not know what the one
-// before it has granted, so its first permit is due only after the interval between two.
+// Decide grants permits of an endpoint at the given rate per second, which is above zero. A steward that has granted none before does not know
+// what the one before it has granted, so its first permit is due only after the interval between two. While the limit is in doubt, a permit
+// is granted each staleNews though none is due: the answer to that request says whether the limit still holds.
 func (s *Steward) Decide(e ratelimit.Endpoint, need Need, rate float64, now time.Time) Decision {
 	interval := time.Duration(float64(time.Second) / rate)
 	a := s.accounts[e]
@@ -67,7 +70,11 @@
 		decision.Delays = append(decision.Delays, delay)
 		a.due = a.due.Add(interval)
 	}
-	decision.RetryAfter = max(a.due.Sub(horizon), leastRetryDelay)
+	if need.Doubtful && len(decision.Delays) == 0 && now.Sub(a.probedAt) >= staleNews {
+		decision.Delays = []time.Duration{0}
+		a.due, a.probedAt = a.due.Add(interval), now
+	}
+	decision.RetryAfter = min(max(a.due.Sub(horizon), leastRetryDelay), staleNews)
 	return decision
 }
 
--- a/coordination/quota/steward_test.go
+++ b/coordination/quota/steward_test.go
@@ -66,4 +66,13 @@
 		s.Decide(e, one, minimumRate, start) // the next permit is due in 5 s
 		is.True(s.Decide(e, one, 100, start).RetryAfter <= maximumReservation+50*time.Millisecond)
 	})
+	t.Run("a limit that no answer has confirmed for a while is tried", func(t *testing.T) {
+		is := is.New(t)
+		s := NewSteward()
+		doubtful := Need{Count: 1, Doubtful: true}
+		is.Equal(s.Decide(e, doubtful, minimumRate, start).Delays, []time.Duration{0})
+		is.Equal(s.Decide(e, doubtful, minimumRate, start.Add(time.Second)), Decision{RetryAfter: staleNews})
+		is.Equal(len(s.Decide(e, doubtful, minimumRate, start.Add(staleNews)).Delays), 1)
+		is.Equal(len(s.Decide(e, one, minimumRate, start.Add(2*staleNews)).Delays), 0) // confirmed
+	})
 }
