--- a/coordination/gossip/constants.go
+++ b/coordination/gossip/constants.go
@@ -24,8 +24,8 @@
 	maximumReadAge          = 2500 * time.Millisecond // time since a reader's latest read after which it is replaced; a read may wait for a heartbeat
 	promptLifetime          = time.Second             // for which prompts of another instance count unless it reports them again
 	startGrace              = 1500 * time.Millisecond // for a listed instance to send its first report
-	silentLifetime          = 5 * time.Minute         // for which an instance that is not heard of any more may still be live
-	listedLifetime          = 30 * time.Second        // the same for one that the log has listed and that was never heard of
+	silentLifetime          = 5 * time.Minute         // for which an instance whose reports have ceased may still run
+	listedLifetime          = 30 * time.Second        // the same for one that the log has listed and that has sent no report
 	maximumPeers            = 4096                    // instances in the table
 	maximumLeaving          = 64                      // leaving endpoints in a report, and as many updates of endpoints
 	maximumRateLimits       = 64                      // rate limits in a report
--- a/coordination/gossip/peers.go
+++ b/coordination/gossip/peers.go
@@ -22,7 +22,7 @@
 	report   *Report                         // latest report; nil if none was received
 	uses     map[netip.AddrPort]sequencedUse // uses by endpoint, merged from the latest full report and the partial ones after it
 	full     uint64                          // sequence number of the latest full report
-	since    time.Time                       // start of the process by this instance's clock; zero if no report has told it
+	since    time.Time                       // start of the process by this instance's clock; zero if no report had its uptime
 	newcomer bool                            // whether the latest report is the first one of its process
 	heardAt  time.Time                       // when the latest report was received; zero if the instance is known from the log only
 	listedAt time.Time                       // when the log last listed the instance
--- a/coordination/quota/exchange.go
+++ b/coordination/quota/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -14,7 +13,7 @@
 
 // How limits and permits travel:
 //
-//	endpoint's answer -> Learn    the instance knows the limit, and tells the others in its next reports (Notices, Receive)
+//	endpoint's answer -> Learn    the instance knows the limit, and its next reports carry it to the others (Notices, Receive)
 //	router.PermitAsks -> Round    asks the endpoint's steward, which may be this instance
 //	ReceiveAsk        -> Steward  the steward grants permits, or says when to ask again
 //	ReceiveGrant      -> router   the router starts requests with the permits
@@ -30,7 +29,7 @@
 type Fleet interface {
 	// Steward returns the instance that grants the permits of an endpoint, and whether one is known.
 	Steward(e ratelimit.Endpoint) (netip.AddrPort, bool)
-	// Size returns the number of live instances, and of those that may be live though this instance does not hear of them.
+	// Size returns the number of live instances, and of those that may run though their reports do not arrive.
 	Size() (live, silent int)
 }
 
@@ -43,7 +42,7 @@
 // Observer is notified of changes; its methods must be fast and safe for concurrent use.
 type Observer interface {
 	// RateLimitChanged is called when the limit of an endpoint has changed notably, with the source of the news.
-	RateLimitChanged(n ratelimit.News, named int, source string)
+	RateLimitChanged(n ratelimit.News, source string)
 	// PermitsAsked is called for each answer to an ask, and for each ask that had no steward.
 	PermitsAsked(result Result, permits int)
 	// MessageUnreadable is called for a message that could not be decoded.
@@ -195,8 +194,8 @@
 	return ask.From, answer, err
 }
 
-// decide returns the answer to an ask. An instance that does not take itself for the endpoint's steward grants nothing: the instances may
-// differ for a moment in who it is.
+// decide returns the answer to an ask. An instance that is not the steward of the endpoint by its own view grants nothing: for a moment the
+// views of the instances may differ.
 func (x *Exchange) decide(ask *Ask, now time.Time) *Grant {
 	e := ratelimit.Endpoint{Address: ask.Notice.Endpoint, Start: ask.Notice.Start}
 	steward, known := x.config.Fleet.Steward(e)
@@ -210,7 +209,7 @@
 	if !known || steward != x.config.Self || !grant.Notice.Named {
 		return grant
 	}
-	// Silent instances may be cut off and take themselves for stewards; their part of the rate is left to them.
+	// Silent instances may be cut off and act as stewards themselves; their part of the rate is left to them.
 	part := float64(live) / float64(live+silent)
 	need := Need{Count: ask.Count, Patience: ask.Patience, Urgent: ask.Urgent, Spent: ask.Spent, Doubtful: grant.Notice.Age >= staleNews}
 	decision := x.steward.Decide(e, need, part*max(grant.Notice.PerSecond, minimumRate), now)
@@ -253,50 +252,3 @@
 	}
 	x.config.Router.Grant(result, now)
 }
-
-// SetEndpoints replaces the endpoints that this instance knows, forgets what it knows of others, and passes the limits to the router, which
-// may have forgotten them.
-func (x *Exchange) SetEndpoints(endpoints []ratelimit.Endpoint, now time.Time) {
-	live, _ := x.config.Fleet.Size()
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	x.live = live
-	clear(x.endpoints)
-	clear(x.current)
-	for _, e := range endpoints {
-		x.endpoints[e] = true
-		x.current[e.Address] = e.Start
-	}
-	x.forgetOthers()
-	for _, e := range endpoints {
-		x.setInRouter(e, now)
-	}
-	x.recordEarly(now)
-}
-
-// forgetOthers forgets what is known of endpoints that this instance does not know any more; the caller holds the mutex.
-func (x *Exchange) forgetOthers() {
-	keep := func(e ratelimit.Endpoint) bool { return x.endpoints[e] }
-	gone := func(a netip.AddrPort) bool {
-		_, known := x.current[a]
-		return !known
-	}
-	x.limits.Retain(keep)
-	x.steward.Retain(keep)
-	maps.DeleteFunc(x.reported, func(e ratelimit.Endpoint, _ *notice) bool { return !keep(e) })
-	maps.DeleteFunc(x.limited, func(a netip.AddrPort, _ bool) bool { return gone(a) })
-	maps.DeleteFunc(x.answered, func(a netip.AddrPort, _ uint64) bool { return gone(a) })
-}
-
-// recordEarly records the news of endpoints that have become known, and drops old ones; the caller holds the mutex.
-func (x *Exchange) recordEarly(now time.Time) {
-	for e, n := range x.early {
-		known := x.endpoints[e]
-		if known {
-			x.record(n, "earlier report", false, now)
-		}
-		if known || now.Sub(n.At) > earlyLifetime {
-			delete(x.early, e)
-		}
-	}
-}
--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -229,9 +229,9 @@
 // silentObserver fails the test for messages that can't be decoded.
 type silentObserver struct{ t *testing.T }
 
-func (silentObserver) RateLimitChanged(ratelimit.News, int, string) {}
-func (silentObserver) PermitsAsked(quota.Result, int)               {}
-func (s silentObserver) MessageUnreadable(err error)                { s.t.Error(err) }
+func (silentObserver) RateLimitChanged(ratelimit.News, string) {}
+func (silentObserver) PermitsAsked(quota.Result, int)          {}
+func (s silentObserver) MessageUnreadable(err error)           { s.t.Error(err) }
 
 // request sends one request through the instance.
 func (n *node) request() {
--- a/coordination/quota/news.go
+++ b/coordination/quota/news.go
@@ -55,7 +55,7 @@
 	if report {
 		known.reportsLeft = newsRepeats
 	}
-	x.config.Observer.RateLimitChanged(n, len(x.limits.Named()), source)
+	x.config.Observer.RateLimitChanged(n, source)
 	return true
 }
 
@@ -79,6 +79,13 @@
 	return x.limits.Limit(e)
 }
 
+// LimitedEndpoints returns the number of known endpoints that name a limit.
+func (x *Exchange) LimitedEndpoints() int {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return len(x.limits.Named())
+}
+
 // Notices returns the limits for this instance's next report: those that have changed lately and, in a full report, those that it grants
 // permits for, in case that others have missed the change.
 func (x *Exchange) Notices(full bool, now time.Time) []Notice {
--- a/coordination/quota/steward.go
+++ b/coordination/quota/steward.go
@@ -13,7 +13,7 @@
 }
 
 // account holds when the next permit of an endpoint is due. Granting one moves that time by the interval between two permits; it stays behind
-// the present by burstDuration at most, so that permits that nobody asks for do not add up.
+// the present by burstDuration at most, so that unused time does not add up.
 type account struct {
 	due      time.Time
 	usedAt   time.Time // of the latest ask
--- a/coordination/routing/permits.go
+++ b/coordination/routing/permits.go
@@ -141,7 +141,7 @@
 	return true
 }
 
-// wantPermits tells the instance that PermitAsks may have something to return.
+// wantPermits notifies the instance that PermitAsks may have something to return.
 func (c *Core) wantPermits() {
 	if c.config.OnPermitsWanted != nil {
 		c.config.OnPermitsWanted()
--- a/experiment/soak/limit.go
+++ b/experiment/soak/limit.go
@@ -83,7 +83,7 @@
 	return broken
 }
 
-// limitExcused tells whether a fault of its own process excuses an instance's request to an engine with a limit.
+// limitExcused reports whether a fault of its own process excuses an instance's request to an engine with a limit.
 func (l *ledger) limitExcused(instance, instances int, at time.Time) bool {
 	for _, t := range l.troubles {
 		switch t.step.kind {
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -116,6 +116,7 @@
 	i.observer.onGenerationDispatched = i.gossiper.reportUse
 	i.observer.onRateLimitStated = i.rateLimitStated
 	i.observer.rateLimit = i.quotas.Limit
+	i.observer.metrics.registerLimitedEndpoints(i.quotas.LimitedEndpoints)
 	i.runner = &relay.Runner{
 		Endpoints:     platform.NewEngines(),
 		Router:        i.router,
@@ -249,8 +250,8 @@
 	return idleTickInterval
 }
 
-// retryLimits returns the limits of the retry budget that all instances share. Instances that are not heard of count, since they may spend
-// their parts; an instance that knows no other and has not read from the log whether there are any has no part yet.
+// retryLimits returns the limits of the retry budget that all instances share. Instances whose reports do not arrive count, since
+// they may spend their parts; an instance that knows no other and has not read from the log whether there are any has no part yet.
 func (i *Instance) retryLimits() relay.RetryLimits {
 	live, silent := i.gossiper.fleetSize(time.Now())
 	limits := relay.RetryLimits{
--- a/instance/hosted/limits_test.go
+++ b/instance/hosted/limits_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"dogwooddyke/platform"
 	"dogwooddyke/platform/standin"
@@ -25,12 +24,12 @@
 	f.awaitReady(i)
 	f.eventually("endpoints", func() bool { return len(i.roster.List()) == 1 })
 	read := func(id string) { f.request(requestSpec{instance: i, method: "GET", path: "/read/", id: id}) }
-	limited := func() float64 { return testutil.ToFloat64(i.observer.metrics.limitedEndpoints) }
+	limited := func() int { return i.quotas.LimitedEndpoints() }
 	read("o1")
-	is.Equal(limited(), 0.0)
+	is.Equal(limited(), 0)
 	engine.Limit("1000")
 	read("o2")
-	is.Equal(limited(), 1.0)
+	is.Equal(limited(), 1)
 	engine.Limit("")
 	sent := 0
 	f.eventually("end of the limit noticed", func() bool { // by the first request that gets a permit
@@ -92,11 +91,11 @@
 }
 
 // awaitLimits sends requests until each instance knows the limits of so many endpoints.
-func (f *limitedFleet) awaitLimits(count float64) {
+func (f *limitedFleet) awaitLimits(count int) {
 	f.eventually("limits known", func() bool {
 		f.read()
 		for _, i := range f.instances {
-			if testutil.ToFloat64(i.observer.metrics.limitedEndpoints) != count {
+			if i.quotas.LimitedEndpoints() != count {
 				return false
 			}
 		}
@@ -154,7 +153,7 @@
 		}
 		f.eventually("a steward", granted)
 		i := f.startInstance()
-		f.eventually("limit known", func() bool { return testutil.ToFloat64(i.observer.metrics.limitedEndpoints) == 1 })
+		f.eventually("limit known", func() bool { return i.quotas.LimitedEndpoints() == 1 })
 		is.Equal(i.front.InFlight(), 0)
 	})
 	t.Run("the end of a limit reaches all instances", func(t *testing.T) {
@@ -193,7 +192,7 @@
 				response := start(1)
 				_, _ = io.Copy(io.Discard, response.Body)
 				_ = response.Body.Close()
-				return testutil.ToFloat64(i.observer.metrics.limitedEndpoints) == 2
+				return i.quotas.LimitedEndpoints() == 2
 			})
 			var response *http.Response
 			f.eventually("admitted", func() bool {
--- a/instance/hosted/metrics.go
+++ b/instance/hosted/metrics.go
@@ -18,7 +18,6 @@
 	retries           *prometheus.CounterVec
 	moves             *prometheus.CounterVec
 	restores          prometheus.Counter
-	limitedEndpoints  prometheus.Gauge
 	limitedDispatches prometheus.Counter
 	permitAsks        *prometheus.CounterVec
 	permits           prometheus.Counter
@@ -45,7 +44,6 @@
 		retries:           counter("repeats_total", "Dispatches that failed, by whether another one followed.", "again"),
 		moves:             counter("moves_total", "Copies of runs, by whether the run stopped with it and whether it failed.", "last", "failed"),
 		restores:          prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "log_restores_total", Help: "Restores of the platform's log from an older copy."}),
-		limitedEndpoints:  prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "dogwooddyke", Name: "limited_endpoints", Help: "Endpoints that name a limit on the rate of requests."}),
 		limitedDispatches: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "limited_dispatches_total", Help: "Dispatches to endpoints whose rate limit was known."}),
 		permitAsks:        counter("permit_asks_total", "Asks for permits of endpoints that limit their rate, by result.", "result"),
 		permits:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "permits_total", Help: "Permits that this instance was granted; an unused one lapses."}),
@@ -53,10 +51,19 @@
 		totalTime:         histogram("whole_seconds", "Time to the end of the answer."),
 		longestPause:      histogram("pause_seconds", "Longest time between two events of a stream."),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.limitedEndpoints, m.limitedDispatches, m.permitAsks, m.permits, m.timeToAnswer, m.totalTime, m.longestPause)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.limitedDispatches, m.permitAsks, m.permits, m.timeToAnswer, m.totalTime, m.longestPause)
 	return m
 }
 
+// registerLimitedEndpoints adds the number of endpoints that name a limit on the rate of requests.
+func (m *metrics) registerLimitedEndpoints(count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "dogwooddyke",
+		Name:      "limited_endpoints",
+		Help:      "Endpoints that name a limit on the rate of requests.",
+	}, func() float64 { return float64(count()) }))
+}
+
 // observe counts an ended request and records its latencies.
 func (m *metrics) observe(r *relay.Request, result *relay.Result, workspace string, now time.Time) {
 	class := r.Route.Kind.String()
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -64,9 +64,8 @@
 	o.onRateLimitStated(e, sent, stated.Limit)
 }
 
-// RateLimitChanged logs a notable change of an endpoint's rate limit, and counts the endpoints that name one.
-func (o *observer) RateLimitChanged(n ratelimit.News, named int, source string) {
-	o.metrics.limitedEndpoints.Set(float64(named))
+// RateLimitChanged logs a notable change of an endpoint's rate limit.
+func (o *observer) RateLimitChanged(n ratelimit.News, source string) {
 	o.logger.Info("rate limit changed", "address", n.Endpoint.Address, "named", n.Limit.Named, "perSecond", n.Limit.PerSecond, "source", source)
 }
 
--- a/instance/hosted/quota.go
+++ b/instance/hosted/quota.go
@@ -11,7 +11,7 @@
 	"dogwooddyke/state/ratelimit"
 )
 
-// quotaFleet tells the quota exchange of the other instances.
+// quotaFleet is what the quota exchange needs to know of the other instances.
 type quotaFleet struct {
 	gossiper *gossiper
 }
@@ -25,7 +25,7 @@
 	return member.Rendezvous(e.String(), settled), true
 }
 
-// Size returns the number of live instances, and of those that may be live though this instance does not hear of them.
+// Size returns the number of live instances, and of those that may run though their reports do not arrive.
 func (q quotaFleet) Size() (live, silent int) { return q.gossiper.fleetSize(time.Now()) }
 
 // SendAsk sends an ask for permits to a steward.
@@ -34,7 +34,7 @@
 // SendGrant sends the answer to an ask for permits.
 func (g *gossiper) SendGrant(to netip.AddrPort, grant []byte) { g.send(to, messageGrant, grant) }
 
-// sendRateLimits tells an instance that has just started the limits of the endpoints that this one is the steward of.
+// sendRateLimits sends an instance that has just started the limits of the endpoints that this one is the steward of.
 func (g *gossiper) sendRateLimits(to netip.AddrPort, now time.Time) {
 	limits := g.instance.quotas.Granted(now)
 	if len(limits) == 0 {
@@ -63,7 +63,7 @@
 	return settled
 }
 
-// fleetSize returns the number of live instances, this one included, and of those that may be live though this instance does not hear of them.
+// fleetSize returns the number of live instances, this one included, and of those that may run though their reports do not arrive.
 func (g *gossiper) fleetSize(now time.Time) (live, silent int) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -80,7 +80,7 @@
 	i.quotas.Learn(news, now)
 }
 
-// updateQuotas tells the quota exchange which endpoints there are; the router's entries must be up to date.
+// updateQuotas passes the known endpoints to the quota exchange; the router's entries must be up to date.
 func (i *Instance) updateQuotas(now time.Time) {
 	endpoints := i.roster.List()
 	known := make([]ratelimit.Endpoint, 0, len(endpoints))
--- a/instance/quota.go
+++ b/instance/quota.go
@@ -16,7 +16,7 @@
 // methodPermits is the RPC method by which an instance asks the steward of an engine for permits.
 const methodPermits = "quota.ask"
 
-// quotaFleet tells the quota exchange of the other instances.
+// quotaFleet is what the quota exchange needs to know of the other instances.
 type quotaFleet struct {
 	instance *Instance
 }
@@ -71,7 +71,7 @@
 }
 
 // RateLimitChanged logs a notable change of an engine's rate limit.
-func (q quotaObserver) RateLimitChanged(n ratelimit.News, _ int, source string) {
+func (q quotaObserver) RateLimitChanged(n ratelimit.News, source string) {
 	q.instance.logger.Info("rate limit changed", "address", n.Endpoint.Address, "named", n.Limit.Named, "perSecond", n.Limit.PerSecond, "source", source)
 }
 
@@ -129,7 +129,7 @@
 	}
 }
 
-// followEndpoints tells the quota exchange which endpoints there are; the router's entries must be up to date.
+// followEndpoints passes the known endpoints to the quota exchange; the router's entries must be up to date.
 func (i *Instance) followEndpoints(now time.Time) {
 	addresses := i.router.Endpoints()
 	known := make(map[netip.AddrPort]bool, len(addresses))
