A steward that is cut off does not try a doubtful limit as often as one that hears of all

Cause: the permit that is granted each 2 s while a limit is in doubt did not grow rarer with the part of the fleet that the steward receives reports from.

Change: the time between two such permits is divided by that part, from the first one on.

--- a/coordination/quota/exchange.go
+++ b/coordination/quota/exchange.go
@@ -211,7 +211,10 @@
 	}
 	// Silent instances may be cut off and act as stewards themselves; their part of the rate is left to them.
 	part := float64(live) / float64(live+silent)
-	need := Need{Count: ask.Count, Patience: ask.Patience, Urgent: ask.Urgent, Spent: ask.Spent, Doubtful: grant.Notice.Age >= staleNews}
+	need := Need{Count: ask.Count, Patience: ask.Patience, Urgent: ask.Urgent, Spent: ask.Spent}
+	if grant.Notice.Age >= staleNews {
+		need.Doubt = time.Duration(float64(staleNews) / part)
+	}
 	decision := x.steward.Decide(e, need, part*max(grant.Notice.PerSecond, minimumRate), now)
 	grant.Delays, grant.RetryAfter = decision.Delays, decision.RetryAfter
 	return grant
--- a/coordination/quota/steward.go
+++ b/coordination/quota/steward.go
@@ -29,7 +29,7 @@
 	Patience time.Duration // until which a permit must become valid
 	Urgent   bool          // for runs in progress; granted at once even if it is not due, within maximumOverdraft
 	Spent    int           // requests that were sent without a permit
-	Doubtful bool          // no answer has confirmed the limit for staleNews: the endpoint may take any number of requests by now
+	Doubt    time.Duration // between two permits that are granted because the limit is in doubt; zero: it is not
 }
 
 // Decision is what a steward grants.
@@ -40,7 +40,7 @@
 
 // Decide grants permits of an endpoint at the given rate per second, which is above zero. A steward that has granted none before does not know
 // what the one before it has granted, so its first permit is due only after the interval between two. While the limit is in doubt, a permit
-// is granted each staleNews though none is due: the answer to that request says whether the limit still holds.
+// is granted each need.Doubt though none is due: the answer to that request says whether the limit still holds.
 func (s *Steward) Decide(e ratelimit.Endpoint, need Need, rate float64, now time.Time) Decision {
 	interval := time.Duration(float64(time.Second) / rate)
 	a := s.accounts[e]
@@ -48,7 +48,7 @@
 		if len(s.accounts) >= maximumAccounts {
 			return Decision{RetryAfter: otherStewardDelay}
 		}
-		a = &account{due: now.Add(interval)}
+		a = &account{due: now.Add(interval), probedAt: now.Add(-staleNews)}
 		s.accounts[e] = a
 	}
 	a.usedAt = now
@@ -70,7 +70,7 @@
 		decision.Delays = append(decision.Delays, delay)
 		a.due = a.due.Add(interval)
 	}
-	if need.Doubtful && len(decision.Delays) == 0 && now.Sub(a.probedAt) >= staleNews {
+	if need.Doubt > 0 && len(decision.Delays) == 0 && now.Sub(a.probedAt) >= need.Doubt {
 		decision.Delays = []time.Duration{0}
 		a.due, a.probedAt = a.due.Add(interval), now
 	}
--- a/coordination/quota/steward_test.go
+++ b/coordination/quota/steward_test.go
@@ -69,10 +69,17 @@
 	t.Run("a limit that no answer has confirmed for a while is tried", func(t *testing.T) {
 		is := is.New(t)
 		s := NewSteward()
-		doubtful := Need{Count: 1, Doubtful: true}
+		doubtful := Need{Count: 1, Doubt: staleNews}
 		is.Equal(s.Decide(e, doubtful, minimumRate, start).Delays, []time.Duration{0})
 		is.Equal(s.Decide(e, doubtful, minimumRate, start.Add(time.Second)), Decision{RetryAfter: staleNews})
 		is.Equal(len(s.Decide(e, doubtful, minimumRate, start.Add(staleNews)).Delays), 1)
 		is.Equal(len(s.Decide(e, one, minimumRate, start.Add(2*staleNews)).Delays), 0) // confirmed
 	})
+	t.Run("one that is cut off does not try it at once", func(t *testing.T) {
+		is := is.New(t)
+		s := NewSteward()
+		isolated := Need{Count: 1, Doubt: 8 * staleNews}
+		is.Equal(len(s.Decide(e, isolated, minimumRate/8, start).Delays), 0)
+		is.Equal(len(s.Decide(e, isolated, minimumRate/8, start.Add(7*staleNews)).Delays), 1)
+	})
 }
