Lines say which parts a prompt has, and that an endpoint crashed before any output

When the connection to an engine breaks before any output, the instance now checks whether anything listens at its address.

--- a/instance/hosted/metrics.go
+++ b/instance/hosted/metrics.go
@@ -18,6 +18,7 @@
 	retries           *prometheus.CounterVec
 	moves             *prometheus.CounterVec
 	restores          prometheus.Counter
+	crashes           prometheus.Counter
 	limitedDispatches prometheus.Counter
 	permitAsks        *prometheus.CounterVec
 	permits           prometheus.Counter
@@ -44,6 +45,7 @@
 		retries:           counter("repeats_total", "Dispatches that failed, by whether another one followed.", "again"),
 		moves:             counter("moves_total", "Copies of runs, by whether the run stopped with it and whether it failed.", "last", "failed"),
 		restores:          prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "log_restores_total", Help: "Restores of the platform's log from an older copy."}),
+		crashes:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "crashed_requests_total", Help: "Requests that were at an endpoint when that crashed and that it had produced no output for."}),
 		limitedDispatches: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "limited_dispatches_total", Help: "Dispatches to endpoints whose rate limit was known."}),
 		permitAsks:        counter("permit_asks_total", "Asks for permits of endpoints that limit their rate, by result.", "result"),
 		permits:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "permits_total", Help: "Permits that this instance was granted; an unused one lapses."}),
@@ -51,7 +53,7 @@
 		totalTime:         histogram("whole_seconds", "Time to the end of the answer."),
 		longestPause:      histogram("pause_seconds", "Longest time between two events of a stream."),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.limitedDispatches, m.permitAsks, m.permits, m.timeToAnswer, m.totalTime, m.longestPause)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.crashes, m.limitedDispatches, m.permitAsks, m.permits, m.timeToAnswer, m.totalTime, m.longestPause)
 	return m
 }
 
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/state/prompt"
 	"dogwooddyke/state/ratelimit"
 	"dogwooddyke/state/route"
 )
@@ -24,12 +25,13 @@
 	Service       string
 	Engine        *route.Engine // properties of the service's model engines; nil for a plain service
 	Workspace     string
-	Priority      int       // requests of priority 0 are served first
-	PromptTokens  int       // zero if unknown
-	MaximumTokens int       // limit of the output in tokens; zero if unknown
-	Arrived       time.Time // when the instance received the request
-	Deadline      time.Time // deadline of the whole answer: the earlier of the caller's and the route's
-	After         int64     // id of the last event that the caller has received; zero if it has none
+	Priority      int           // requests of priority 0 are served first
+	PromptTokens  int           // zero if unknown
+	MaximumTokens int           // limit of the output in tokens; zero if unknown
+	Parts         []prompt.Part // parts of the prompt that other requests may share, in order
+	Arrived       time.Time     // when the instance received the request
+	Deadline      time.Time     // deadline of the whole answer: the earlier of the caller's and the route's
+	After         int64         // id of the last event that the caller has received; zero if it has none
 }
 
 // Endpoint is an endpoint to which a request can be sent.
@@ -127,6 +129,8 @@
 	Move(ctx context.Context, id string, from, to netip.AddrPort, last bool) (Copy, error)
 	// Drop frees a copy that is no longer needed.
 	Drop(ctx context.Context, c Copy)
+	// Crashed reports whether no process listens at an endpoint's address any more; false if that can't be found out soon.
+	Crashed(ctx context.Context, address netip.AddrPort) bool
 }
 
 // Sink sends the answer of a request to its caller; an error means that the caller has disconnected.
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -52,6 +52,8 @@
 	RateLimitStated(endpoint Endpoint, sent time.Time, limit RateLimit)
 	// RetryDecided is called after each failed dispatch, with its cause and whether the request is sent again.
 	RetryDecided(r *Request, endpoint Endpoint, cause error, allowed bool)
+	// CrashNoticed is called when an endpoint has crashed before it had produced any output for a dispatch.
+	CrashNoticed(d *Dispatch)
 	// Moved is called after each attempt to copy a run's memory to another endpoint.
 	Moved(r *Request, from, to netip.AddrPort, c Copy, last bool, began time.Time, err error)
 }
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -33,13 +33,16 @@
 	defer silence.stop()
 	reply, err := x.send(ctx, d)
 	if err != nil {
-		return nil, x.handleStreamFailure(d, silence.cause(err))
+		err = silence.cause(err)
+		x.noticeCrash(d, err)
+		return nil, x.handleStreamFailure(d, err)
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if !IsSuccess(reply.Status) || !reply.Signed || reply.Encoded {
 		return nil, x.handleInvalidStream(d, reply)
 	}
 	m := x.startMover(d)
+	eventsBefore := x.result.Events
 	err = x.relayEvents(reply, silence)
 	move := m.finish(err == nil)
 	switch {
@@ -54,10 +57,14 @@
 	case move != nil:
 		return x.continueAt(d, move), nil
 	}
+	err = silence.cause(err)
+	if x.result.Events == eventsBefore {
+		x.noticeCrash(d, err)
+	}
 	if next := x.restore(d); next != nil {
 		return next, nil
 	}
-	return nil, x.handleStreamFailure(d, silence.cause(err))
+	return nil, x.handleStreamFailure(d, err)
 }
 
 // relayEvents forwards events until the stream ends; it skips those that the caller has already received.
--- /dev/null
+++ b/state/prompt/doc.go
@@ -0,0 +1,2 @@
+// Package prompt identifies the parts of prompts, which several requests may share.
+package prompt
