--- /dev/null
+++ b/coordination/internal/message/doc.go
@@ -0,0 +1,2 @@
+// Package message encodes and decodes the messages between instances.
+package message
--- a/coordination/quota/endpoints.go
+++ b/coordination/quota/endpoints.go
@@ -5,12 +5,12 @@
 	"net/netip"
 	"time"
 
-	"dogwooddyke/state/ratelimit"
+	"dogwooddyke/state/process"
 )
 
 // SetEndpoints replaces the endpoints that this instance knows, forgets what it knows of others, and passes the limits to the router, which
 // may have forgotten them.
-func (x *Exchange) SetEndpoints(endpoints []ratelimit.Endpoint, now time.Time) {
+func (x *Exchange) SetEndpoints(endpoints []process.ID, now time.Time) {
 	live, _ := x.config.Fleet.Size()
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
@@ -30,14 +30,14 @@
 
 // forgetOthers forgets what is known of endpoints that this instance does not know any more; the caller holds the mutex.
 func (x *Exchange) forgetOthers() {
-	keep := func(e ratelimit.Endpoint) bool { return x.endpoints[e] }
+	keep := func(e process.ID) bool { return x.endpoints[e] }
 	gone := func(a netip.AddrPort) bool {
 		_, known := x.current[a]
 		return !known
 	}
 	x.limits.Retain(keep)
 	x.steward.Retain(keep)
-	maps.DeleteFunc(x.reported, func(e ratelimit.Endpoint, _ *notice) bool { return !keep(e) })
+	maps.DeleteFunc(x.reported, func(e process.ID, _ *notice) bool { return !keep(e) })
 	maps.DeleteFunc(x.limited, func(a netip.AddrPort, _ bool) bool { return gone(a) })
 	maps.DeleteFunc(x.answered, func(a netip.AddrPort, _ uint64) bool { return gone(a) })
 }
--- a/coordination/quota/exchange.go
+++ b/coordination/quota/exchange.go
@@ -7,7 +7,9 @@
 	"sync"
 	"time"
 
+	"dogwooddyke/coordination/internal/message"
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/state/process"
 	"dogwooddyke/state/ratelimit"
 )
 
@@ -28,7 +30,7 @@
 // Fleet is what this instance knows of the others.
 type Fleet interface {
 	// Steward returns the instance that grants the permits of an endpoint, and whether one is known.
-	Steward(e ratelimit.Endpoint) (netip.AddrPort, bool)
+	Steward(e process.ID) (netip.AddrPort, bool)
 	// Size returns the number of live instances, and of those that may run though their reports do not arrive.
 	Size() (live, silent int)
 }
@@ -79,14 +81,14 @@
 	mutex     sync.Mutex
 	limits    *ratelimit.Table
 	steward   *Steward
-	endpoints map[ratelimit.Endpoint]bool           // of the catalogue and the endpoint list
-	current   map[netip.AddrPort]uint64             // start of the endpoint at an address
-	reported  map[ratelimit.Endpoint]*notice        // latest notable change of each limit
-	early     map[ratelimit.Endpoint]ratelimit.News // of endpoints that this instance does not know yet
-	limited   map[netip.AddrPort]bool               // endpoints that the router takes for limited
-	live      int                                   // live instances when the endpoints were last set
-	number    uint64                                // of the latest ask
-	answered  map[netip.AddrPort]uint64             // number of the latest ask with an answer, by endpoint
+	endpoints map[process.ID]bool           // of the catalogue and the endpoint list
+	current   map[netip.AddrPort]uint64     // start of the endpoint at an address
+	reported  map[process.ID]*notice        // latest notable change of each limit
+	early     map[process.ID]ratelimit.News // of endpoints that this instance does not know yet
+	limited   map[netip.AddrPort]bool       // endpoints that the router takes for limited
+	live      int                           // live instances when the endpoints were last set
+	number    uint64                        // of the latest ask
+	answered  map[netip.AddrPort]uint64     // number of the latest ask with an answer, by endpoint
 }
 
 // notice is a change of a limit that this instance's reports carry.
@@ -102,12 +104,12 @@
 		wanted:    make(chan struct{}, 1),
 		limits:    ratelimit.NewTable(),
 		steward:   NewSteward(),
-		endpoints: make(map[ratelimit.Endpoint]bool),
+		endpoints: make(map[process.ID]bool),
 		current:   make(map[netip.AddrPort]uint64),
-		reported:  make(map[ratelimit.Endpoint]*notice),
+		reported:  make(map[process.ID]*notice),
 		answered:  make(map[netip.AddrPort]uint64),
 		limited:   make(map[netip.AddrPort]bool),
-		early:     make(map[ratelimit.Endpoint]ratelimit.News),
+		early:     make(map[process.ID]ratelimit.News),
 	}
 }
 
@@ -142,9 +144,9 @@
 func (x *Exchange) ask(a routing.PermitAsk, now time.Time) {
 	x.mutex.Lock()
 	x.number++
-	e := ratelimit.Endpoint{Address: a.Endpoint, Start: x.current[a.Endpoint]}
+	e := process.ID{Address: a.Endpoint, Start: x.current[a.Endpoint]}
 	news, _ := x.limits.Latest(e)
-	message := &Ask{
+	ask := &Ask{
 		From:     x.config.Self,
 		Number:   x.number,
 		Notice:   noticeOf(news, now),
@@ -153,7 +155,7 @@
 		Urgent:   a.Urgent,
 		Spent:    min(a.Spent, maximumCount),
 	}
-	message.Notice.Endpoint, message.Notice.Start = e.Address, e.Start
+	ask.Notice.Endpoint, ask.Notice.Start = e.Address, e.Start
 	x.mutex.Unlock()
 	steward, known := x.config.Fleet.Steward(e)
 	switch {
@@ -161,9 +163,9 @@
 		x.config.Observer.PermitsAsked(ResultNoSteward, 0)
 		x.config.Router.Grant(routing.PermitGrant{Endpoint: a.Endpoint, Urgent: a.Urgent, RetryAt: now.Add(otherStewardDelay)}, now)
 	case steward == x.config.Self:
-		x.applyGrant(x.decide(message, now), now)
+		x.applyGrant(x.decide(ask, now), now)
 	default:
-		data, err := encode(message)
+		data, err := message.Encode(ask)
 		if err != nil {
 			x.config.Observer.MessageUnreadable(err)
 			return
@@ -186,18 +188,18 @@
 // decoded.
 func (x *Exchange) Answer(data []byte, now time.Time) (from netip.AddrPort, answer []byte, err error) {
 	ask := &Ask{}
-	if err := decode(data, ask); err != nil {
+	if err := message.Decode(data, ask); err != nil {
 		return netip.AddrPort{}, nil, err
 	}
 	x.apply(ask.Notice.News(now), "ask of "+ask.From.String(), false, now)
-	answer, err = encode(x.decide(ask, now))
+	answer, err = message.Encode(x.decide(ask, now))
 	return ask.From, answer, err
 }
 
 // decide returns the answer to an ask. An instance that is not the steward of the endpoint by its own view grants nothing: for a moment the
 // views of the instances may differ.
 func (x *Exchange) decide(ask *Ask, now time.Time) *Grant {
-	e := ratelimit.Endpoint{Address: ask.Notice.Endpoint, Start: ask.Notice.Start}
+	e := process.ID{Address: ask.Notice.Endpoint, Start: ask.Notice.Start}
 	steward, known := x.config.Fleet.Steward(e)
 	live, silent := x.config.Fleet.Size()
 	x.mutex.Lock()
@@ -223,7 +225,7 @@
 // ReceiveGrant takes the answer of another instance to an ask.
 func (x *Exchange) ReceiveGrant(data []byte, now time.Time) {
 	grant := &Grant{}
-	if err := decode(data, grant); err != nil {
+	if err := message.Decode(data, grant); err != nil {
 		x.config.Observer.MessageUnreadable(err)
 		return
 	}
--- a/coordination/quota/exchange_test.go
+++ b/coordination/quota/exchange_test.go
@@ -9,6 +9,7 @@
 
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/state/process"
 	"dogwooddyke/state/ratelimit"
 )
 
@@ -30,7 +31,7 @@
 	live, silent int
 }
 
-func (f *fakeFleet) Steward(ratelimit.Endpoint) (netip.AddrPort, bool) {
+func (f *fakeFleet) Steward(process.ID) (netip.AddrPort, bool) {
 	return f.steward, f.steward.IsValid()
 }
 func (f *fakeFleet) Size() (live, silent int) { return f.live, f.silent }
@@ -53,7 +54,7 @@
 var (
 	self       = netip.MustParseAddrPort("10.0.0.1:7200")
 	other      = netip.MustParseAddrPort("10.0.0.2:7200")
-	restricted = ratelimit.EndpointOf(netip.MustParseAddrPort("10.1.0.1:80"), "e-1", 1)
+	restricted = process.Of(netip.MustParseAddrPort("10.1.0.1:80"), "e-1", 1)
 	begin      = time.Unix(1000, 0)
 )
 
@@ -72,7 +73,7 @@
 }
 
 func TestExchange(t *testing.T) {
-	known := []ratelimit.Endpoint{restricted}
+	known := []process.ID{restricted}
 	t.Run("a limit is reported to the others and passed to the router", func(t *testing.T) {
 		is := is.New(t)
 		c := newExchangeCase(t, self, other)
@@ -104,8 +105,8 @@
 		c := newExchangeCase(t, self, other)
 		c.SetEndpoints(known, begin)
 		c.Learn(named(4, begin), begin)
-		restarted := ratelimit.EndpointOf(restricted.Address, "e-1", 2)
-		c.SetEndpoints([]ratelimit.Endpoint{restarted}, begin)
+		restarted := process.Of(restricted.Address, "e-1", 2)
+		c.SetEndpoints([]process.ID{restarted}, begin)
 		is.True(!c.router.limited[restricted.Address])
 		is.True(!c.Limit(restricted).Named)
 	})
@@ -168,7 +169,7 @@
 		x := quota.NewExchange(quota.Config{
 			Self: self, Router: &router, Fleet: &fakeFleet{steward: self, live: 1}, Network: &fakeNetwork{}, Observer: tolerantObserver{}, OnNotices: func() {},
 		})
-		x.SetEndpoints([]ratelimit.Endpoint{restricted}, begin)
+		x.SetEndpoints([]process.ID{restricted}, begin)
 		x.ReceiveAsk(data, begin)
 		x.ReceiveGrant(data, begin)
 	})
--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -19,6 +19,7 @@
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/catalogue"
+	"dogwooddyke/state/process"
 	"dogwooddyke/state/ratelimit"
 )
 
@@ -45,7 +46,7 @@
 
 // limitedEndpoint is an endpoint that names a limit while rate is set.
 type limitedEndpoint struct {
-	key      ratelimit.Endpoint
+	key      process.ID
 	rate     func(since time.Duration) (perSecond float64, named bool)
 	began    time.Time
 	arrivals []time.Time // of requests that count
@@ -65,14 +66,14 @@
 	frozen   bool
 	side     int // instances on different sides do not reach each other; guarded by world.mutex
 	excused  time.Time
-	told     map[ratelimit.Endpoint]time.Time
+	told     map[process.ID]time.Time
 }
 
 func newWorld(t *testing.T, nodes, endpoints int, rate func(since time.Duration) (float64, bool)) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(1, 2))}
 	for n := range endpoints {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 80)
-		w.endpoints = append(w.endpoints, &limitedEndpoint{key: ratelimit.EndpointOf(address, fmt.Sprint("e-", n), 1), rate: rate, began: time.Now()})
+		w.endpoints = append(w.endpoints, &limitedEndpoint{key: process.Of(address, fmt.Sprint("e-", n), 1), rate: rate, began: time.Now()})
 	}
 	for n := range nodes {
 		var ip [4]byte
@@ -96,10 +97,10 @@
 	for _, other := range n.world.nodes {
 		n.peers.Add(other.address, time.Now())
 	}
-	n.told = make(map[ratelimit.Endpoint]time.Time)
+	n.told = make(map[process.ID]time.Time)
 	n.mutex.Unlock()
 	entry := &catalogue.Entry{Name: entryName, Kind: catalogue.KindService}
-	var keys []ratelimit.Endpoint
+	var keys []process.ID
 	for _, e := range n.world.endpoints {
 		entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: e.key.Address})
 		keys = append(keys, e.key)
@@ -193,7 +194,7 @@
 }
 
 // Steward implements quota.Fleet.
-func (n *node) Steward(e ratelimit.Endpoint) (netip.AddrPort, bool) {
+func (n *node) Steward(e process.ID) (netip.AddrPort, bool) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	settled := n.peers.Settled(time.Now())
--- a/coordination/quota/message.go
+++ b/coordination/quota/message.go
@@ -7,9 +7,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/samber/oops"
-
+	"dogwooddyke/state/process"
 	"dogwooddyke/state/ratelimit"
 )
 
@@ -56,7 +54,7 @@
 // News returns the news of a notice that is received now.
 func (n Notice) News(now time.Time) ratelimit.News {
 	return ratelimit.News{
-		Endpoint: ratelimit.Endpoint{Address: n.Endpoint, Start: n.Start},
+		Endpoint: process.ID{Address: n.Endpoint, Start: n.Start},
 		Limit:    ratelimit.Limit{Named: n.Named, PerSecond: n.PerSecond},
 		At:       now.Add(-n.Age),
 	}
@@ -75,8 +73,8 @@
 	return nil
 }
 
-// check returns an error that names the first field whose value is out of range.
-func (a *Ask) check() error {
+// Check returns an error that names the first field whose value is out of range.
+func (a *Ask) Check() error {
 	switch {
 	case !a.From.IsValid():
 		return errors.New("ask for permits: sender has no valid address")
@@ -88,8 +86,8 @@
 	return a.Notice.Check()
 }
 
-// check returns an error that names the first field whose value is out of range.
-func (g *Grant) check() error {
+// Check returns an error that names the first field whose value is out of range.
+func (g *Grant) Check() error {
 	if len(g.Delays) > maximumCount {
 		return fmt.Errorf("grant of permits: more than %d permits: %d", maximumCount, len(g.Delays))
 	}
@@ -103,26 +101,3 @@
 	}
 	return g.Notice.Check()
 }
-
-// checked is a message whose fields have ranges.
-type checked interface{ check() error }
-
-// encode encodes a message as CBOR.
-func encode(message checked) ([]byte, error) {
-	data, err := cbor.Marshal(message)
-	if err != nil {
-		return nil, oops.In("quota").Wrap(err)
-	}
-	return data, nil
-}
-
-// decode decodes a message; it returns an error if the data is malformed or has a value out of range.
-func decode(data []byte, message checked) error {
-	if err := cbor.Unmarshal(data, message); err != nil {
-		return oops.In("quota").Wrap(err)
-	}
-	if err := message.check(); err != nil {
-		return oops.In("quota").Wrap(err)
-	}
-	return nil
-}
--- a/coordination/quota/news.go
+++ b/coordination/quota/news.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"dogwooddyke/state/process"
 	"dogwooddyke/state/ratelimit"
 )
 
@@ -60,7 +61,7 @@
 }
 
 // setInRouter passes what is known of an endpoint's limit to the router; the caller holds the mutex.
-func (x *Exchange) setInRouter(e ratelimit.Endpoint, now time.Time) {
+func (x *Exchange) setInRouter(e process.ID, now time.Time) {
 	if x.current[e.Address] != e.Start {
 		return
 	}
@@ -73,7 +74,7 @@
 }
 
 // Limit returns the limit of an endpoint.
-func (x *Exchange) Limit(e ratelimit.Endpoint) ratelimit.Limit {
+func (x *Exchange) Limit(e process.ID) ratelimit.Limit {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	return x.limits.Limit(e)
@@ -121,6 +122,6 @@
 }
 
 // grants reports whether this instance has lately granted permits of an endpoint that limits its rate; the caller holds the mutex.
-func (x *Exchange) grants(e ratelimit.Endpoint, now time.Time) bool {
+func (x *Exchange) grants(e process.ID, now time.Time) bool {
 	return x.limits.Limit(e).Named && x.steward.Grants(e, now)
 }
--- a/coordination/quota/steward.go
+++ b/coordination/quota/steward.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"dogwooddyke/state/ratelimit"
+	"dogwooddyke/state/process"
 )
 
 // Steward grants the permits of the endpoints that are assigned to this instance. It does no I/O and is not safe for concurrent use; callers
 // pass the current time.
 type Steward struct {
-	accounts map[ratelimit.Endpoint]*account
+	accounts map[process.ID]*account
 }
 
 // account holds when the next permit of an endpoint is due. Granting one moves that time by the interval between two permits; it stays behind
@@ -21,7 +21,7 @@
 }
 
 // NewSteward returns a steward that has granted nothing.
-func NewSteward() *Steward { return &Steward{accounts: make(map[ratelimit.Endpoint]*account)} }
+func NewSteward() *Steward { return &Steward{accounts: make(map[process.ID]*account)} }
 
 // Need is what an instance asks a steward for.
 type Need struct {
@@ -41,7 +41,7 @@
 // Decide grants permits of an endpoint at the given rate per second, which is above zero. A steward that has granted none before does not know
 // what the one before it has granted, so its first permit is due only after the interval between two. While the limit is in doubt, a permit
 // is granted each need.Doubt though none is due: the answer to that request says whether the limit still holds.
-func (s *Steward) Decide(e ratelimit.Endpoint, need Need, rate float64, now time.Time) Decision {
+func (s *Steward) Decide(e process.ID, need Need, rate float64, now time.Time) Decision {
 	interval := time.Duration(float64(time.Second) / rate)
 	a := s.accounts[e]
 	if a == nil {
@@ -91,7 +91,7 @@
 }
 
 // Retain forgets the endpoints for which keep returns false.
-func (s *Steward) Retain(keep func(e ratelimit.Endpoint) bool) {
+func (s *Steward) Retain(keep func(e process.ID) bool) {
 	for e := range s.accounts {
 		if !keep(e) {
 			delete(s.accounts, e)
@@ -100,7 +100,7 @@
 }
 
 // Grants reports whether an instance has asked for permits of the endpoint lately.
-func (s *Steward) Grants(e ratelimit.Endpoint, now time.Time) bool {
+func (s *Steward) Grants(e process.ID, now time.Time) bool {
 	a := s.accounts[e]
 	return a != nil && now.Sub(a.usedAt) <= recentAsk
 }
--- a/coordination/quota/steward_test.go
+++ b/coordination/quota/steward_test.go
@@ -7,11 +7,11 @@
 
 	"github.com/matryer/is"
 
-	"dogwooddyke/state/ratelimit"
+	"dogwooddyke/state/process"
 )
 
 func TestDecide(t *testing.T) {
-	e := ratelimit.EndpointOf(netip.MustParseAddrPort("10.1.0.1:80"), "e-1", 1)
+	e := process.Of(netip.MustParseAddrPort("10.1.0.1:80"), "e-1", 1)
 	start := time.Unix(1000, 0)
 	one := Need{Count: 1}
 	// settled returns a steward whose next permit of 4 a second is due at the start.
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -10,6 +10,7 @@
 
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/protocol/relay"
+	"dogwooddyke/state/process"
 	"dogwooddyke/state/prompt"
 	"dogwooddyke/state/ratelimit"
 	"dogwooddyke/state/roster"
@@ -19,7 +20,7 @@
 type observer struct {
 	onGenerationDispatched func(engine netip.AddrPort)                                   // called for each dispatch of a generation
 	onRateLimitStated      func(e relay.Endpoint, sent time.Time, limit ratelimit.Limit) // called for each answer that says whether its endpoint limits its rate
-	rateLimit              func(e ratelimit.Endpoint) ratelimit.Limit                    // returns the limit of an endpoint
+	rateLimit              func(e process.ID) ratelimit.Limit                            // returns the limit of an endpoint
 	logger                 *slog.Logger
 	metrics                *metrics
 
@@ -28,7 +29,7 @@
 }
 
 func newObserver(logger *slog.Logger) *observer {
-	unlimited := func(ratelimit.Endpoint) ratelimit.Limit { return ratelimit.Limit{} }
+	unlimited := func(process.ID) ratelimit.Limit { return ratelimit.Limit{} }
 	return &observer{rateLimit: unlimited, logger: logger, metrics: newMetrics(), labelledWorkspaces: make(map[string]bool)}
 }
 
@@ -48,7 +49,7 @@
 	if d.Request.Engine != nil {
 		o.onGenerationDispatched(d.Endpoint.Address)
 	}
-	limited := o.rateLimit(d.Endpoint.RateLimitKey()).Named
+	limited := o.rateLimit(d.Endpoint.Process()).Named
 	if limited {
 		o.metrics.limitedDispatches.Inc()
 	}
--- a/instance/hosted/quota.go
+++ b/instance/hosted/quota.go
@@ -8,6 +8,7 @@
 	"dogwooddyke/coordination/member"
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/protocol/relay"
+	"dogwooddyke/state/process"
 	"dogwooddyke/state/ratelimit"
 )
 
@@ -17,7 +18,7 @@
 }
 
 // Steward returns the instance that grants the permits of an endpoint: one of the live instances that have run for a while.
-func (q quotaFleet) Steward(e ratelimit.Endpoint) (netip.AddrPort, bool) {
+func (q quotaFleet) Steward(e process.ID) (netip.AddrPort, bool) {
 	settled := q.gossiper.settledInstances(time.Now())
 	if len(settled) == 0 {
 		return netip.AddrPort{}, false
@@ -73,7 +74,7 @@
 // rateLimitStated passes what an answer says of its endpoint's rate limit to the quota exchange.
 func (i *Instance) rateLimitStated(e relay.Endpoint, sent time.Time, limit ratelimit.Limit) {
 	now := time.Now()
-	news := ratelimit.News{Endpoint: e.RateLimitKey(), Limit: limit, At: sent}
+	news := ratelimit.News{Endpoint: e.Process(), Limit: limit, At: sent}
 	if limit.Named {
 		news.At = now
 	}
@@ -83,9 +84,9 @@
 // updateQuotas passes the known endpoints to the quota exchange; the router's entries must be up to date.
 func (i *Instance) updateQuotas(now time.Time) {
 	endpoints := i.roster.List()
-	known := make([]ratelimit.Endpoint, 0, len(endpoints))
+	known := make([]process.ID, 0, len(endpoints))
 	for _, e := range endpoints {
-		known = append(known, ratelimit.EndpointOf(e.Address, e.ID, e.Born))
+		known = append(known, process.Of(e.Address, e.ID, e.Born))
 	}
 	i.quotas.SetEndpoints(known, now)
 }
--- a/instance/limits_test.go
+++ b/instance/limits_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"dogwooddyke/standin"
-	"dogwooddyke/state/ratelimit"
+	"dogwooddyke/state/process"
 )
 
 // briefQuestion is one of a few tokens.
@@ -20,7 +20,7 @@
 	f := newFleet(t, 2, 0, 2)
 	const perSecond = 1
 	is.NoErr(f.engines[0].Fault(standin.Fault{Kind: standin.FaultLimit, Value: perSecond}))
-	limited := ratelimit.Endpoint{Address: f.enginesAt[0]}
+	limited := process.ID{Address: f.enginesAt[0]}
 	sent := 0
 	ask := func() {
 		sent++
--- a/instance/quota.go
+++ b/instance/quota.go
@@ -10,6 +10,7 @@
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/state/endpoint"
+	"dogwooddyke/state/process"
 	"dogwooddyke/state/ratelimit"
 )
 
@@ -23,7 +24,7 @@
 
 // Steward returns the instance that grants the permits of an engine. This one grants none until it has run long enough for the others to
 // know it.
-func (q quotaFleet) Steward(e ratelimit.Endpoint) (netip.AddrPort, bool) {
+func (q quotaFleet) Steward(e process.ID) (netip.AddrPort, bool) {
 	steward := q.instance.members.Steward("quota/" + e.String())
 	if steward == q.instance.members.Self() && time.Since(q.instance.startedAt) < quotaSettleTime {
 		return netip.AddrPort{}, false
@@ -100,7 +101,7 @@
 	if !l.isNewer(address, load.At) {
 		return
 	}
-	news := ratelimit.News{Endpoint: ratelimit.Endpoint{Address: address}, At: now}
+	news := ratelimit.News{Endpoint: process.ID{Address: address}, At: now}
 	if load.RateLimit != nil {
 		news.Limit = ratelimit.Limit{Named: true, PerSecond: *load.RateLimit}
 	}
@@ -133,10 +134,10 @@
 func (i *Instance) followEndpoints(now time.Time) {
 	addresses := i.router.Endpoints()
 	known := make(map[netip.AddrPort]bool, len(addresses))
-	endpoints := make([]ratelimit.Endpoint, 0, len(addresses))
+	endpoints := make([]process.ID, 0, len(addresses))
 	for _, a := range addresses {
 		known[a] = true
-		endpoints = append(endpoints, ratelimit.Endpoint{Address: a})
+		endpoints = append(endpoints, process.ID{Address: a})
 	}
 	i.loadRouter.retain(known)
 	i.quotas.SetEndpoints(endpoints, now)
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/state/process"
 	"dogwooddyke/state/prompt"
 	"dogwooddyke/state/ratelimit"
 	"dogwooddyke/state/route"
@@ -43,9 +44,9 @@
 	Notice     <-chan struct{} // closed when the endpoint is leaving
 }
 
-// RateLimitKey returns the identity under which the endpoint's rate limit is known.
-func (e Endpoint) RateLimitKey() ratelimit.Endpoint {
-	return ratelimit.EndpointOf(e.Address, e.ID, e.Born)
+// Process returns the identity of the endpoint's process.
+func (e Endpoint) Process() process.ID {
+	return process.Of(e.Address, e.ID, e.Born)
 }
 
 // Leaving reports whether the endpoint has announced that it is leaving.
--- /dev/null
+++ b/state/process/doc.go
@@ -0,0 +1,2 @@
+// Package process identifies the processes of endpoints.
+package process
--- a/state/ratelimit/table.go
+++ b/state/ratelimit/table.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"dogwooddyke/state/process"
 )
 
 // News is what one answer of an endpoint said of its limit.
@@ -10,18 +12,18 @@
 // At orders news by this instance's clock. An answer that names a limit counts as of its receipt. One that names none counts as of the time
 // at which its request was sent: the answer may have been made before the endpoint named the limit that is known.
 type News struct {
-	Endpoint Endpoint
+	Endpoint process.ID
 	Limit    Limit
 	At       time.Time
 }
 
 // Table holds the latest news of each endpoint. It is not safe for concurrent use.
 type Table struct {
-	latest map[Endpoint]News
+	latest map[process.ID]News
 }
 
 // NewTable returns a table that knows no limit.
-func NewTable() *Table { return &Table{latest: make(map[Endpoint]News)} }
+func NewTable() *Table { return &Table{latest: make(map[process.ID]News)} }
 
 // Apply records news unless newer ones of the endpoint are known, and reports whether the endpoint's limit has changed by them.
 func (t *Table) Apply(n News) bool {
@@ -34,10 +36,10 @@
 }
 
 // Limit returns the limit of an endpoint.
-func (t *Table) Limit(e Endpoint) Limit { return t.latest[e].Limit }
+func (t *Table) Limit(e process.ID) Limit { return t.latest[e].Limit }
 
 // Latest returns the latest news of an endpoint, and whether it has ever named a limit.
-func (t *Table) Latest(e Endpoint) (News, bool) {
+func (t *Table) Latest(e process.ID) (News, bool) {
 	n, found := t.latest[e]
 	return n, found
 }
@@ -54,6 +56,6 @@
 }
 
 // Retain forgets the endpoints for which keep returns false.
-func (t *Table) Retain(keep func(e Endpoint) bool) {
-	maps.DeleteFunc(t.latest, func(e Endpoint, _ News) bool { return !keep(e) })
+func (t *Table) Retain(keep func(e process.ID) bool) {
+	maps.DeleteFunc(t.latest, func(e process.ID, _ News) bool { return !keep(e) })
 }
--- a/state/ratelimit/table_test.go
+++ b/state/ratelimit/table_test.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"dogwooddyke/state/process"
 )
 
 func TestApply(t *testing.T) {
 	address := netip.MustParseAddrPort("10.0.0.1:80")
-	e := EndpointOf(address, "e-1", 5)
+	e := process.Of(address, "e-1", 5)
 	start := time.Unix(1000, 0)
 	named := func(rate float64, second int) News {
 		return News{Endpoint: e, Limit: Limit{Named: true, PerSecond: rate}, At: start.Add(time.Duration(second) * time.Second)}
@@ -40,16 +42,16 @@
 		is := is.New(t)
 		table := NewTable()
 		table.Apply(named(3, 2))
-		is.True(!table.Limit(EndpointOf(address, "e-1", 6)).Named)
-		is.True(!table.Limit(EndpointOf(address, "e-2", 5)).Named)
+		is.True(!table.Limit(process.Of(address, "e-1", 6)).Named)
+		is.True(!table.Limit(process.Of(address, "e-2", 5)).Named)
 	})
 	t.Run("endpoints that are not retained are forgotten", func(t *testing.T) {
 		is := is.New(t)
 		table := NewTable()
 		table.Apply(named(3, 2))
-		table.Retain(func(Endpoint) bool { return true })
+		table.Retain(func(process.ID) bool { return true })
 		is.Equal(len(table.Named()), 1)
-		table.Retain(func(Endpoint) bool { return false })
+		table.Retain(func(process.ID) bool { return false })
 		is.Equal(len(table.Named()), 0)
 	})
 }
