Requests with a part that crashes endpoints are sent one at a time, then hardly at all

Cause: the crash of an engine is caused by the request, but every decision blames the endpoint. Each instance saw lost connections, excluded the endpoint and sent the next request of the kind, or the same one once more (repeat, backup), to another endpoint. Nothing related crashes to what the requests had in common, and no instance knew of the crashes that the others saw.

Change: instances share under which prompts endpoints crashed before any output, and on which parts endpoints have answered since (suspicion). A part in two or more crashes that nothing has cleared is suspected; the steward lets one request with it through at a time, and after a crash none for 15 s, then 30 s and so on (quarantine). All others get 503 with the time of the next trial. A request that was at a crash itself is on trial when it is sent again or continued from a backup; a run without output is not moved while a part is suspected. Instances compare digests each second, so those that start, wake or come back learn what they have missed.

--- a/coordination/gossip/fleet.go
+++ b/coordination/gossip/fleet.go
@@ -20,6 +20,17 @@
 	return settled
 }
 
+// Live returns the other live instances.
+func (p *Peers) Live(now time.Time) []netip.AddrPort {
+	var live []netip.AddrPort
+	for a, k := range p.known {
+		if p.isLive(k, now) {
+			live = append(live, a)
+		}
+	}
+	return live
+}
+
 // IsNewcomer reports whether the sender's process has just started: the latest report is the first one of it that was received.
 func (p *Peers) IsNewcomer(r *Report) bool {
 	k := p.known[r.From]
--- a/coordination/gossip/report.go
+++ b/coordination/gossip/report.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/state/position"
 	"dogwooddyke/state/roster"
@@ -31,6 +32,7 @@
 	Uptime       time.Duration   `cbor:"16,keyasint,omitempty"` // time since the start of the sender's process
 	Stopping     bool            `cbor:"17,keyasint,omitempty"` // whether the sender ends after this report
 	RateLimits   []quota.Notice  `cbor:"18,keyasint,omitempty"` // limits that the sender has learnt of, or for which it grants permits
+	Crashes      quarantine.News `cbor:"19,keyasint"`           // crashes of endpoints that the sender has noticed, and answers on prompts
 }
 
 // Latest returns the log position of the newest change of an endpoint that the sender knows.
@@ -98,6 +100,9 @@
 			return nil, oops.In("gossip").With("from", r.From).Wrap(err)
 		}
 	}
+	if err := r.Crashes.Check(); err != nil {
+		return nil, oops.In("gossip").With("from", r.From).Wrap(err)
+	}
 	for _, n := range r.RateLimits {
 		if err := n.Check(); err != nil {
 			return nil, oops.In("gossip").With("from", r.From).Wrap(err)
--- /dev/null
+++ b/coordination/quarantine/constants.go
@@ -0,0 +1,23 @@
+package quarantine
+
+import "time"
+
+const (
+	suspectCrashes    = 2                      // from which on a part is sent in trials only
+	implicatedCrashes = 1                      // the same for a request that was itself at an endpoint that crashed
+	firstHold         = 15 * time.Second       // after a trial that crashed an endpoint, until the next trial; doubled each time
+	longestHold       = 10 * time.Minute       // between two trials
+	trialLifetime     = 5 * time.Second        // after which a trial without a result counts as lost
+	busyRetryDelay    = 100 * time.Millisecond // between two asks while another request is on trial
+	maximumWait       = time.Second            // for which a request waits for the result of another one's trial
+	askTimeout        = 200 * time.Millisecond // after which an ask counts as lost
+	askAttempts       = 2                      // of one ask
+	silentPause       = 500 * time.Millisecond // after an ask without an answer, in which no other one is sent
+	syncInterval      = time.Second            // between two comparisons with another instance
+	newsRepeats       = 3                      // reports that carry each piece of news
+	maximumNews       = 64                     // crashes, and as many answers, in one message
+	maximumAskNews    = 16                     // crashes in an ask or its answer
+	maximumNewsParts  = 1500                   // parts in all prompts of one message's crashes, which keeps it below the size of a datagram
+	maximumPromptsOf  = 16                     // prompts of a crash in a message
+	maximumTrials     = 1024                   // that a steward holds
+)
--- /dev/null
+++ b/coordination/quarantine/evidence.go
@@ -0,0 +1,161 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dogwooddyke/state/prompt"
+	"dogwooddyke/state/suspicion"
+)
+
+// Notices returns the news for this instance's next report.
+func (x *Exchange) Notices(now time.Time) News {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	news := News{}
+	crashes := x.table.Crashes(now)
+	for n := range x.pending {
+		p := &x.pending[n]
+		if len(news.Answers) == maximumNews {
+			break
+		}
+		at := slices.IndexFunc(crashes, func(c *suspicion.Crash) bool { return c.Process == p.crash })
+		if at >= 0 && !news.addCrash(crashes[at], now) {
+			break
+		}
+		if at < 0 {
+			news.addAnswer(x.table, p.part, now)
+		}
+		p.reportsLeft--
+	}
+	x.pending = slices.DeleteFunc(x.pending, func(p pendingNews) bool { return p.reportsLeft <= 0 })
+	return news
+}
+
+// addCrash adds a crash unless the news would become too long.
+func (n *News) addCrash(c *suspicion.Crash, now time.Time) bool {
+	count := 0
+	for _, listed := range append(n.Crashes, crashNotice(c, now)) {
+		for _, parts := range listed.Prompts {
+			count += len(parts)
+		}
+	}
+	if len(n.Crashes) == maximumNews || count > maximumNewsParts {
+		return false
+	}
+	n.Crashes = append(n.Crashes, crashNotice(c, now))
+	return true
+}
+
+// addAnswer adds the latest answer on a part, unless it is not known or in the news already.
+func (n *News) addAnswer(t *suspicion.Table, p prompt.Part, now time.Time) {
+	at := t.AnsweredAt(p)
+	listed := slices.ContainsFunc(n.Answers, func(a AnswerNotice) bool { return a.Part == p })
+	if !at.IsZero() && !listed && len(n.Answers) < maximumNews {
+		n.Answers = append(n.Answers, AnswerNotice{Part: p, Age: max(now.Sub(at), 0)})
+	}
+}
+
+// Receive records what another instance has told.
+func (x *Exchange) Receive(news *News, now time.Time) {
+	if news.IsEmpty() {
+		return
+	}
+	x.mutex.Lock()
+	changed := x.record(news, now)
+	x.notifyAndUnlock(changed, now)
+}
+
+// record records news, and reports whether they change the evidence; the caller holds the mutex. Crashes come first: an answer may clear them.
+func (x *Exchange) record(news *News, now time.Time) bool {
+	changed := false
+	for n := range news.Crashes {
+		changed = x.table.AddCrash(news.Crashes[n].crash(now)) || changed
+	}
+	for _, a := range news.Answers {
+		changed = x.table.AddAnswer(a.Part, now.Add(-a.Age)) || changed
+	}
+	return changed
+}
+
+// ReceiveNews records the news that another instance has sent because it knows something else.
+func (x *Exchange) ReceiveNews(data []byte, now time.Time) {
+	news := &News{}
+	if x.decode(data, news) {
+		x.Receive(news, now)
+	}
+}
+
+// ReceiveComparison answers with news if the sender knows something else.
+func (x *Exchange) ReceiveComparison(data []byte, now time.Time) {
+	comparison := &Comparison{}
+	if !x.decode(data, comparison) {
+		return
+	}
+	x.mutex.Lock()
+	differs := x.digest(now) != comparison.Digest
+	news := x.allNews(now)
+	x.mutex.Unlock()
+	if !differs || news.IsEmpty() {
+		return
+	}
+	if answer := x.encode(&news); answer != nil {
+		x.config.Network.SendNews(comparison.From, answer)
+	}
+}
+
+// allNews returns all crashes and the answers on the parts that they name, the newest first, as far as a message can hold them; the caller holds
+// the mutex.
+func (x *Exchange) allNews(now time.Time) News {
+	return x.newsOfCrashes(x.table.Crashes(now), now)
+}
+
+// newsOf returns the latest crashes that name one of the parts, and the answers on the parts; the caller holds the mutex.
+func (x *Exchange) newsOf(parts []prompt.Part, now time.Time) News {
+	crashes := slices.DeleteFunc(x.table.Crashes(now), func(c *suspicion.Crash) bool { return !slices.ContainsFunc(parts, c.Names) })
+	news := x.newsOfCrashes(crashes[:min(len(crashes), maximumAskNews)], now)
+	for _, p := range parts {
+		news.addAnswer(x.table, p, now)
+	}
+	return news
+}
+
+// newsOfCrashes returns crashes and the answers on the parts that they name; the caller holds the mutex.
+func (x *Exchange) newsOfCrashes(crashes []*suspicion.Crash, now time.Time) News {
+	news := News{}
+	for _, c := range crashes {
+		if !news.addCrash(c, now) {
+			break
+		}
+		for _, parts := range c.Prompts {
+			for _, p := range parts {
+				news.addAnswer(x.table, p, now)
+			}
+		}
+	}
+	return news
+}
+
+// digest returns a hash of the crashes that are not cleared, and of which of their parts are; the caller holds the mutex.
+func (x *Exchange) digest(now time.Time) uint64 {
+	sum := uint64(0)
+	for _, c := range x.table.Crashes(now) {
+		if x.table.IsCleared(c) {
+			continue
+		}
+		for _, parts := range c.Prompts {
+			data := binary.BigEndian.AppendUint64([]byte(c.Process.Address.String()), c.Process.Start)
+			for _, p := range parts {
+				data = binary.BigEndian.AppendUint64(data, uint64(p))
+				if !x.table.MayHaveCaused(p, c) {
+					data = append(data, 1)
+				}
+			}
+			sum += xxhash.Sum64(data)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/coordination/quarantine/steward_test.go
@@ -0,0 +1,114 @@
+package quarantine
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dogwooddyke/state/process"
+	"dogwooddyke/state/prompt"
+	"dogwooddyke/state/suspicion"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const deadly prompt.Part = 1
+
+// trials is a steward with the evidence that it decides by.
+type trials struct {
+	is      *is.I
+	table   *suspicion.Table
+	steward *Steward
+	number  uint64
+}
+
+func newTrials(t *testing.T) *trials {
+	return &trials{is: is.New(t), table: suspicion.NewTable(), steward: NewSteward()}
+}
+
+// crash adds a crash of another process under a request with the deadly part.
+func (t *trials) crash(at time.Time) {
+	t.number++
+	t.table.AddCrash(suspicion.Crash{Process: process.ID{Start: t.number}, At: at, Prompts: [][]prompt.Part{{deadly}}})
+}
+
+// ask asks about another request with the deadly part.
+func (t *trials) ask(implicated bool, now time.Time) (Decision, TrialID) {
+	t.number++
+	id := TrialID{Instance: netip.MustParseAddrPort("10.0.0.1:1"), Number: t.number}
+	return t.steward.Decide(t.table, []prompt.Part{deadly}, implicated, id, now), id
+}
+
+func (t *trials) assert(now time.Time, want Verdict) TrialID {
+	d, id := t.ask(false, now)
+	t.is.Helper()
+	t.is.Equal(d.Verdict, want)
+	t.is.Equal(d.RetryAfter > 0, want == VerdictBusy || want == VerdictRefused)
+	return id
+}
+
+func TestTrials(t *testing.T) {
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	t.Run("one request at a time from the second crash on", func(t *testing.T) {
+		s := newTrials(t)
+		s.crash(at(0))
+		s.assert(at(0), VerdictSound)
+		s.crash(at(1))
+		id := s.assert(at(1), VerdictTrial)
+		s.assert(at(1), VerdictBusy)
+		s.steward.End(id)
+		s.assert(at(1), VerdictTrial)
+	})
+	t.Run("a trial whose end is never told is given up", func(t *testing.T) {
+		s := newTrials(t)
+		s.crash(at(0))
+		s.crash(at(1))
+		s.assert(at(1), VerdictTrial)
+		s.assert(at(4), VerdictBusy)
+		s.assert(at(7), VerdictTrial)
+	})
+	t.Run("trials become rarer with each crash", func(t *testing.T) {
+		s := newTrials(t)
+		s.crash(at(0))
+		s.crash(at(1))
+		now := at(1)
+		for n := range 8 {
+			s.assert(now, VerdictTrial)
+			s.crash(now.Add(time.Second))
+			d, _ := s.ask(false, now.Add(2*time.Second))
+			s.is.Equal(d.Verdict, VerdictRefused)
+			now = now.Add(2*time.Second + d.RetryAfter)
+			s.is.True(d.RetryAfter >= min(firstHold<<n, longestHold)-time.Second)
+		}
+	})
+	t.Run("an answer ends the suspicion", func(t *testing.T) {
+		s := newTrials(t)
+		for n := range 4 {
+			s.crash(at(n))
+		}
+		s.assert(at(4), VerdictRefused)
+		s.table.AddAnswer(deadly, at(5))
+		s.assert(at(5), VerdictSound)
+	})
+	t.Run("a request that was at one crash is on trial when it is sent again", func(t *testing.T) {
+		s := newTrials(t)
+		d, _ := s.ask(true, at(0))
+		s.is.Equal(d.Verdict, VerdictSound)
+		s.crash(at(0))
+		d, _ = s.ask(true, at(1))
+		s.is.Equal(d.Verdict, VerdictTrial)
+		d, _ = s.ask(true, at(1))
+		s.is.Equal(d.Verdict, VerdictBusy)
+		s.assert(at(1), VerdictSound)
+	})
+	t.Run("a repeated ask has the same answer", func(t *testing.T) {
+		s := newTrials(t)
+		s.crash(at(0))
+		s.crash(at(1))
+		id := s.assert(at(1), VerdictTrial)
+		d := s.steward.Decide(s.table, []prompt.Part{deadly}, false, id, at(1))
+		s.is.Equal(d.Verdict, VerdictTrial)
+	})
+}
--- a/instance/hosted/bundles.go
+++ b/instance/hosted/bundles.go
@@ -19,10 +19,14 @@
 	messageRemoteBundle             // the same from another data centre, which the receiver forwards in its own
 	messageAsk                      // an ask for permits of an endpoint
 	messageGrant                    // the answer to an ask for permits
+	messageTrialAsk                 // an ask whether a request with a blamed part may be sent
+	messageTrialGrant               // the answer to such an ask
+	messageComparison               // a digest of what the sender knows of crashes
+	messageNews                     // what the sender knows of crashes
 )
 
 // addToBundle adds a report to the next bundle; remote reports come from another data centre. A report that carries changes
-// of endpoints is sent at once, because runs have to leave an endpoint within a second or two. One without uses waits for other reports.
+// or crashes of endpoints is sent at once, because runs have to leave an endpoint within a second or two, and other endpoints may crash next. One without uses waits for other reports.
 func (g *gossiper) addToBundle(r *gossip.Report, encoded []byte, remote bool) {
 	g.mutex.Lock()
 	if remote {
@@ -31,10 +35,10 @@
 		g.bundle.AddLocal(encoded)
 	}
 	g.mutex.Unlock()
-	if len(r.Uses) > 0 || len(r.Updates) > 0 || len(r.RateLimits) > 0 || r.From == g.self {
+	if len(r.Uses) > 0 || len(r.Updates) > 0 || len(r.RateLimits) > 0 || !r.Crashes.IsEmpty() || r.From == g.self {
 		signal(g.bundleFilled)
 	}
-	if len(r.Updates) > 0 {
+	if len(r.Updates) > 0 || !r.Crashes.IsEmpty() {
 		signal(g.bundleUrgent)
 	}
 }
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -17,6 +17,7 @@
 	"github.com/samber/oops"
 	"github.com/sourcegraph/conc"
 
+	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/internal/wait"
@@ -39,8 +40,8 @@
 //
 //	log -> consumer -> state/route, state/roster -> the router's entries
 //
-// Lock order: Instance.mutex is locked before the mutex of the gossiper, that one before the mutex of quotas, and that one before the mutexes
-// of the roster and the router.
+// Lock order: Instance.mutex is locked before the mutex of the gossiper, that one before the mutexes of quotas and the quarantine, and these before
+// the mutexes of the roster and the router.
 
 // Instance holds the components of one instance and runs them.
 type Instance struct {
@@ -54,6 +55,7 @@
 	observer         *observer
 	gossiper         *gossiper
 	quotas           *quota.Exchange
+	quarantine       *quarantine.Exchange
 	sharers          *sharers
 	scheduler        *moveScheduler
 	callerServer     *http.Server
@@ -110,6 +112,7 @@
 	i.observer = newObserver(logger)
 	i.gossiper = newGossiper(i)
 	i.quotas = i.newQuotas()
+	i.quarantine = i.newQuarantine()
 	i.node = peer.NewNode(peer.Config{Address: i.gossiper.self, Keys: [][]byte{[]byte(settings.PeerKey)}})
 	i.node.Handle(methodState, i.serveState)
 	i.scheduler = newMoveScheduler(i.gossiper)
@@ -124,6 +127,7 @@
 		Budgets:       &relay.Budgets{},
 		RetryLimits:   i.retryLimits,
 		MoveScheduler: i.scheduler,
+		Quarantine:    i.quarantine,
 		Observer:      i.observer,
 	}
 	i.front = &platform.Front{Catalogue: i.table.Load, Known: i.initialized, Runner: i, Observer: i.observer}
@@ -172,6 +176,7 @@
 	i.group.Go(func() { i.consumeCatalogue(ctx) })
 	i.group.Go(func() { i.consumeEndpoints(ctx) })
 	i.group.Go(func() { i.quotas.Run(ctx) })
+	i.group.Go(func() { i.quarantine.Run(ctx) })
 	i.group.Go(func() { i.tick(ctx) })
 	i.logger.Info("started", "dataCentre", i.settings.DataCentre)
 	return nil
--- a/instance/hosted/crashes_test.go
+++ b/instance/hosted/crashes_test.go
@@ -77,19 +77,19 @@
 	return i
 }
 
-// generate sends a request whose prompt starts with the parts to the next instance, and reports whether it got its whole answer.
-func (f *crashFleet) generate(path, parts string) bool {
-	f.sent++
-	return f.generateAt(f.instances[f.sent%len(f.instances)], path, parts)
+// generate sends a request whose prompt starts with the parts to the next instance, and reports whether it got its whole answer of so many
+// events.
+func (f *crashFleet) generate(path, parts string, events int) bool {
+	return f.generateAt(f.instances[f.sent%len(f.instances)], path, parts, events)
 }
 
-func (f *crashFleet) generateAt(i *Instance, path, parts string) bool {
+func (f *crashFleet) generateAt(i *Instance, path, parts string, events int) bool {
 	f.sent++
 	response, body := f.request(requestSpec{instance: i, method: "POST", path: path, id: fmt.Sprint("g", f.sent), headers: map[string]string{
-		standin.HeaderTokens: "100,60",
+		standin.HeaderTokens: fmt.Sprint("100,", events),
 		standin.HeaderParts:  fmt.Sprint(parts, ",e", f.sent, ":30"),
 	}})
-	return response.StatusCode == http.StatusOK && strings.Contains(body, "-60\n")
+	return response.StatusCode == http.StatusOK && strings.Contains(body, fmt.Sprint("-", events, "\n"))
 }
 
 const (
@@ -97,6 +97,8 @@
 	learningSpan    = 3 * time.Second // after the last of these, in which more requests may arrive
 	allowedArrivals = 3               // requests with the part that may reach endpoints after that
 	crashPause      = 150 * time.Millisecond
+	longRun         = 300 // events; the run has a backup
+	shortRun        = 6   // events
 )
 
 // assertCrashesEnd sends requests with the part on which engines crash, and sound ones between them that share the other parts. It checks
@@ -107,10 +109,10 @@
 	served, sound := 0, 0
 	send := func(until func() bool) {
 		for n := 0; n < 20 && !until(); n++ {
-			f.generate(path, "a1:10,b1:20,c1:5")
+			f.generate(path, "a1:10,b1:20,c1:5", longRun)
 			time.Sleep(crashPause)
 			sound++
-			if f.generate(path, fmt.Sprint("a1:10,d", n, ":20")) {
+			if f.generate(path, fmt.Sprint("a1:10,d", n, ":20"), shortRun) {
 				served++
 			}
 		}
@@ -127,9 +129,16 @@
 }
 
 func TestPartCrashesEndpointsOneAfterTheOther(t *testing.T) {
-	t.Run("by requests that run once", func(t *testing.T) { newCrashFleet(t).assertCrashesEnd("/long/") })
-	t.Run("by requests that are repeated", func(t *testing.T) { newCrashFleet(t).assertCrashesEnd("/short/") })
+	t.Run("by requests that run once", func(t *testing.T) {
+		t.Parallel()
+		newCrashFleet(t).assertCrashesEnd("/long/")
+	})
+	t.Run("by requests that are repeated", func(t *testing.T) {
+		t.Parallel()
+		newCrashFleet(t).assertCrashesEnd("/short/")
+	})
 	t.Run("by requests at an instance that has just started", func(t *testing.T) {
+		t.Parallel()
 		is := is.New(t)
 		f := newCrashFleet(t)
 		f.assertCrashesEnd("/long/")
@@ -138,7 +147,7 @@
 		f.eventually("reports of the others", func() bool { return live(i) == 4 })
 		time.Sleep(learningSpan)
 		for range 10 {
-			f.generateAt(i, "/long/", "a1:10,b1:20,c1:5")
+			f.generateAt(i, "/long/", "a1:10,b1:20,c1:5", longRun)
 		}
 		is.True(f.engines.Crashes() <= known+allowedArrivals)
 	})
@@ -147,7 +156,7 @@
 func TestOneRequestCrashesEndpointsThroughItsBackups(t *testing.T) {
 	is := is.New(t)
 	f := newCrashFleet(t)
-	f.generate("/long/", "a1:10,b1:20,c1:5")
+	f.generate("/long/", "a1:10,b1:20,c1:5", longRun)
 	t.Logf("%d crashes", f.engines.Crashes())
 	is.True(f.engines.Crashes() <= 2)
 }
--- a/instance/hosted/metrics.go
+++ b/instance/hosted/metrics.go
@@ -19,6 +19,8 @@
 	moves             *prometheus.CounterVec
 	restores          prometheus.Counter
 	crashes           prometheus.Counter
+	suspicions        prometheus.Counter
+	trials            *prometheus.CounterVec
 	limitedDispatches prometheus.Counter
 	permitAsks        *prometheus.CounterVec
 	permits           prometheus.Counter
@@ -46,6 +48,8 @@
 		moves:             counter("moves_total", "Copies of runs, by whether the run stopped with it and whether it failed.", "last", "failed"),
 		restores:          prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "log_restores_total", Help: "Restores of the platform's log from an older copy."}),
 		crashes:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "crashed_requests_total", Help: "Requests that were at an endpoint when that crashed and that it had produced no output for."}),
+		suspicions:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "suspected_parts_total", Help: "Suspicions that a part of prompts crashes endpoints; each further crash counts again."}),
+		trials:            counter("trials_total", "Decisions about requests with a part that is blamed for crashes, by verdict.", "verdict"),
 		limitedDispatches: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "limited_dispatches_total", Help: "Dispatches to endpoints whose rate limit was known."}),
 		permitAsks:        counter("permit_asks_total", "Asks for permits of endpoints that limit their rate, by result.", "result"),
 		permits:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "permits_total", Help: "Permits that this instance was granted; an unused one lapses."}),
@@ -53,7 +57,7 @@
 		totalTime:         histogram("whole_seconds", "Time to the end of the answer."),
 		longestPause:      histogram("pause_seconds", "Longest time between two events of a stream."),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.crashes, m.limitedDispatches, m.permitAsks, m.permits, m.timeToAnswer, m.totalTime, m.longestPause)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.crashes, m.suspicions, m.trials, m.limitedDispatches, m.permitAsks, m.permits, m.timeToAnswer, m.totalTime, m.longestPause)
 	return m
 }
 
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/protocol/relay"
 	"dogwooddyke/state/process"
@@ -80,6 +81,24 @@
 // MessageUnreadable logs a message between instances that could not be encoded or decoded.
 func (o *observer) MessageUnreadable(err error) { o.recordUnreadable("permits", err) }
 
+// PartSuspected logs and counts a part that is suspected of crashing endpoints, or not any more.
+func (o *observer) PartSuspected(p prompt.Part, crashes int) {
+	if crashes == 0 {
+		o.logger.Info("part of prompts cleared", "part", p.String())
+		return
+	}
+	o.metrics.suspicions.Inc()
+	o.logger.Warn("part of prompts suspected of crashing endpoints", "part", p.String(), "crashes", crashes)
+}
+
+// TrialDecided counts the decisions about requests with a part that is blamed for crashes.
+func (o *observer) TrialDecided(v quarantine.Verdict) {
+	o.metrics.trials.WithLabelValues(v.String()).Inc()
+}
+
+// TrialMessageUnreadable logs a message about crashes or trials that could not be encoded or decoded.
+func (o *observer) TrialMessageUnreadable(err error) { o.recordUnreadable("trials", err) }
+
 // roundToThousandths rounds to three decimal places.
 func roundToThousandths(value float64) float64 { return math.Round(value*1000) / 1000 }
 
--- a/instance/hosted/receiver.go
+++ b/instance/hosted/receiver.go
@@ -21,6 +21,14 @@
 			g.instance.quotas.ReceiveAsk(body, time.Now())
 		case messageGrant:
 			g.instance.quotas.ReceiveGrant(body, time.Now())
+		case messageTrialAsk:
+			g.instance.quarantine.ReceiveAsk(body, time.Now())
+		case messageTrialGrant:
+			g.instance.quarantine.ReceiveGrant(body)
+		case messageComparison:
+			g.instance.quarantine.ReceiveComparison(body, time.Now())
+		case messageNews:
+			g.instance.quarantine.ReceiveNews(body, time.Now())
 		default:
 			g.receiveReport(body, message[0])
 		}
@@ -62,6 +70,7 @@
 	}
 	r.Updates = g.instance.applyUpdates(r)
 	g.instance.quotas.Receive(r.RateLimits, r.From, now)
+	g.instance.quarantine.Receive(&r.Crashes, now)
 	if !fresh {
 		return r, false
 	}
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -109,6 +109,9 @@
 	if err := m.awaitTurn(ctx, plan.Begin); err != nil {
 		return
 	}
+	if !m.execution.mayMove() {
+		return
+	}
 	tried := []netip.AddrPort{m.from.Address}
 	for range moveAttempts {
 		slot, target, err := m.awaitTarget(ctx, tried)
--- a/protocol/relay/restore.go
+++ b/protocol/relay/restore.go
@@ -28,6 +28,9 @@
 	if !d.Backup.IsValid() || x.ctx.Err() != nil || x.result.Restores >= maximumRestores {
 		return nil
 	}
+	if x.dispatchEvents == 0 && x.admitPrompt() != nil {
+		return nil
+	}
 	spec := x.spec
 	spec.PreferredEndpoint = d.Backup
 	spec.GeneratedTokens = int(x.passedTokens.Load())
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -24,16 +24,17 @@
 // The reasons of outcomes.
 const (
 	ReasonNone           Reason = ""
-	ReasonDeadline       Reason = "deadline"  // the deadline of the request passed
-	ReasonRefused        Reason = "refused"   // every endpoint that was tried refused
-	ReasonUnreached      Reason = "unreached" // every endpoint that was tried was unreachable
-	ReasonConnectionLost Reason = "broken"    // the connection to the endpoint failed
-	ReasonSilent         Reason = "silent"    // the endpoint sent nothing in time
-	ReasonInvalidAnswer  Reason = "spoiled"   // the answer was not signed by the endpoint, or was content-encoded
-	ReasonGap            Reason = "gap"       // the ids of the stream's events are not consecutive
-	ReasonCallerLeft     Reason = "caller"    // the caller disconnected
-	ReasonRetryBudget    Reason = "budget"    // the service's retry budget is exhausted
-	ReasonNoSlot         Reason = "place"     // the router granted no slot
+	ReasonDeadline       Reason = "deadline"    // the deadline of the request passed
+	ReasonRefused        Reason = "refused"     // every endpoint that was tried refused
+	ReasonUnreached      Reason = "unreached"   // every endpoint that was tried was unreachable
+	ReasonConnectionLost Reason = "broken"      // the connection to the endpoint failed
+	ReasonSilent         Reason = "silent"      // the endpoint sent nothing in time
+	ReasonInvalidAnswer  Reason = "spoiled"     // the answer was not signed by the endpoint, or was content-encoded
+	ReasonGap            Reason = "gap"         // the ids of the stream's events are not consecutive
+	ReasonCallerLeft     Reason = "caller"      // the caller disconnected
+	ReasonRetryBudget    Reason = "budget"      // the service's retry budget is exhausted
+	ReasonNoSlot         Reason = "place"       // the router granted no slot
+	ReasonQuarantined    Reason = "quarantined" // a part of the prompt crashes endpoints
 )
 
 // Result describes how a request ended.
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"dogwooddyke/coordination/evacuation"
+	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/route"
@@ -65,6 +66,7 @@
 	Roster        Roster
 	Budgets       *Budgets
 	MoveScheduler MoveScheduler
+	Quarantine    Quarantine
 	RetryLimits   func() RetryLimits
 	Observer      Observer
 
@@ -73,21 +75,24 @@
 
 // execution is the state of one request while it runs. Only one goroutine uses it, apart from the mover of its current run.
 type execution struct {
-	runner       *Runner
-	request      *Request
-	sink         Sink
-	caller       context.Context // done when the caller disconnects
-	ctx          context.Context // done when the caller disconnects or at the request's deadline
-	spec         routing.RequestSpec
-	slot         *routing.Slot
-	result       Result
-	unreached    int          // dispatches that did not reach an endpoint
-	notRun       int          // dispatches that endpoints refused to run
-	mayHaveRun   int          // dispatches that may have run
-	lastEvent    int64        // id of the last event that the caller has received; zero if it has none
-	lastEventAt  time.Time    // when the latest event was forwarded
-	passedTokens atomic.Int32 // tokens forwarded to the caller
-	kept         *keptAnswer  // latest answer with an error status; nil if there is none
+	runner         *Runner
+	request        *Request
+	sink           Sink
+	caller         context.Context // done when the caller disconnects
+	ctx            context.Context // done when the caller disconnects or at the request's deadline
+	spec           routing.RequestSpec
+	slot           *routing.Slot
+	result         Result
+	unreached      int                  // dispatches that did not reach an endpoint
+	notRun         int                  // dispatches that endpoints refused to run
+	mayHaveRun     int                  // dispatches that may have run
+	lastEvent      int64                // id of the last event that the caller has received; zero if it has none
+	lastEventAt    time.Time            // when the latest event was forwarded
+	passedTokens   atomic.Int32         // tokens forwarded to the caller
+	dispatchEvents int                  // events that the latest dispatch has received
+	implicated     bool                 // an endpoint has crashed under a dispatch that it had produced no output for
+	admission      quarantine.Admission // of the latest dispatch
+	kept           *keptAnswer          // latest answer with an error status; nil if there is none
 }
 
 // Run runs a request and sends its answer to the sink; the context must be done when the caller disconnects.
@@ -143,11 +148,20 @@
 
 // run dispatches the request until an answer is forwarded or no further dispatch is allowed.
 func (x *execution) run() {
+	defer x.endAdmission()
 	for {
+		if err := x.admitPrompt(); err != nil {
+			x.endUnadmitted(err)
+			return
+		}
 		if err := x.acquire(); err != nil {
 			x.endUnadmitted(err)
 			return
 		}
+		if !x.isStillAdmitted() {
+			x.release(routing.OutcomeCancelled)
+			continue
+		}
 		err := x.attempt()
 		if err == nil {
 			return
@@ -270,6 +284,9 @@
 	if refusal, ok := errors.AsType[*routing.RefusalError](err); ok {
 		x.result.RetryAt = refusal.RetryAt
 	}
+	if refusal, ok := errors.AsType[*quarantine.RefusalError](err); ok {
+		x.result.Reason, x.result.RetryAt = ReasonQuarantined, refusal.RetryAt
+	}
 	x.setUnansweredOutcome()
 }
 
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -31,10 +31,11 @@
 	defer cancel()
 	silence := x.startSilenceTimer(cancel)
 	defer silence.stop()
+	x.dispatchEvents = 0
 	reply, err := x.send(ctx, d)
 	if err != nil {
 		err = silence.cause(err)
-		x.noticeCrash(d, err)
+		x.noteCrash(d, err)
 		return nil, x.handleStreamFailure(d, err)
 	}
 	defer func() { _ = reply.Body.Close() }()
@@ -42,13 +43,15 @@
 		return nil, x.handleInvalidStream(d, reply)
 	}
 	m := x.startMover(d)
-	eventsBefore := x.result.Events
 	err = x.relayEvents(reply, silence)
 	move := m.finish(err == nil)
 	switch {
 	case err == nil && !(move != nil && reply.Unframed):
 		x.release(routing.OutcomeFinished)
 		x.result.Outcome = OutcomeServed
+		if x.dispatchEvents > 0 && x.dispatchEvents < answeredEvents {
+			x.noteAnswered()
+		}
 		return nil, nil
 	case errors.Is(err, errCallerLeft) || x.caller.Err() != nil:
 		move.discard(x)
@@ -58,8 +61,8 @@
 		return x.continueAt(d, move), nil
 	}
 	err = silence.cause(err)
-	if x.result.Events == eventsBefore {
-		x.noticeCrash(d, err)
+	if x.dispatchEvents == 0 {
+		x.noteCrash(d, err)
 	}
 	if next := x.restore(d); next != nil {
 		return next, nil
@@ -113,6 +116,9 @@
 	}
 	x.lastEventAt = now
 	x.result.Events++
+	if x.dispatchEvents++; x.dispatchEvents == answeredEvents {
+		x.noteAnswered()
+	}
 	x.passedTokens.Add(int32(stride))
 	x.slot.RecordTokens(stride, now)
 }
--- /dev/null
+++ b/state/suspicion/constants.go
@@ -0,0 +1,14 @@
+package suspicion
+
+import "time"
+
+const (
+	crashSpacing    = 100 * time.Millisecond // between two crashes that count separately; endpoints that fail together have a cause of their own
+	crashLifetime   = 30 * time.Minute       // for which a crash counts
+	clearedLifetime = time.Minute            // for which a crash is kept that no part of a prompt explains any more
+	answerLifetime  = time.Minute            // before a crash, within which an answer shows that a part was sound until then
+	soundAllowance  = 2                      // crashes that are not counted for a part that was sound until then
+	maximumCrashes  = 256                    // that a table holds
+	maximumPrompts  = 16                     // of one crash
+	maximumAnswers  = 4096                   // parts whose latest answer a table remembers
+)
