Evidence of crashes is indexed by part; a fleet of 8 and of 295 instances in virtual time

The first form of the table searched all crashes for each answer: with 295 instances and 130 endpoints that crash together each 2 s, a test of a minute of virtual time did not end in ten minutes. Crashes are found by part and by process now, and only parts of several crashes are compared; the same test takes 10 s.

TestFleet: 8 and 295 instances, shares of 0.05 to 0.9, freezes, starts, cuts, ordinary crashes beside and alone, the end of the crashes: at most 1 request with the part after the fifth crash and 3 s (3 allowed), no sound request refused. coordination/quota: two assertions read counts without the lock while requests were under way (race detector, 1 in 6 runs); they take it now.

--- a/coordination/quarantine/admission.go
+++ b/coordination/quarantine/admission.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/prompt"
 )
 
@@ -55,6 +56,9 @@
 		case decision.Verdict == VerdictRefused || !retryAt.Before(latest):
 			return Admission{}, &RefusalError{Part: decision.Part, RetryAt: retryAt}
 		}
+		if err := wait.For(ctx, leastAskPause); err != nil {
+			return Admission{}, err
+		}
 		if err := awaitChange(ctx, state.changed, decision.RetryAfter); err != nil {
 			return Admission{}, err
 		}
--- a/coordination/quarantine/constants.go
+++ b/coordination/quarantine/constants.go
@@ -9,6 +9,7 @@
 	longestHold       = 10 * time.Minute       // between two trials
 	trialLifetime     = 5 * time.Second        // after which a trial without a result counts as lost
 	busyRetryDelay    = 100 * time.Millisecond // between two asks while another request is on trial
+	leastAskPause     = 20 * time.Millisecond  // between two asks about the same request
 	maximumWait       = time.Second            // for which a request waits for the result of another one's trial
 	askTimeout        = 200 * time.Millisecond // after which an ask counts as lost
 	askAttempts       = 2                      // of one ask
--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -16,17 +16,16 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	news := News{}
-	crashes := x.table.Crashes(now)
 	for n := range x.pending {
 		p := &x.pending[n]
 		if len(news.Answers) == maximumNews {
 			break
 		}
-		at := slices.IndexFunc(crashes, func(c *suspicion.Crash) bool { return c.Process == p.crash })
-		if at >= 0 && !news.addCrash(crashes[at], now) {
+		crash := x.table.Crash(p.crash)
+		if crash != nil && !news.addCrash(crash, now) {
 			break
 		}
-		if at < 0 {
+		if crash == nil {
 			news.addAnswer(x.table, p.part, now)
 		}
 		p.reportsLeft--
@@ -115,7 +114,15 @@
 
 // newsOf returns the latest crashes that name one of the parts, and the answers on the parts; the caller holds the mutex.
 func (x *Exchange) newsOf(parts []prompt.Part, now time.Time) News {
-	crashes := slices.DeleteFunc(x.table.Crashes(now), func(c *suspicion.Crash) bool { return !slices.ContainsFunc(parts, c.Names) })
+	var crashes []*suspicion.Crash
+	for _, p := range parts {
+		for _, c := range x.table.CrashesOf(p) {
+			if !slices.Contains(crashes, c) {
+				crashes = append(crashes, c)
+			}
+		}
+	}
+	slices.SortFunc(crashes, func(a, b *suspicion.Crash) int { return b.At.Compare(a.At) })
 	news := x.newsOfCrashes(crashes[:min(len(crashes), maximumAskNews)], now)
 	for _, p := range parts {
 		news.addAnswer(x.table, p, now)
--- a/coordination/quarantine/steward.go
+++ b/coordination/quarantine/steward.go
@@ -103,7 +103,7 @@
 		return part, found
 	}
 	for _, p := range parts {
-		if t.IsUnexplained(p, suspectCrashes, now) {
+		if t.IsUnexplained(p, now) {
 			return p, suspicion.Suspect{Crashes: implicatedCrashes}
 		}
 	}
--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -331,6 +331,13 @@
 	n.side = side
 }
 
+// refusals returns how many requests were refused.
+func (w *world) refusals() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.refused
+}
+
 // forget forgets what was counted.
 func (w *world) forget() {
 	w.mutex.Lock()
@@ -367,6 +374,8 @@
 			is := is.New(t)
 			w.drive(size.perSecond, 30*time.Second)
 			w.assertLimits(3.3)
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
 			for _, e := range w.endpoints {
 				is.True(e.all >= 30*33/10*6/10) // most of the rate is used
 			}
@@ -391,7 +400,7 @@
 			w.drive(size.perSecond, 6*time.Second)
 			w.forget()
 			w.drive(size.perSecond, 10*time.Second)
-			is.Equal(w.refused, 0) // all instances know that the limits have ended
+			is.Equal(w.refusals(), 0) // all instances know that the limits have ended
 		})
 		run("freezes", 3, always(3.3), func(_ *testing.T, w *world) {
 			w.drive(size.perSecond, 15*time.Second)
@@ -447,7 +456,7 @@
 			w.drive(size.perSecond, 12*time.Second) // some request notices the end
 			w.forget()
 			w.drive(size.perSecond, 2*time.Second)
-			is.Equal(w.refused, 0)
+			is.Equal(w.refusals(), 0)
 		})
 	}
 }
--- a/state/suspicion/constants.go
+++ b/state/suspicion/constants.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	severalCrashes  = 2                      // from which on a part can be a suspect
+	expiryInterval  = time.Second            // between two searches for crashes to forget
 	crashSpacing    = 100 * time.Millisecond // between two crashes that count separately; endpoints that fail together have a cause of their own
 	crashLifetime   = 30 * time.Minute       // for which a crash counts
 	clearedLifetime = time.Minute            // for which a crash is kept that no part of a prompt explains any more
--- a/state/suspicion/table_test.go
+++ b/state/suspicion/table_test.go
@@ -89,9 +89,8 @@
 		for n := range 5 {
 			c.add(n, parts(shared, session), parts(shared, other))
 		}
-		for _, s := range c.Suspects(after(1000)) {
-			is.Equal(s.Crashes, 1)
-		}
+		is.Equal(len(c.Suspects(after(1000))), 0)
+		is.Equal(c.Blamed(session, after(1000)), 1)
 	})
 	t.Run("a part that was sound until then needs more crashes", func(t *testing.T) {
 		is := is.New(t)
@@ -129,10 +128,10 @@
 	is := is.New(t)
 	c := newCrashes()
 	c.add(0, parts(deadly), parts(session))
-	is.True(c.IsUnexplained(session, 2, after(0)))
+	is.True(c.IsUnexplained(session, after(0)))
 	c.add(1000, parts(deadly))
-	is.True(!c.IsUnexplained(session, 2, after(1000)))
-	is.True(c.IsUnexplained(deadly, 2, after(1000)))
+	is.True(!c.IsUnexplained(session, after(1000)))
+	is.True(c.IsUnexplained(deadly, after(1000)))
 }
 
 func TestCrashesAreForgotten(t *testing.T) {
