--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -66,7 +66,7 @@
 	Roster        Roster
 	Budgets       *Budgets
 	MoveScheduler MoveScheduler
-	Quarantine    Quarantine
+	Quarantine    *quarantine.Exchange // may be nil: no request is kept back then
 	RetryLimits   func() RetryLimits
 	Observer      Observer
 
@@ -83,16 +83,15 @@
 	spec           routing.RequestSpec
 	slot           *routing.Slot
 	result         Result
-	unreached      int                  // dispatches that did not reach an endpoint
-	notRun         int                  // dispatches that endpoints refused to run
-	mayHaveRun     int                  // dispatches that may have run
-	lastEvent      int64                // id of the last event that the caller has received; zero if it has none
-	lastEventAt    time.Time            // when the latest event was forwarded
-	passedTokens   atomic.Int32         // tokens forwarded to the caller
-	dispatchEvents int                  // events that the latest dispatch has received
-	implicated     bool                 // an endpoint has crashed under a dispatch that it had produced no output for
-	admission      quarantine.Admission // of the latest dispatch
-	kept           *keptAnswer          // latest answer with an error status; nil if there is none
+	unreached      int          // dispatches that did not reach an endpoint
+	notRun         int          // dispatches that endpoints refused to run
+	mayHaveRun     int          // dispatches that may have run
+	lastEvent      int64        // id of the last event that the caller has received; zero if it has none
+	lastEventAt    time.Time    // when the latest event was forwarded
+	passedTokens   atomic.Int32 // tokens forwarded to the caller
+	dispatchEvents int          // events that the latest dispatch has received
+	screening      *quarantine.Screening
+	kept           *keptAnswer // latest answer with an error status; nil if there is none
 }
 
 // Run runs a request and sends its answer to the sink; the context must be done when the caller disconnects.
@@ -101,6 +100,7 @@
 	defer cancel()
 	x := &execution{runner: r, request: request, sink: sink, caller: ctx, ctx: bounded, lastEvent: request.After}
 	x.result.LastEvent = request.After
+	x.screening = r.Quarantine.Screen(partsOf(request))
 	x.spec = routing.RequestSpec{
 		ID:            request.ID,
 		Entry:         request.Service,
@@ -148,9 +148,9 @@
 
 // run dispatches the request until an answer is forwarded or no further dispatch is allowed.
 func (x *execution) run() {
-	defer x.endAdmission()
+	defer x.screening.End()
 	for {
-		if err := x.admitPrompt(); err != nil {
+		if err := x.screening.Admit(x.ctx, x.spec.Deadline); err != nil {
 			x.endUnadmitted(err)
 			return
 		}
@@ -158,7 +158,7 @@
 			x.endUnadmitted(err)
 			return
 		}
-		if !x.isStillAdmitted() {
+		if !x.screening.IsAdmitted(time.Now()) {
 			x.release(routing.OutcomeCancelled)
 			continue
 		}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -50,7 +50,7 @@
 		x.release(routing.OutcomeFinished)
 		x.result.Outcome = OutcomeServed
 		if x.dispatchEvents > 0 && x.dispatchEvents < answeredEvents {
-			x.noteAnswered()
+			x.screening.Answered(time.Now())
 		}
 		return nil, nil
 	case errors.Is(err, errCallerLeft) || x.caller.Err() != nil:
@@ -117,7 +117,7 @@
 	x.lastEventAt = now
 	x.result.Events++
 	if x.dispatchEvents++; x.dispatchEvents == answeredEvents {
-		x.noteAnswered()
+		x.screening.Answered(time.Now())
 	}
 	x.passedTokens.Add(int32(stride))
 	x.slot.RecordTokens(stride, now)
