Answers without framing, and bytes without end

An answer that ends with its connection counts only while its endpoint still listens. A stop for a move is looked for when such a stream ends. A body over 8 MiB, and over 256 KiB of events without a number, are errors, and the connection is closed. Heads without end, endless events and streams that end inside an event were handled before; tests say so now.

--- /dev/null
+++ b/instance/hosted/spoilt_test.go
@@ -0,0 +1,206 @@
+package hosted
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dogwooddyke/platform"
+	"dogwooddyke/platform/standin"
+)
+
+// raw serves a request with bytes of its own over the connection, which it closes in the end.
+func raw(serve func(c net.Conn, r *http.Request)) func(w http.ResponseWriter, r *http.Request) bool {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return false
+		}
+		defer func() { _ = connection.Close() }()
+		serve(connection, r)
+		return true
+	}
+}
+
+// head is the head of a signed answer; more headers may follow.
+func head(r *http.Request) string {
+	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + r.Header.Get(standin.HeaderRequest) + "\r\nResponse-Signature: signed\r\n"
+}
+
+// endless writes the text again and again until the other side closes, and reports whether that happened.
+func endless(c net.Conn, text string) bool {
+	block := bytes.Repeat([]byte(text), 1+(32<<10)/len(text))
+	_ = c.SetWriteDeadline(time.Now().Add(10 * time.Second))
+	for {
+		if _, err := c.Write(block); err != nil {
+			timeout, ok := err.(net.Error)
+			return !ok || !timeout.Timeout()
+		}
+	}
+}
+
+// reset ends a connection with a reset.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// spoiltFleet is an instance before one engine and one plain endpoint.
+type spoiltFleet struct {
+	*fleet
+	instance    *Instance
+	model, desk *standin.Engine
+}
+
+func newSpoiltFleet(t *testing.T) *spoiltFleet {
+	f := &spoiltFleet{fleet: newFleet(t)}
+	f.publishCatalogue(1, "desk")
+	f.model, f.desk = f.startEngine("m-1", "model"), f.startEngine("d-1", "desk")
+	f.instance = f.startInstance()
+	f.awaitReady(f.instance)
+	f.eventually("endpoints", func() bool { return len(f.instance.roster.List()) == 2 })
+	return f
+}
+
+func TestAnswerWithNeitherLengthNorChunks(t *testing.T) {
+	f := newSpoiltFleet(t)
+	get := func(id string, serve func(c net.Conn, r *http.Request)) (*http.Response, string) {
+		f.desk.Fail(raw(serve))
+		return f.request(requestSpec{instance: f.instance, method: "POST", path: "/write/", id: id})
+	}
+	t.Run("ends with its connection", func(t *testing.T) {
+		is := is.New(t)
+		response, body := get("n1", func(c net.Conn, r *http.Request) { _, _ = io.WriteString(c, head(r)+"\r\nthe whole body") })
+		is.Equal(response.StatusCode, http.StatusOK)
+		is.Equal(body, "the whole body")
+	})
+	t.Run("is not complete if the connection is reset", func(t *testing.T) {
+		is := is.New(t)
+		response, _ := get("n2", func(c net.Conn, r *http.Request) {
+			_, _ = io.WriteString(c, head(r)+"\r\nhalf")
+			time.Sleep(20 * time.Millisecond)
+			reset(c)
+		})
+		is.Equal(response.StatusCode, http.StatusBadGateway)
+	})
+	t.Run("is not complete if the endpoint has crashed", func(t *testing.T) {
+		is := is.New(t)
+		response, _ := get("n3", func(c net.Conn, r *http.Request) {
+			_, _ = io.WriteString(c, head(r)+"\r\nhalf")
+			f.desk.StopListening()
+		})
+		is.Equal(response.StatusCode, http.StatusBadGateway)
+	})
+}
+
+func TestStreamWithNeitherLengthNorChunks(t *testing.T) {
+	events := func(count int) string {
+		text := ""
+		for n := range count {
+			text += fmt.Sprintf("id: %d\ndata: u%d-%d\n\n", n+1, count, n+1)
+		}
+		return text
+	}
+	serve := func(end func(f *spoiltFleet, c net.Conn)) (*spoiltFleet, *http.Response, string) {
+		f := newSpoiltFleet(t)
+		f.model.Fail(raw(func(c net.Conn, r *http.Request) {
+			_, _ = io.WriteString(c, head(r)+"Content-Type: text/event-stream\r\n\r\n"+events(3))
+			time.Sleep(20 * time.Millisecond)
+			end(f, c)
+		}))
+		response, body := f.request(requestSpec{instance: f.instance, method: "POST", path: "/long/", id: "u3", headers: map[string]string{standin.HeaderTokens: "100,3"}})
+		return f, response, body
+	}
+	broken := func(body string) bool { return bytes.Contains([]byte(body), []byte("broken: ")) }
+	t.Run("ends with its connection", func(t *testing.T) {
+		is := is.New(t)
+		_, response, body := serve(func(*spoiltFleet, net.Conn) {})
+		is.Equal(response.StatusCode, http.StatusOK)
+		is.Equal(body, events(3))
+	})
+	t.Run("is broken off if it ends inside an event", func(t *testing.T) {
+		is := is.New(t)
+		_, _, body := serve(func(_ *spoiltFleet, c net.Conn) { _, _ = io.WriteString(c, "id: 4\ndata: u3") })
+		is.True(broken(body))
+		is.Equal(body[:len(events(3))], events(3)) // no part of the fourth event
+	})
+	t.Run("is broken off if its connection is reset", func(t *testing.T) {
+		is := is.New(t)
+		_, _, body := serve(func(_ *spoiltFleet, c net.Conn) { reset(c) })
+		is.True(broken(body))
+	})
+	t.Run("is broken off if its endpoint crashes between two events", func(t *testing.T) {
+		is := is.New(t)
+		_, _, body := serve(func(f *spoiltFleet, _ net.Conn) { f.model.StopListening() })
+		is.True(broken(body))
+	})
+	t.Run("continues elsewhere if its run is moved", func(t *testing.T) {
+		f := newFleet(t)
+		f.publishCatalogue(1, "desk")
+		one := f.startEngine("m-1", "model")
+		one.Unframe()
+		i := f.startInstance()
+		f.awaitReady(i)
+		f.eventually("endpoints", func() bool { return len(i.roster.List()) == 1 })
+		response := f.send(requestSpec{instance: i, method: "POST", path: "/long/", id: "u9", headers: map[string]string{standin.HeaderTokens: "100,300"}})
+		defer func() { _ = response.Body.Close() }()
+		f.startEngine("m-2", "model").Unframe()
+		f.log.Put(platform.TopicEndpoints, "m-1", one.Entry("model", "a", "draining"))
+		assertEvents(t, response.Body, "u9", 300)
+		is.New(t).Equal(f.engines.Ran("u9"), 1)
+	})
+}
+
+// What precedes the bytes without end, other than the head of a success with more headers.
+const (
+	informational = "informational responses only"
+	failure       = "the head of a failure"
+)
+
+func TestBytesWithoutEnd(t *testing.T) {
+	f := newSpoiltFleet(t)
+	for _, c := range []struct {
+		name, path string
+		engine     *standin.Engine
+		head, text string
+	}{
+		{"in the head of an answer", "/write/", f.desk, "X-More: ", "x"},
+		{"in heads that never end", "/write/", f.desk, "", "X-More: y\r\n"},
+		{"in answers that announce others", "/write/", f.desk, informational, "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"in the body of an answer", "/write/", f.desk, "\r\n", "x"},
+		{"in the head of a stream", "/long/", f.model, "X-More: ", "x"},
+		{"in an event", "/long/", f.model, "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "x"},
+		{"in events without a number", "/long/", f.model, "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", ": x\n\n"},
+		{"in the body of a stream's error", "/long/", f.model, failure, "x"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan bool, 4)
+			c.engine.Fail(raw(func(connection net.Conn, r *http.Request) {
+				switch start := head(r); c.head {
+				case informational:
+				case failure:
+					_, _ = io.WriteString(connection, strings.Replace(start, "200 OK", "500 Error", 1)+"\r\n")
+				default:
+					_, _ = io.WriteString(connection, start+c.head)
+				}
+				closed <- endless(connection, c.text)
+			}))
+			headers := map[string]string{}
+			if c.path == "/long/" {
+				headers[standin.HeaderTokens] = "100,300"
+			}
+			response, body := f.request(requestSpec{instance: f.instance, method: "POST", path: c.path, id: "e-" + c.name[:8], headers: headers})
+			whole := response.StatusCode == http.StatusOK && !bytes.Contains([]byte(body), []byte("broken: "))
+			is.True(!whole)
+			is.True(<-closed) // the instance closes the connection
+		})
+	}
+}
--- a/protocol/relay/buffered.go
+++ b/protocol/relay/buffered.go
@@ -20,7 +20,7 @@
 		return x.handleFailure(ctx, d, err)
 	}
 	defer func() { _ = reply.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maximumBodyBytes))
+	body, err := x.readBody(reply)
 	if err != nil || reply.Encoded || IsSuccess(reply.Status) && !reply.Signed {
 		if err == nil {
 			err = errInvalidAnswer
@@ -42,6 +42,27 @@
 	return x.deliver(reply, body)
 }
 
+// readBody reads the whole body of an answer. It returns an error if the body is larger than maximumBodyBytes, which it may be without end.
+func (x *execution) readBody(reply *Reply) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maximumBodyBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maximumBodyBytes {
+		return nil, errBodySize
+	}
+	return body, x.checkEnd(reply)
+}
+
+// checkEnd returns an error if an answer whose end is marked by nothing but the end of its connection may have been broken off: its endpoint has
+// crashed, which ends its connections in the same way.
+func (x *execution) checkEnd(reply *Reply) error {
+	if reply.Unframed && x.runner.Endpoints.Crashed(x.ctx, x.result.Endpoint.Address) {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // attemptDeadline returns the deadline of one dispatch: earlier than the request's if the request may still be sent to another endpoint.
 func (x *execution) attemptDeadline() time.Time {
 	timeout := time.Duration(hedgeTargetFactor * float64(x.request.Route.Target))
--- a/protocol/relay/events.go
+++ b/protocol/relay/events.go
@@ -21,6 +21,8 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer []byte // the event that is being read
+
+	unnumbered int // bytes of events without an id since the latest one with an id
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -42,7 +44,7 @@
 		line := bytes.TrimRight(e.buffer[begin:], "\r\n")
 		if len(line) == 0 {
 			found.data = e.buffer
-			return found, nil
+			return found, e.checkNumbered(found)
 		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
@@ -64,3 +66,15 @@
 		}
 	}
 }
+
+// checkNumbered returns an error if events without an id go on for too long: a stream's events are numbered, so these are no answer.
+func (e *eventReader) checkNumbered(found event) error {
+	if found.hasID {
+		e.unnumbered = 0
+		return nil
+	}
+	if e.unnumbered += len(found.data); e.unnumbered > maximumEventBytes {
+		return errEventSize
+	}
+	return nil
+}
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -60,6 +60,7 @@
 	errCallerLeft    = errors.New("caller left")
 	errInvalidAnswer = errors.New("answer is not signed by the endpoint, or is content-encoded")
 	errGap           = errors.New("stream lacks an event")
+	errBodySize      = errors.New("body of the answer exceeds the size limit")
 	errSilent        = errors.New("endpoint is silent")
 	errEnded         = errors.New("run has ended")
 	errBudget        = errors.New("retry budget of the service is exhausted")
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -44,9 +44,10 @@
 	}
 	m := x.startMover(d)
 	err = x.relayEvents(reply, silence)
-	move := m.finish(err == nil)
+	// The end of an answer without framing may also be the stop of its run for a move.
+	move := m.finish(err == nil && !reply.Unframed)
 	switch {
-	case err == nil && !(move != nil && reply.Unframed):
+	case err == nil && move == nil:
 		x.release(routing.OutcomeFinished)
 		x.result.Outcome = OutcomeServed
 		if x.dispatchEvents > 0 && x.dispatchEvents < answeredEvents {
@@ -78,6 +79,9 @@
 		found, err := e.next()
 		silence.stop()
 		if errors.Is(err, io.EOF) {
+			err = x.checkEnd(reply)
+		}
+		if err == nil && found.data == nil {
 			// Even a caller that resumes after the last event needs the head of the answer to see the stream end.
 			return x.passHead(reply.Status, reply.Header)
 		}
@@ -117,7 +121,7 @@
 	x.lastEventAt = now
 	x.result.Events++
 	if x.dispatchEvents++; x.dispatchEvents == answeredEvents {
-		x.screening.Answered(time.Now())
+		x.screening.Answered(now)
 	}
 	x.passedTokens.Add(int32(stride))
 	x.slot.RecordTokens(stride, now)
@@ -135,7 +139,7 @@
 	if x.result.Begun || IsSuccess(reply.Status) {
 		return failure
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maximumBodyBytes))
+	body, err := x.readBody(reply)
 	if err != nil {
 		return err
 	}
