The own interface quarantines messages that crash engines

The parts are the messages of a chat, or the first blocks of a plain prompt. A crash is an engine that has lost a generation without a token, or refuses connections then.

The engine stand-in has the fault crashOn.

--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -58,14 +58,24 @@
 	}
 }
 
-// Receive records what another instance has told.
-func (x *Exchange) Receive(news *News, now time.Time) {
+// EncodeNotices returns the encoded news for one message, nil if there are none.
+func (x *Exchange) EncodeNotices(now time.Time) []byte {
+	news := x.Notices(now)
 	if news.IsEmpty() {
-		return
+		return nil
+	}
+	return x.encode(&news)
+}
+
+// Receive records what another instance has told, and reports whether any of it was new.
+func (x *Exchange) Receive(news *News, now time.Time) bool {
+	if news.IsEmpty() {
+		return false
 	}
 	x.mutex.Lock()
 	changed := x.record(news, now)
 	x.notifyAndUnlock(changed, now)
+	return changed
 }
 
 // record records news, and reports whether they change the evidence; the caller holds the mutex. Crashes come first: an answer may clear them.
@@ -80,12 +90,10 @@
 	return changed
 }
 
-// ReceiveNews records the news that another instance has sent because it knows something else.
-func (x *Exchange) ReceiveNews(data []byte, now time.Time) {
+// ReceiveNews records the news of a message of another instance, and reports whether any of it was new.
+func (x *Exchange) ReceiveNews(data []byte, now time.Time) bool {
 	news := &News{}
-	if x.decode(data, news) {
-		x.Receive(news, now)
-	}
+	return x.decode(data, news) && x.Receive(news, now)
 }
 
 // ReceiveComparison answers with news if the sender knows something else.
--- a/coordination/routing/spec.go
+++ b/coordination/routing/spec.go
@@ -53,6 +53,7 @@
 	ReasonDeadline       Reason = "deadline"       // the request can't start before its deadline
 	ReasonWorkspaceLimit Reason = "workspaceLimit" // the workspace's limits delay the start past the deadline
 	ReasonRateLimit      Reason = "rateLimit"      // the endpoints limit the rate of requests, and none permits the request in time
+	ReasonQuarantined    Reason = "quarantined"    // a part of the prompt crashes engines
 	ReasonDraining       Reason = "draining"       // the instance takes no new work
 	ReasonCancelled      Reason = "cancelled"      // the caller disconnected while the request was queued
 )
--- a/instance/core.go
+++ b/instance/core.go
@@ -17,6 +17,7 @@
 	"dogwooddyke/coordination/claim"
 	"dogwooddyke/coordination/lease"
 	"dogwooddyke/coordination/member"
+	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/coordination/replica"
 	"dogwooddyke/coordination/routing"
@@ -75,7 +76,9 @@
 	router  *routing.Router
 	shares  *share.Exchange
 	quotas  *quota.Exchange
-	loads   *endpoint.Loads
+
+	quarantine *quarantine.Exchange
+	loads      *endpoint.Loads
 
 	loadRouter *loadRouter // the router, for load reports
 	startedAt  time.Time
@@ -159,6 +162,7 @@
 	i.keep(ctx, "tick", i.tick)
 	i.keep(ctx, "shares", i.exchangeShares)
 	i.keep(ctx, "permits", i.quotas.Run)
+	i.keep(ctx, "quarantine", i.quarantine.Run)
 	i.keep(ctx, "loads", i.pollLoads)
 	i.keep(ctx, "caches", i.pollCaches)
 	i.keep(ctx, "leaving", i.watchLeaving)
--- a/instance/hosted/crashes_test.go
+++ b/instance/hosted/crashes_test.go
@@ -35,7 +35,7 @@
 	})
 	t.Run("an endpoint that ends before it has produced output counts", func(t *testing.T) {
 		is := is.New(t)
-		f.engines.CrashOn("b1", func(*standin.Engine) {})
+		f.engines.CrashOn("b1", func(*standin.Engine, string) {})
 		response := f.send(requestSpec{instance: i, method: "POST", path: "/long/", id: "c2", headers: map[string]string{standin.HeaderTokens: "100,4", standin.HeaderParts: "a1:10,b1:20,c2:30"}})
 		defer func() { _ = response.Body.Close() }()
 		is.Equal(response.StatusCode, http.StatusBadGateway)
@@ -57,7 +57,7 @@
 	for range 4 {
 		f.startNext()
 	}
-	f.engines.CrashOn("b1", func(e *standin.Engine) {
+	f.engines.CrashOn("b1", func(e *standin.Engine, _ string) {
 		f.log.Put(platform.TopicEndpoints, e.ID, nil)
 		f.startNext()
 	})
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -62,6 +62,7 @@
 		OnPermitsWanted: func() { i.quotas.Want() },
 	})
 	i.wireQuotas()
+	i.wireQuarantine()
 	i.shares = share.NewExchange(i.peers, i.members, i.loadRouter)
 	i.loads = endpoint.NewLoads(i.clients)
 	i.node.Handle(share.Method, i.shares.Serve)
@@ -78,6 +79,7 @@
 		Router:        &slots{instance: i},
 		RetryBudgets:  &answer.RetryBudgets{},
 		Signer:        signer,
+		Quarantine:    i.quarantine,
 		Observer:      &answerObserver{metrics: i.metrics, ring: i.ring},
 		Peers:         i.peers,
 		Self:          i.settings.Peers,
--- a/protocol/answer/constants.go
+++ b/protocol/answer/constants.go
@@ -7,6 +7,7 @@
 
 // Limits on attempts, events, memory and background work.
 const (
+	answeredTokens             = 2        // tokens of a generation after which its engine counts as having survived the begin of the answer
 	checkpointInterval         = 64       // tokens between two hashes that are kept for verifying a replay
 	maximumGenerations         = 5        // generations of one answer that may have run, including the first
 	maximumUnstartedDispatches = 16       // dispatches of one answer that are known not to have started
@@ -24,6 +25,7 @@
 const (
 	reconnectTimeout      = 2 * time.Second        // shortest timeout for the first byte of a resumed generation
 	refusedReconnectPause = 250 * time.Millisecond // after the engine itself refused a new connection
+	crashMerge            = 2 * time.Second        // in which crashes at the same address are taken for one: engines do not name their start
 	reconnectPause        = 50 * time.Millisecond  // after a failed attempt to open a new connection
 	trailingTimeout       = 500 * time.Millisecond // for all events after the last token, and for reconnecting to read them
 	unstartedRetryPause   = 20 * time.Millisecond  // after a dispatch that is known not to have started
--- a/protocol/answer/execution.go
+++ b/protocol/answer/execution.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/routing"
 )
 
@@ -17,6 +18,7 @@
 	request             *Request
 	sink                Sink
 	states              *stateMachine
+	screening           *quarantine.Screening
 	latency             *TokenLatency   // token latency of the entry
 	budget              *RetryBudget    // retry budget of the entry
 	callerContext       context.Context // ends when the caller disconnects
@@ -52,6 +54,7 @@
 		runner:        r,
 		request:       request,
 		sink:          sink,
+		screening:     r.Quarantine.Screen(request.Parts),
 		states:        newStateMachine(request.ID, request.Entry, r.observer()),
 		latency:       r.latencies.ForEntry(request.Entry),
 		budget:        r.RetryBudgets.ForEntry(request.Entry),
@@ -68,6 +71,7 @@
 // close closes the stream, unregisters the execution and ends its context.
 func (e *execution) close() {
 	e.closeStream()
+	e.screening.End()
 	e.runner.unregister(e)
 	e.cancel()
 }
@@ -103,13 +107,15 @@
 
 // runGeneration runs one generation to its last token.
 func (e *execution) runGeneration() error {
-	if err := e.acquireSlot(); err != nil {
+	if err := e.acquireAdmitted(); err != nil {
 		return err
 	}
-	if err := e.start(); err != nil {
-		return err
+	err := e.start()
+	if err == nil {
+		err = e.readToLastToken()
 	}
-	return e.readToLastToken()
+	e.noteCrash(err)
+	return err
 }
 
 // acquireSlot waits for a slot on an endpoint. If no endpoint is left because the request excludes those that failed before, it
@@ -257,6 +263,9 @@
 	e.progressDeadline = now.Add(e.latency.nextToken.currentTimeout())
 	e.reconnects = 0
 	e.evidence.ran = true
+	if e.filter.next == answeredTokens || token.Last {
+		e.screening.Answered(now)
+	}
 	if e.slot != nil {
 		e.slot.RecordToken(now)
 	}
--- a/protocol/answer/reconnect.go
+++ b/protocol/answer/reconnect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"dogwooddyke/internal/wait"
@@ -41,7 +42,7 @@
 			failures++
 		}
 		if failures >= maximumReconnectFailures {
-			return errUnreachable
+			return fmt.Errorf("%w: %w", errUnreachable, err)
 		}
 		if err := wait.For(e.ctx, delay); err != nil {
 			return e.contextError()
--- a/protocol/answer/request.go
+++ b/protocol/answer/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/state/prompt"
 )
 
 // Request is a caller's request for one generation.
@@ -17,6 +18,7 @@
 	Class        string              // class of the entry
 	Path         string              // path in the engine's API, such as /v1/chat/completions
 	Body         []byte              // JSON body for the engine, with streaming enabled and the seed set
+	Parts        []prompt.Part       // parts of the prompt, in order; they are known by their text
 	Repeatable   bool                // a second generation from the same body produces the same tokens
 	Buffered     bool                // the caller takes the answer in one piece, so nothing is delivered before the end
 	IncludeUsage bool                // an event with the usage follows the last token
--- a/protocol/answer/runner.go
+++ b/protocol/answer/runner.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/routing"
 )
 
@@ -50,12 +51,13 @@
 	Engines       Engines
 	Router        Router
 	RetryBudgets  *RetryBudgets
-	Signer        *Signer        // signs resume tokens
-	Observer      Observer       // may be nil
-	Peers         Peers          // may be nil, in which case other instances are not informed of answers that were resumed here
-	Self          netip.AddrPort // this instance's peer listener, stored in resume tokens
-	Grace         time.Duration  // how long a generation is kept after its caller left; zero means 5 s
-	TokenLifetime time.Duration  // lifetime of resume tokens; zero means 10 min
+	Signer        *Signer              // signs resume tokens
+	Observer      Observer             // may be nil
+	Quarantine    *quarantine.Exchange // may be nil: no request is kept back then
+	Peers         Peers                // may be nil, in which case other instances are not informed of answers that were resumed here
+	Self          netip.AddrPort       // this instance's peer listener, stored in resume tokens
+	Grace         time.Duration        // how long a generation is kept after its caller left; zero means 5 s
+	TokenLifetime time.Duration        // lifetime of resume tokens; zero means 10 min
 
 	latencies      TokenLatencies
 	background     conc.WaitGroup
--- a/standin/apply.go
+++ b/standin/apply.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"strings"
 	"time"
 
 	"dogwooddyke/standin/model"
@@ -67,6 +68,18 @@
 	}
 }
 
+// crashesOn reports whether the engine crashes because it begins to answer the generation's prompt, and has it die then.
+func (e *Engine) crashesOn(g *generation, now time.Time) bool {
+	fault, found := e.faults.find(FaultCrashOn)
+	if !found || g.emitted > 0 || !strings.Contains(g.prompt, fault.Text) {
+		return false
+	}
+	e.background(func() {
+		_ = e.Fault(Fault{Kind: FaultDie, Until: now.Add(crashTime)}) // a closed engine need not die
+	})
+	return true
+}
+
 // lose forgets everything, as a process that dies does; only what tests look at is kept.
 func (e *Engine) lose() {
 	e.past = sum(e.past, e.model.Counters())
--- a/standin/constants.go
+++ b/standin/constants.go
@@ -38,6 +38,7 @@
 	pullRetry        = 100 * time.Millisecond
 	maximumPoll      = 10 * time.Minute // that a read waits for a first record
 	defaultRetention = time.Minute      // of finished generations
+	crashTime        = 2 * time.Second  // from an engine's crash until it is back
 )
 
 // Headers of the wire formats.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -49,7 +49,7 @@
 	config.Retention = cmp.Or(config.Retention, defaultRetention)
 	e := &Engine{
 		server: newServer(FaultDie, FaultStall, FaultSilence, FaultDropAnswer, FaultLag, FaultSlow, FaultOutage,
-			FaultPause, FaultDuplicate, FaultLose, FaultReorder, FaultForeign, FaultLimit, FaultLeave),
+			FaultPause, FaultDuplicate, FaultLose, FaultReorder, FaultForeign, FaultLimit, FaultLeave, FaultCrashOn),
 		config:      config,
 		model:       model.New(config.Sizes, time.Now()),
 		generations: make(map[string]*generation),
@@ -132,6 +132,9 @@
 			continue
 		}
 		g := e.generations[event.Generation.ID]
+		if e.crashesOn(g, now) {
+			break
+		}
 		g.emitted = event.Index + 1
 		if event.Kind == model.KindLast {
 			g.ended = now
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -32,6 +32,7 @@
 	FaultForeign    FaultKind = "foreign"    // value: events of each generation that carry another generation's id
 	FaultLimit      FaultKind = "limit"      // value: requests a second that an engine says it takes
 	FaultLeave      FaultKind = "leave"      // an engine's state becomes leaving
+	FaultCrashOn    FaultKind = "crashOn"    // an engine dies for a while when it begins to answer a prompt with the text
 )
 
 // Fault is one thing that goes wrong until a time; a zero time lasts until the faults are cleared.
@@ -39,6 +40,7 @@
 	Kind  FaultKind `json:"kind"`
 	Until time.Time `json:"until"`
 	Value float64   `json:"value"`
+	Text  string    `json:"text,omitempty"`
 }
 
 // ParseFault reads a fault from JSON; errors wrap ErrFault and name the field.
@@ -58,6 +60,9 @@
 	if f.Until.IsZero() && f.needsTime() {
 		return fmt.Errorf("%w: until: %s needs a time", ErrFault, f.Kind)
 	}
+	if f.Kind == FaultCrashOn && f.Text == "" {
+		return fmt.Errorf("%w: text: %s needs one", ErrFault, f.Kind)
+	}
 	if f.Until.Sub(now) > maximumFaultTime {
 		return fmt.Errorf("%w: until: more than %s ahead", ErrFault, maximumFaultTime)
 	}
--- a/standin/generation.go
+++ b/standin/generation.go
@@ -14,6 +14,7 @@
 	capped  bool // by max_tokens
 	name    string
 	text    Text
+	prompt  string
 	created time.Time
 	emitted int
 	ended   time.Time // when the last token was emitted; zero before
--- a/standin/start.go
+++ b/standin/start.go
@@ -84,6 +84,7 @@
 		chat:    chat,
 		usage:   asked.UsageChunk,
 		name:    asked.Model,
+		prompt:  asked.Text,
 		created: time.Now(),
 		readers: make(map[*reader]struct{}),
 	}
--- a/state/prompt/part.go
+++ b/state/prompt/part.go
@@ -21,6 +21,9 @@
 	return Part(xxhash.Sum64String(name))
 }
 
+// PartOf returns the part that consists of a text.
+func PartOf(text string) Part { return Part(xxhash.Sum64String(text)) }
+
 // String returns the part in hexadecimal digits.
 func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
--- a/transport/caller/body.go
+++ b/transport/caller/body.go
@@ -9,6 +9,9 @@
 	"strings"
 	"time"
 
+	"dogwooddyke/state/endpoint"
+	"dogwooddyke/state/prompt"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -17,7 +20,8 @@
 	model         string
 	prompt        string // the text that engines cache prefixes of
 	stream        bool
-	usage         bool // the engine is asked for the usage chunk
+	usage         bool          // the engine is asked for the usage chunk
+	parts         []prompt.Part // a message each, or the first blocks of a plain prompt
 	maximumTokens int
 	seeded        bool
 	fields        map[string]json.RawMessage
@@ -118,6 +122,10 @@
 		if err := json.Unmarshal(wire.Prompt, &b.prompt); err != nil {
 			return invalid("prompt", "prompt must be one text")
 		}
+		for _, block := range endpoint.Blocks(b.prompt) {
+			b.parts = append(b.parts, prompt.Part(block))
+		}
+		b.parts = b.parts[:min(len(b.parts), prompt.MaximumParts)]
 		return nil
 	}
 	if len(wire.Messages) == 0 {
@@ -130,7 +138,9 @@
 			return err
 		}
 		text.WriteString(content)
+		b.parts = append(b.parts, prompt.PartOf(m.Role+"\n"+content))
 	}
+	b.parts = b.parts[:min(len(b.parts), prompt.MaximumParts)]
 	b.prompt = text.String()
 	return nil
 }
--- a/transport/caller/generate.go
+++ b/transport/caller/generate.go
@@ -78,6 +78,7 @@
 	asked.Spec.PromptTokens = len(body.prompt) / bytesPerToken
 	asked.Spec.MaximumTokens = body.maximumTokens
 	asked.Spec.Prefix = endpoint.Blocks(body.prompt)
+	asked.Parts = body.parts
 	return asked, nil
 }
 
