The soak has engines crash on a part of prompts, and checks that this ends

At most three requests with the part may reach engines later than 3 s after the fifth crash, but for those of instances with a fault of their own.

--- a/cmd/dykectl/soak.go
+++ b/cmd/dykectl/soak.go
@@ -14,16 +14,17 @@
 
 // soakCommand breaks instances that run as processes, and checks that the promises hold.
 type soakCommand struct {
-	Binary          string  `long:"binary" value-name:"FILE" description:"dogwooddyke's; beside this program if left out"`
-	Seed            uint64  `long:"seed" value-name:"N" default:"1" description:"of faults and requests"`
-	Runs            int     `long:"runs" value-name:"N" default:"1" description:"runs, each with the next seed"`
-	Seconds         float64 `long:"seconds" value-name:"N" default:"15" description:"of traffic in a run"`
-	Instances       int     `long:"instances" value-name:"N" default:"5" description:"instances, each a process"`
-	Engines         int     `long:"engines" value-name:"N" default:"6" description:"stand-in engines"`
-	Callers         int     `long:"callers" value-name:"N" default:"24" description:"callers that send one request after the other"`
-	WithoutLimits   bool    `long:"withoutLimits" description:"has no engine name a limit on the rate of requests, as for seeds of older runs"`
-	WithoutRestores bool    `long:"withoutRestores" description:"never restores the log from an older copy, as for seeds of older runs"`
-	Keep            string  `long:"keep" value-name:"DIRECTORY" description:"where settings and logs of failed runs are kept"`
+	Binary               string  `long:"binary" value-name:"FILE" description:"dogwooddyke's; beside this program if left out"`
+	Seed                 uint64  `long:"seed" value-name:"N" default:"1" description:"of faults and requests"`
+	Runs                 int     `long:"runs" value-name:"N" default:"1" description:"runs, each with the next seed"`
+	Seconds              float64 `long:"seconds" value-name:"N" default:"15" description:"of traffic in a run"`
+	Instances            int     `long:"instances" value-name:"N" default:"5" description:"instances, each a process"`
+	Engines              int     `long:"engines" value-name:"N" default:"6" description:"stand-in engines"`
+	Callers              int     `long:"callers" value-name:"N" default:"24" description:"callers that send one request after the other"`
+	WithoutCrashingParts bool    `long:"withoutCrashingParts" description:"has no engine crash on a part of prompts, as for seeds of older runs"`
+	WithoutLimits        bool    `long:"withoutLimits" description:"has no engine name a limit on the rate of requests, as for seeds of older runs"`
+	WithoutRestores      bool    `long:"withoutRestores" description:"never restores the log from an older copy, as for seeds of older runs"`
+	Keep                 string  `long:"keep" value-name:"DIRECTORY" description:"where settings and logs of failed runs are kept"`
 }
 
 // errBroken reports that a promise did not hold.
@@ -68,7 +69,7 @@
 	}
 	options := &soak.Options{
 		Binary: c.Binary, Directory: directory, Seed: seed, Seconds: c.Seconds, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers,
-		WithoutLimits: c.WithoutLimits, WithoutRestores: c.WithoutRestores,
+		Without: soak.Without{Limits: c.WithoutLimits, Restores: c.WithoutRestores, CrashingParts: c.WithoutCrashingParts},
 	}
 	if err := options.Check(); err != nil {
 		return false, &exitError{exitBadInput, errors.Join(err, os.RemoveAll(directory))}
--- a/experiment/soak/caller.go
+++ b/experiment/soak/caller.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"dogwooddyke/internal/wait"
@@ -32,6 +33,8 @@
 	nodes  []*node
 	ledger *ledger
 	sent   int
+
+	crashing *atomic.Bool // whether some prompts have the part that engines crash on; nil: none has
 }
 
 func newCaller(number int, seed uint64, nodes []*node, l *ledger) *caller {
@@ -99,6 +102,7 @@
 	request.Header.Set(standin.HeaderKey, standin.Key)
 	if events > 0 {
 		request.Header.Set(standin.HeaderTokens, fmt.Sprint(promptTokens, ",", events))
+		request.Header.Set(standin.HeaderParts, c.parts(r))
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
@@ -117,6 +121,16 @@
 	return 0
 }
 
+// parts returns the parts of a prompt: one that several callers share, one of the caller, and the request's own.
+func (c *caller) parts(r *record) string {
+	second := fmt.Sprint("c0", c.number, ":30")
+	if c.crashing != nil && c.crashing.Load() && c.random.IntN(crashingShare) == 0 {
+		second = crashingPartID + ":30"
+		r.crashing = true
+	}
+	return fmt.Sprintf("a%d:40,%s,%s:20", c.number%sharedParts, second, r.id)
+}
+
 // refused notes an answer other than a success.
 func refused(r *record, response *http.Response) time.Duration {
 	r.outcome, r.why = outcomeUnknown, response.Status
--- a/experiment/soak/constants.go
+++ b/experiment/soak/constants.go
@@ -15,6 +15,8 @@
 	limitLearning = 3 * time.Second        // after an engine first names a limit, in which it may get more
 	limitWindow   = 4 * time.Second        // in which its requests are counted
 	limitExcuse   = 4 * time.Second        // after a fault of an instance, in which its requests are not counted
+	crashLearning = 3 * time.Second        // after the last of allowedCrashes, in which more requests with the part may arrive
+	crashExcuse   = 4 * time.Second        // after a fault of an instance, in which its requests are not counted
 	leastCalm     = 700 * time.Millisecond // between two restores of the log
 	mostCalm      = 9 * time.Second
 	copyInterval  = 500 * time.Millisecond // between two copies of the log that are kept
@@ -35,6 +37,12 @@
 	heartbeat     = 400 * time.Millisecond
 	mostInstances = 200
 	maximumShown  = 20 // broken promises that are printed
+
+	allowedCrashes = 5 // of engines on one part, after which it must be known
+	moreArrivals   = 3 // of requests with the part after that
+	crashingShare  = 4 // one in so many prompts has the part
+	sharedParts    = 3 // parts of prompts that several callers share
+	crashingPartID = "dead"
 )
 
 // Services and data centres of the stand-ins.
--- a/experiment/soak/fault.go
+++ b/experiment/soak/fault.go
@@ -52,6 +52,8 @@
 		return s.lose(ctx, p)
 	case kindLimit:
 		return s.limit(ctx, p)
+	case kindCrashing:
+		return s.crashOnPart(ctx, p)
 	case kindCatalogue:
 		s.publish()
 		return true
--- a/experiment/soak/ledger_test.go
+++ b/experiment/soak/ledger_test.go
@@ -60,17 +60,17 @@
 func TestPlan(t *testing.T) {
 	t.Run("same seed, same faults", func(t *testing.T) {
 		is := is.New(t)
-		is.Equal(plan(7, time.Minute, true, true), plan(7, time.Minute, true, true))
+		is.Equal(plan(7, time.Minute, &Without{}), plan(7, time.Minute, &Without{}))
 	})
 	t.Run("all kinds, within the time", func(t *testing.T) {
 		is := is.New(t)
 		seen := map[kind]bool{}
-		for _, s := range plan(1, 2*time.Minute, true, true) {
+		for _, s := range plan(1, 2*time.Minute, &Without{}) {
 			seen[s.kind] = true
 			is.True(s.at >= quietLead && s.at < 2*time.Minute-quietTail)
 			is.True(s.mode > modePass && s.mode <= modeOneWay)
 		}
-		is.Equal(len(seen), len(shares)+2)
+		is.Equal(len(seen), len(shares)+3)
 	})
 }
 
--- a/experiment/soak/limit.go
+++ b/experiment/soak/limit.go
@@ -70,7 +70,7 @@
 		for _, seen := range limit.engine.Seen() {
 			instance, known := instanceOf[seen.Header.Get(standin.HeaderRequest)]
 			counts := seen.At.After(limit.began.Add(limitLearning)) && (limit.ended.IsZero() || seen.At.Before(limit.ended))
-			if counts && known && !l.limitExcused(instance, instances, seen.At) {
+			if counts && known && !l.processExcused(instance, instances, seen.At, limitExcuse) {
 				arrivals = append(arrivals, seen.At)
 			}
 		}
@@ -83,12 +83,12 @@
 	return broken
 }
 
-// limitExcused reports whether a fault of its own process excuses an instance's request to an engine with a limit.
-func (l *ledger) limitExcused(instance, instances int, at time.Time) bool {
+// processExcused reports whether a fault of its own process excuses what an instance sends, until a while after the fault.
+func (l *ledger) processExcused(instance, instances int, at time.Time, after time.Duration) bool {
 	for _, t := range l.troubles {
 		switch t.step.kind {
 		case kindKill, kindStop, kindFreeze:
-			if t.step.target%instances == instance && at.After(t.began) && at.Before(t.ended.Add(limitExcuse)) {
+			if t.step.target%instances == instance && at.After(t.began) && at.Before(t.ended.Add(after)) {
 				return true
 			}
 		}
--- a/experiment/soak/options.go
+++ b/experiment/soak/options.go
@@ -17,8 +17,14 @@
 	Engines   int
 	Callers   int
 
-	WithoutLimits   bool // engines name no limits on the rate of requests, as for seeds of older runs
-	WithoutRestores bool // the log is not restored from older copies, as for seeds of older runs
+	Without Without
+}
+
+// Without names faults that are left out, as for seeds of runs that did not have them.
+type Without struct {
+	Limits        bool // engines name no limits on the rate of requests
+	Restores      bool // the log is not restored from older copies
+	CrashingParts bool // engines do not crash on a part of prompts
 }
 
 // Check lists what is wrong with the options.
--- a/experiment/soak/plan.go
+++ b/experiment/soak/plan.go
@@ -25,6 +25,7 @@
 	kindCatalogue kind = "catalogue" // a new version moves a route
 	kindRestore   kind = "restore"   // the log comes back from an older copy
 	kindLimit     kind = "limit"     // an engine names a limit on the rate of requests
+	kindCrashing  kind = "crashing"  // engines crash on a part of prompts that some callers send
 )
 
 // shares are the weights of the kinds.
@@ -56,7 +57,7 @@
 }
 
 // plan draws the faults of a run; the same seed gives the same ones.
-func plan(seed uint64, span time.Duration, withRestores, withLimits bool) []step {
+func plan(seed uint64, span time.Duration, without *Without) []step {
 	random := rand.New(rand.NewPCG(seed, 0x50a4))
 	total := 0
 	for _, s := range shares {
@@ -74,12 +75,15 @@
 		}
 		steps = append(steps, s)
 	}
-	if withRestores {
+	if !without.Restores {
 		steps = append(steps, restores(seed, span)...)
 	}
-	if withLimits {
+	if !without.Limits {
 		steps = append(steps, limits(seed, span)...)
 	}
+	if !without.CrashingParts {
+		steps = append(steps, crashingPart(seed, span))
+	}
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
@@ -104,6 +108,13 @@
 	return steps
 }
 
+// crashingPart draws when engines begin to crash on a part of prompts, from a source of its own as well; that lasts until the tail.
+func crashingPart(seed uint64, span time.Duration) step {
+	random := rand.New(rand.NewPCG(seed, 0xdead))
+	at := between(random, quietLead, max(span/2, quietLead+1))
+	return step{at: at, kind: kindCrashing, target: random.IntN(1 << 16), mode: modeSilence, last: span - quietTail - at}
+}
+
 func between(random *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(random.Int64N(int64(most-least)))
 }
--- a/experiment/soak/run.go
+++ b/experiment/soak/run.go
@@ -54,6 +54,7 @@
 	background.Wait()
 	report.Broken = append(report.Broken, s.ledger.judge(o.Instances, s.engines.Ran)...)
 	report.Broken = append(report.Broken, s.ledger.judgeLimits(o.Instances)...)
+	report.Broken = append(report.Broken, s.ledger.judgeCrashes(o.Instances)...)
 	report.Counts = s.ledger.counts()
 	for _, t := range s.ledger.troubles {
 		report.Faults[t.step.kind]++
@@ -70,9 +71,10 @@
 	var callers conc.WaitGroup
 	for n := range s.options.Callers {
 		c := newCaller(n, s.options.Seed, s.nodes, s.ledger)
+		c.crashing = &s.crashing
 		callers.Go(func() { c.run(ctx) })
 	}
-	for _, p := range plan(s.options.Seed, span, !s.options.WithoutRestores, !s.options.WithoutLimits) {
+	for _, p := range plan(s.options.Seed, span, &s.options.Without) {
 		if wait.For(ctx, time.Until(started.Add(p.at))) != nil {
 			break
 		}
--- a/experiment/soak/site.go
+++ b/experiment/soak/site.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,7 +22,9 @@
 	nodes   []*node
 	ledger  *ledger
 	pending conc.WaitGroup // faults that have not ended
-	away    sync.RWMutex   // held to read while the log is away
+
+	crashing atomic.Bool  // whether engines crash on crashingPartID
+	away     sync.RWMutex // held to read while the log is away
 
 	mutex   sync.Mutex
 	fleet   []*member // engines that serve
