Trials: a failed one is remembered, and an instance that starts is informed first

A trial now ends with its own request; the wait after it doubles with each failed trial, not with each crash; an instance that has just started compares every 50 ms, and requests with a prompt wait up to a second for that.

--- a/coordination/quarantine/admission.go
+++ b/coordination/quarantine/admission.go
@@ -33,6 +33,9 @@
 // Admit waits until a request whose prompt has these parts may be sent. It returns a *RefusalError if the request may not be sent by the deadline,
 // or the error of the context. A request that is implicated was itself at an endpoint that crashed. The admission must be ended with End.
 func (x *Exchange) Admit(ctx context.Context, parts []prompt.Part, implicated bool, deadline time.Time) (Admission, error) {
+	if err := x.awaitInformed(ctx, deadline); err != nil {
+		return Admission{}, err
+	}
 	latest := time.Now().Add(maximumWait)
 	if deadline.Before(latest) {
 		latest = deadline
@@ -259,14 +262,15 @@
 	return suspect.Crashes == 0 || a.number > 0 && a.part == part
 }
 
-// End ends an admission, with or without a result. The steward of a trial is told what this instance knows of the part.
-func (x *Exchange) End(a Admission) {
+// End ends an admission, with or without a result; a trial has failed if an endpoint has crashed under it. The steward of a trial is told what
+// this instance knows of the part.
+func (x *Exchange) End(a Admission, failed bool) {
 	if a.number == 0 {
 		return
 	}
 	now := time.Now()
 	x.mutex.Lock()
-	ask := &Ask{From: x.config.Self, Number: a.number, Ended: true, News: x.newsOf([]prompt.Part{a.part}, now)}
+	ask := &Ask{From: x.config.Self, Number: a.number, Ended: true, Failed: failed, News: x.newsOf([]prompt.Part{a.part}, now)}
 	x.mutex.Unlock()
 	if a.steward == x.config.Self {
 		x.endHere(ask, now)
@@ -281,6 +285,6 @@
 func (x *Exchange) endHere(ask *Ask, now time.Time) {
 	x.mutex.Lock()
 	changed := x.record(&ask.News, now)
-	x.steward.End(TrialID{ask.From, ask.Number})
+	x.steward.End(TrialID{ask.From, ask.Number}, ask.Failed, now)
 	x.notifyAndUnlock(changed, now)
 }
--- a/coordination/quarantine/constants.go
+++ b/coordination/quarantine/constants.go
@@ -14,6 +14,8 @@
 	askTimeout        = 200 * time.Millisecond // after which an ask counts as lost
 	askAttempts       = 2                      // of one ask
 	silentPause       = 500 * time.Millisecond // after an ask without an answer, in which no other one is sent
+	startInterval     = 50 * time.Millisecond  // the same of an instance that has just started
+	maximumStart      = time.Second            // after its start, for which an instance waits for what the others know
 	syncInterval      = time.Second            // between two comparisons with another instance
 	newsRepeats       = 3                      // reports that carry each piece of news
 	maximumNews       = 64                     // crashes, and as many answers, in one message
--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -93,10 +93,17 @@
 // ReceiveNews records the news of a message of another instance, and reports whether any of it was new.
 func (x *Exchange) ReceiveNews(data []byte, now time.Time) bool {
 	news := &News{}
-	return x.decode(data, news) && x.Receive(news, now)
+	if !x.decode(data, news) {
+		return false
+	}
+	changed := x.Receive(news, now)
+	if news.Answer {
+		x.setInformed()
+	}
+	return changed
 }
 
-// ReceiveComparison answers with news if the sender knows something else.
+// ReceiveComparison answers with news if the sender knows something else, or has just started.
 func (x *Exchange) ReceiveComparison(data []byte, now time.Time) {
 	comparison := &Comparison{}
 	if !x.decode(data, comparison) {
@@ -105,8 +112,10 @@
 	x.mutex.Lock()
 	differs := x.digest(now) != comparison.Digest
 	news := x.allNews(now)
+	informed := x.isInformed
 	x.mutex.Unlock()
-	if !differs || news.IsEmpty() {
+	news.Answer = true
+	if !(informed && comparison.Starting) && (!differs || news.IsEmpty()) {
 		return
 	}
 	if answer := x.encode(&news); answer != nil {
--- a/coordination/quarantine/exchange.go
+++ b/coordination/quarantine/exchange.go
@@ -70,6 +70,8 @@
 	number      uint64                    // of the latest ask
 	waiting     map[uint64]chan *Grant    // asks without an answer
 	state       evidenceState
+	isInformed  bool          // whether this instance knows what the others know, or there are none
+	informed    chan struct{} // closed once that is so
 }
 
 // evidenceState identifies what is known at a time.
@@ -94,19 +96,28 @@
 		reported: make(map[prompt.Part]int),
 		refused:  make(map[prompt.Part]time.Time),
 		waiting:  make(map[uint64]chan *Grant),
+		informed: make(chan struct{}),
 		state:    evidenceState{version: 1, changed: make(chan struct{})},
 	}
 }
 
-// Run compares what this instance knows with other instances until the context ends.
+// Run compares what this instance knows with other instances until the context ends: first often, until one of them has told it what it knows.
 func (x *Exchange) Run(ctx context.Context) {
+	giveUp := time.Now().Add(maximumStart)
+	for !x.hasBeenInformed() && time.Now().Before(giveUp) {
+		x.compare(true, time.Now())
+		if wait.For(ctx, startInterval) != nil {
+			return
+		}
+	}
+	x.setInformed()
 	for wait.For(ctx, wait.Jitter(syncInterval)) == nil {
-		x.Compare(time.Now())
+		x.compare(false, time.Now())
 	}
 }
 
-// Compare sends another instance a digest of what this one knows.
-func (x *Exchange) Compare(now time.Time) {
+// compare sends another instance a digest of what this one knows.
+func (x *Exchange) compare(starting bool, now time.Time) {
 	to, found := x.config.Fleet.Any()
 	if !found {
 		return
@@ -114,11 +125,45 @@
 	x.mutex.Lock()
 	digest := x.digest(now)
 	x.mutex.Unlock()
-	if data := x.encode(&Comparison{From: x.config.Self, Digest: digest}); data != nil {
+	if data := x.encode(&Comparison{From: x.config.Self, Digest: digest, Starting: starting}); data != nil {
 		x.config.Network.SendComparison(to, data)
 	}
 }
 
+// hasBeenInformed reports whether this instance knows what the others know.
+func (x *Exchange) hasBeenInformed() bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.isInformed
+}
+
+// setInformed notes that this instance knows what the others know.
+func (x *Exchange) setInformed() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if !x.isInformed {
+		x.isInformed = true
+		close(x.informed)
+	}
+}
+
+// awaitInformed waits until this instance knows what the others know, until the deadline at the latest.
+func (x *Exchange) awaitInformed(ctx context.Context, deadline time.Time) error {
+	if x.hasBeenInformed() {
+		return nil
+	}
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-x.informed:
+		return nil
+	case <-timer.C:
+		return nil
+	}
+}
+
 // Crashed records that an endpoint has crashed under a request that it had produced no output for.
 func (x *Exchange) Crashed(p process.ID, parts []prompt.Part, now time.Time) {
 	if len(parts) == 0 {
@@ -182,6 +227,7 @@
 		if x.reported[p] = crashes; crashes == 0 {
 			delete(x.reported, p)
 			delete(x.refused, p)
+			x.steward.Forget(p)
 		}
 	}
 	x.mutex.Unlock()
--- a/coordination/quarantine/message.go
+++ b/coordination/quarantine/message.go
@@ -17,7 +17,8 @@
 	Parts      []prompt.Part  `cbor:"3,keyasint,omitempty"`
 	Implicated bool           `cbor:"4,keyasint,omitempty"` // the request was at an endpoint that crashed
 	Ended      bool           `cbor:"5,keyasint,omitempty"`
-	News       News           `cbor:"6,keyasint"` // what the instance knows of the parts
+	Failed     bool           `cbor:"7,keyasint,omitempty"` // an endpoint has crashed under the request that has ended
+	News       News           `cbor:"6,keyasint"`           // what the instance knows of the parts
 }
 
 // Grant is the steward's answer to an ask.
@@ -33,6 +34,8 @@
 type Comparison struct {
 	From   netip.AddrPort `cbor:"1,keyasint"`
 	Digest uint64         `cbor:"2,keyasint"` // of what the instance knows
+
+	Starting bool `cbor:"3,keyasint,omitempty"` // the instance waits for an answer in any case
 }
 
 // Check returns an error that names the first field whose value is out of range.
--- a/coordination/quarantine/news.go
+++ b/coordination/quarantine/news.go
@@ -15,6 +15,7 @@
 type News struct {
 	Crashes []CrashNotice  `cbor:"1,keyasint,omitempty"`
 	Answers []AnswerNotice `cbor:"2,keyasint,omitempty"`
+	Answer  bool           `cbor:"3,keyasint,omitempty"` // the sender answers a comparison: these are all news that it has
 }
 
 // CrashNotice is an endpoint's crash under requests that it had produced no output for.
--- a/coordination/quarantine/screening.go
+++ b/coordination/quarantine/screening.go
@@ -68,14 +68,17 @@
 	}
 	s.implicated = true
 	s.exchange.Crashed(p, s.parts, now)
-	s.End()
+	s.end(true)
 }
 
 // End ends the request's trial if it is on trial, so that another request may be.
-func (s *Screening) End() {
+func (s *Screening) End() { s.end(false) }
+
+// end ends the request's trial, which has failed if an endpoint has crashed under it.
+func (s *Screening) end(failed bool) {
 	if s.exchange == nil {
 		return
 	}
-	s.exchange.End(s.admission)
+	s.exchange.End(s.admission, failed)
 	s.admission = Admission{}
 }
--- a/coordination/quarantine/steward.go
+++ b/coordination/quarantine/steward.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"maps"
 	"net/netip"
 	"time"
 
@@ -15,11 +14,12 @@
 	trials map[prompt.Part]trial
 }
 
-// trial is a request with a suspected part that was allowed.
+// trial is what a steward knows of the trials of a part.
 type trial struct {
-	holder TrialID
-	began  time.Time
-	until  time.Time
+	holder   TrialID   // of the latest trial; the zero value once it has ended
+	until    time.Time // after which the latest trial counts as lost
+	failures int       // trials in which an endpoint crashed
+	retryAt  time.Time // of the next trial
 }
 
 // TrialID identifies an ask for a trial.
@@ -69,26 +69,32 @@
 	if suspect.Crashes == 0 {
 		return Decision{Verdict: VerdictSound}
 	}
-	current, found := s.trials[part]
-	if found && current.holder == id {
+	current := s.trials[part]
+	running := now.Before(current.until) && current.holder != TrialID{}
+	retryAt := latest(current.retryAt, suspect.Latest.Add(hold(suspect.Crashes)))
+	switch {
+	case running && current.holder == id:
 		return Decision{Verdict: VerdictTrial, Part: part}
-	}
-	if found && current.isRunning(suspect, now) {
+	case running:
 		return Decision{Verdict: VerdictBusy, Part: part, RetryAfter: min(current.until.Sub(now), busyRetryDelay)}
-	}
-	if until := suspect.Latest.Add(hold(suspect.Crashes)); now.Before(until) {
-		return Decision{Verdict: VerdictRefused, Part: part, RetryAfter: until.Sub(now)}
-	}
-	if !found && len(s.trials) >= maximumTrials {
-		s.forgetEnded(now)
-	}
-	if !found && len(s.trials) >= maximumTrials {
+	case now.Before(retryAt):
+		return Decision{Verdict: VerdictRefused, Part: part, RetryAfter: retryAt.Sub(now)}
+	case len(s.trials) >= maximumTrials && s.trials[part] == trial{}:
 		return Decision{Verdict: VerdictBusy, Part: part, RetryAfter: busyRetryDelay}
 	}
-	s.trials[part] = trial{holder: id, began: now, until: now.Add(trialLifetime)}
+	current.holder, current.until = id, now.Add(trialLifetime)
+	s.trials[part] = current
 	return Decision{Verdict: VerdictTrial, Part: part}
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // worst returns the part that is suspected of most crashes; the zero value if none is.
 func worst(t *suspicion.Table, parts []prompt.Part, implicated bool, now time.Time) (prompt.Part, suspicion.Suspect) {
 	var part prompt.Part
@@ -110,25 +116,29 @@
 	return part, found
 }
 
-// isRunning reports whether a trial has no result yet: an endpoint that has crashed since may have been its own.
-func (t trial) isRunning(suspect suspicion.Suspect, now time.Time) bool {
-	return now.Before(t.until) && !suspect.Latest.After(t.began)
-}
-
-// hold returns the time from the latest crash that a part has caused to its next trial.
+// hold returns the time from the latest crash that a part has caused to its next trial, as far as the crashes alone say. They say little of how
+// often a part has been tried: many requests with it may have been sent before the first crash.
 func hold(crashes int) time.Duration {
 	if crashes <= suspectCrashes {
 		return 0
 	}
-	return min(firstHold<<min(crashes-suspectCrashes-1, 10), longestHold)
+	return firstHold
 }
 
-// End ends a trial whose request has ended.
-func (s *Steward) End(id TrialID) {
-	maps.DeleteFunc(s.trials, func(_ prompt.Part, t trial) bool { return t.holder == id })
+// End ends a trial, which has failed if an endpoint has crashed under it.
+func (s *Steward) End(id TrialID, failed bool, now time.Time) {
+	for p, t := range s.trials {
+		if t.holder != id {
+			continue
+		}
+		t.holder = TrialID{}
+		if failed {
+			t.failures++
+			t.retryAt = now.Add(min(firstHold<<min(t.failures-1, 10), longestHold))
+		}
+		s.trials[p] = t
+	}
 }
 
-// forgetEnded forgets the trials whose lifetime has passed.
-func (s *Steward) forgetEnded(now time.Time) {
-	maps.DeleteFunc(s.trials, func(_ prompt.Part, t trial) bool { return !now.Before(t.until) })
-}
+// Forget forgets the trials of a part that is not suspected any more.
+func (s *Steward) Forget(p prompt.Part) { delete(s.trials, p) }
