--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -11,8 +11,8 @@
 	"dogwooddyke/state/suspicion"
 )
 
-// Notices returns the news for this instance's next report.
-func (x *Exchange) Notices(now time.Time) News {
+// Notices returns the news for this instance's next report; nil if there are none.
+func (x *Exchange) Notices(now time.Time) *News {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	news := News{}
@@ -31,7 +31,10 @@
 		p.reportsLeft--
 	}
 	x.pending = slices.DeleteFunc(x.pending, func(p pendingNews) bool { return p.reportsLeft <= 0 })
-	return news
+	if news.IsEmpty() {
+		return nil
+	}
+	return &news
 }
 
 // addCrash adds a crash unless the news would become too long.
@@ -61,10 +64,10 @@
 // EncodeNotices returns the encoded news for one message, nil if there are none.
 func (x *Exchange) EncodeNotices(now time.Time) []byte {
 	news := x.Notices(now)
-	if news.IsEmpty() {
+	if news == nil {
 		return nil
 	}
-	return x.encode(&news)
+	return x.encode(news)
 }
 
 // Receive records what another instance has told, and reports whether any of it was new.
--- a/coordination/quarantine/fleet_test.go
+++ b/coordination/quarantine/fleet_test.go
@@ -187,7 +187,7 @@
 		news := exchange.Notices(time.Now())
 		for _, other := range n.world.nodes {
 			if other != n {
-				n.send(other, n.world.newsDelay, func(x *quarantine.Exchange) { x.Receive(&news, time.Now()) })
+				n.send(other, n.world.newsDelay, func(x *quarantine.Exchange) { x.Receive(news, time.Now()) })
 			}
 		}
 	})
--- a/coordination/quarantine/news.go
+++ b/coordination/quarantine/news.go
@@ -32,11 +32,14 @@
 	Age  time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
-// IsEmpty reports whether there are no news.
-func (n *News) IsEmpty() bool { return len(n.Crashes) == 0 && len(n.Answers) == 0 }
+// IsEmpty reports whether there are no news, as in a nil pointer.
+func (n *News) IsEmpty() bool { return n == nil || len(n.Crashes) == 0 && len(n.Answers) == 0 }
 
 // Check returns an error that names the first field whose value is out of range.
 func (n *News) Check() error {
+	if n == nil {
+		return nil
+	}
 	if len(n.Crashes) > maximumNews || len(n.Answers) > maximumNews {
 		return fmt.Errorf("news: more than %d crashes or answers: %d, %d", maximumNews, len(n.Crashes), len(n.Answers))
 	}
--- a/instance/hosted/receiver.go
+++ b/instance/hosted/receiver.go
@@ -70,7 +70,7 @@
 	}
 	r.Updates = g.instance.applyUpdates(r)
 	g.instance.quotas.Receive(r.RateLimits, r.From, now)
-	g.instance.quarantine.Receive(&r.Crashes, now)
+	g.instance.quarantine.Receive(r.Crashes, now)
 	if !fresh {
 		return r, false
 	}
--- a/protocol/relay/silence_test.go
+++ b/protocol/relay/silence_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/state/catalogue"
 )
@@ -37,9 +38,12 @@
 	router.SetEntry(&catalogue.Entry{Name: "s", Endpoints: []catalogue.Endpoint{{Address: address}}}, time.Now())
 	slot, err := router.Place(&routing.RequestSpec{Entry: "s"})
 	is.New(t).NoErr(err)
-	return &execution{request: &Request{}, sink: sink, slot: slot}
+	return &execution{request: &Request{}, sink: sink, slot: slot, screening: quarantineOff.Screen(nil)}
 }
 
+// quarantineOff lets all requests through.
+var quarantineOff *quarantine.Exchange
+
 // A caller that reads slowly must not count as a silent endpoint, and must not make the timer fire twice, which ended the process.
 func TestSilenceTimer(t *testing.T) {
 	const timeout = time.Second
