--- a/coordination/quarantine/admission.go
+++ b/coordination/quarantine/admission.go
@@ -53,9 +53,9 @@
 		x.config.Observer.TrialDecided(decision.Verdict)
 		switch retryAt := now.Add(decision.RetryAfter); {
 		case decision.Verdict == VerdictSound:
-			return Admission{version: state.version}, nil
+			return Admission{version: x.version()}, nil
 		case decision.Verdict == VerdictTrial:
-			return Admission{version: state.version, part: decision.Part, number: ask.Number, steward: steward, until: now.Add(trialLifetime)}, nil
+			return Admission{version: x.version(), part: decision.Part, number: ask.Number, steward: steward, until: now.Add(trialLifetime)}, nil
 		case decision.Verdict == VerdictRefused || !retryAt.Before(latest):
 			return Admission{}, &RefusalError{Part: decision.Part, RetryAt: retryAt}
 		}
@@ -68,6 +68,13 @@
 	}
 }
 
+// version returns the version of the evidence.
+func (x *Exchange) version() uint64 {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.state.version
+}
+
 // awaitChange waits until the evidence changes, at most for the given time.
 func awaitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) error {
 	timer := time.NewTimer(limit)
@@ -136,9 +143,15 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	for _, p := range parts {
-		if until, found := x.refused[p]; found && now.Before(until) {
-			return Decision{Verdict: VerdictRefused, Part: p, RetryAfter: until.Sub(now)}, true
+		until, found := x.refused[p]
+		if !found {
+			continue
+		}
+		if !now.Before(until) || x.table.Blamed(p, now) == 0 {
+			delete(x.refused, p)
+			continue
 		}
+		return Decision{Verdict: VerdictRefused, Part: p, RetryAfter: until.Sub(now)}, true
 	}
 	return Decision{}, false
 }
--- a/coordination/quarantine/constants.go
+++ b/coordination/quarantine/constants.go
@@ -14,13 +14,14 @@
 	askTimeout        = 200 * time.Millisecond // after which an ask counts as lost
 	askAttempts       = 2                      // of one ask
 	silentPause       = 500 * time.Millisecond // after an ask without an answer, in which no other one is sent
+	syncInterval      = time.Second            // between two comparisons with another instance
 	startInterval     = 50 * time.Millisecond  // the same of an instance that has just started
 	maximumStart      = time.Second            // after its start, for which an instance waits for what the others know
-	syncInterval      = time.Second            // between two comparisons with another instance
 	newsRepeats       = 3                      // reports that carry each piece of news
 	maximumNews       = 64                     // crashes, and as many answers, in one message
 	maximumAskNews    = 16                     // crashes in an ask or its answer
 	maximumNewsParts  = 1500                   // parts in all prompts of one message's crashes, which keeps it below the size of a datagram
 	maximumPromptsOf  = 16                     // prompts of a crash in a message
+	maximumPending    = 1024                   // pieces of news that wait for a report
 	maximumTrials     = 1024                   // that a steward holds
 )
--- a/coordination/quarantine/exchange.go
+++ b/coordination/quarantine/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -172,11 +173,11 @@
 	x.mutex.Lock()
 	added := x.table.AddCrash(suspicion.Crash{Process: p, At: now, Prompts: [][]prompt.Part{parts}})
 	if added {
-		x.pending = append(x.pending, pendingNews{crash: p, reportsLeft: newsRepeats})
+		x.report(pendingNews{crash: p})
 		// Which of the parts were sound until now may be known to this instance only.
 		for _, part := range parts {
 			if !x.table.AnsweredAt(part).IsZero() {
-				x.pending = append(x.pending, pendingNews{part: part, reportsLeft: newsRepeats})
+				x.report(pendingNews{part: part})
 			}
 		}
 	}
@@ -193,7 +194,7 @@
 	for _, p := range parts {
 		if x.table.AddAnswer(p, now) {
 			cleared = true
-			x.pending = append(x.pending, pendingNews{part: p, reportsLeft: newsRepeats})
+			x.report(pendingNews{part: p})
 		}
 	}
 	x.notifyAndUnlock(cleared, now)
@@ -202,6 +203,15 @@
 	}
 }
 
+// report has the next reports carry a piece of news; the caller holds the mutex. If there are too many, the oldest is dropped: comparisons find
+// what the others lack.
+func (x *Exchange) report(news pendingNews) {
+	x.pending = slices.DeleteFunc(x.pending, func(p pendingNews) bool { return p.crash == news.crash && p.part == news.part })
+	news.reportsLeft = newsRepeats
+	x.pending = append(x.pending, news)
+	x.pending = x.pending[max(len(x.pending)-maximumPending, 0):]
+}
+
 // notifyAndUnlock unlocks the mutex, and wakes those who wait for a change of the evidence if it has changed. The observer is told which
 // suspicions are new.
 func (x *Exchange) notifyAndUnlock(changed bool, now time.Time) {
--- a/coordination/quarantine/steward.go
+++ b/coordination/quarantine/steward.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -79,7 +80,7 @@
 		return Decision{Verdict: VerdictBusy, Part: part, RetryAfter: min(current.until.Sub(now), busyRetryDelay)}
 	case now.Before(retryAt):
 		return Decision{Verdict: VerdictRefused, Part: part, RetryAfter: retryAt.Sub(now)}
-	case len(s.trials) >= maximumTrials && s.trials[part] == trial{}:
+	case !s.hasRoom(part, now):
 		return Decision{Verdict: VerdictBusy, Part: part, RetryAfter: busyRetryDelay}
 	}
 	current.holder, current.until = id, now.Add(trialLifetime)
@@ -87,6 +88,15 @@
 	return Decision{Verdict: VerdictTrial, Part: part}
 }
 
+// hasRoom reports whether a trial of the part can be noted; if there are too many, those that matter no more are forgotten.
+func (s *Steward) hasRoom(p prompt.Part, now time.Time) bool {
+	if _, found := s.trials[p]; found || len(s.trials) < maximumTrials {
+		return true
+	}
+	maps.DeleteFunc(s.trials, func(_ prompt.Part, t trial) bool { return !now.Before(t.until) && !now.Before(t.retryAt) })
+	return len(s.trials) < maximumTrials
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -131,6 +141,10 @@
 		if t.holder != id {
 			continue
 		}
+		if !failed && t.failures == 0 {
+			delete(s.trials, p)
+			continue
+		}
 		t.holder = TrialID{}
 		if failed {
 			t.failures++
--- a/coordination/quarantine/steward_test.go
+++ b/coordination/quarantine/steward_test.go
@@ -131,6 +131,19 @@
 		s.is.Equal(d.Verdict, VerdictBusy)
 		s.assert(at(1), VerdictSound)
 	})
+	t.Run("trials that have ended take no room", func(t *testing.T) {
+		is := is.New(t)
+		s := NewSteward()
+		for n := range 2 * maximumTrials {
+			part := prompt.Part(n + 1)
+			table := suspicion.NewTable()
+			table.AddCrash(suspicion.Crash{At: at(n), Prompts: [][]prompt.Part{{part}}})
+			id := TrialID{Number: uint64(n + 1)}
+			is.Equal(s.Decide(table, []prompt.Part{part}, true, id, at(n)).Verdict, VerdictTrial)
+			s.End(id, n%2 == 0, at(n))
+		}
+		is.True(len(s.trials) <= maximumTrials)
+	})
 	t.Run("a repeated ask has the same answer", func(t *testing.T) {
 		s := newTrials(t)
 		s.crash(at(0))
