--- /dev/null
+++ b/coordination/quarantine/exchange_test.go
@@ -0,0 +1,135 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dogwooddyke/coordination/internal/message"
+	"dogwooddyke/state/process"
+	"dogwooddyke/state/prompt"
+)
+
+// datagramBytes is the size of the longest message between hosted instances.
+const datagramBytes = 32 << 10
+
+// quiet is the fleet, network and observer of an exchange that reaches no other instance.
+type quiet struct {
+	news       [][]byte // messages sent
+	unreadable int      // messages
+}
+
+func (*quiet) Steward() (netip.AddrPort, bool)          { return netip.AddrPort{}, false }
+func (*quiet) Any() (netip.AddrPort, bool)              { return netip.AddrPort{}, false }
+func (*quiet) SendTrialAsk(netip.AddrPort, []byte)      {}
+func (*quiet) SendTrialGrant(netip.AddrPort, []byte)    {}
+func (*quiet) SendComparison(netip.AddrPort, []byte)    {}
+func (q *quiet) SendNews(_ netip.AddrPort, news []byte) { q.news = append(q.news, news) }
+func (*quiet) PartSuspected(prompt.Part, int)           {}
+func (*quiet) TrialDecided(Verdict)                     {}
+func (q *quiet) TrialMessageUnreadable(error)           { q.unreadable++ }
+
+func newQuietExchange() (*Exchange, *quiet) {
+	q := &quiet{}
+	return NewExchange(Config{Self: netip.MustParseAddrPort("10.0.0.1:7200"), Fleet: q, Network: q, Observer: q, OnNews: func() {}}), q
+}
+
+// processOf returns the identity of one of many processes.
+func processOf(n int) process.ID {
+	var ip [4]byte
+	binary.BigEndian.PutUint32(ip[:], 10<<24+uint32(n))
+	return process.ID{Address: netip.AddrPortFrom(netip.AddrFrom4(ip), 8000), Start: 1<<60 + uint64(n)}
+}
+
+// longPrompt returns as many parts as are told apart, which no other prompt has.
+func longPrompt(n int) []prompt.Part {
+	parts := make([]prompt.Part, prompt.MaximumParts)
+	for i := range parts {
+		parts[i] = prompt.Part(1<<60 + n*prompt.MaximumParts + i)
+	}
+	return parts
+}
+
+func TestMessagesFitIntoDatagrams(t *testing.T) {
+	is := is.New(t)
+	x, q := newQuietExchange()
+	for n := range 300 {
+		x.Answered(longPrompt(n), start.Add(-time.Second))
+		x.Crashed(processOf(n/8), longPrompt(n), start.Add(time.Duration(n)*time.Second))
+	}
+	now := start.Add(5 * time.Minute)
+	for news := x.Notices(now); news != nil; news = x.Notices(now) {
+		data, err := message.Encode(news)
+		is.NoErr(err)
+		is.True(len(data) < datagramBytes)
+	}
+	ask, _ := x.newAsk(longPrompt(299), true, now)
+	data, err := message.Encode(ask)
+	is.NoErr(err)
+	is.True(len(data) < datagramBytes)
+	comparison, err := message.Encode(&Comparison{From: x.config.Self, Digest: 1 << 60})
+	is.NoErr(err)
+	x.ReceiveComparison(comparison, now)
+	is.Equal(len(q.news), 1)
+	is.True(len(q.news[0]) < datagramBytes)
+	t.Logf("comparison %d bytes", len(comparison))
+}
+
+func TestComparison(t *testing.T) {
+	known, sent := newQuietExchange()
+	known.Crashed(processOf(1), []prompt.Part{deadly}, start)
+	known.setInformed()
+	compare := func(x *Exchange, starting bool) int {
+		x.mutex.Lock()
+		comparison := &Comparison{From: x.config.Self, Digest: x.digest(start), Starting: starting}
+		x.mutex.Unlock()
+		before := len(sent.news)
+		known.ReceiveComparison(x.encode(comparison), start)
+		return len(sent.news) - before
+	}
+	t.Run("an instance that lacks news gets them, once", func(t *testing.T) {
+		is := is.New(t)
+		other, _ := newQuietExchange()
+		is.Equal(compare(other, false), 1)
+		is.True(other.ReceiveNews(sent.news[len(sent.news)-1], start))
+		is.Equal(compare(other, false), 0)
+	})
+	t.Run("one that has just started gets an answer in any case", func(t *testing.T) {
+		is := is.New(t)
+		other, _ := newQuietExchange()
+		other.ReceiveNews(sent.news[len(sent.news)-1], start)
+		other.isInformed = false
+		other.informed = make(chan struct{})
+		is.Equal(compare(other, true), 1)
+		is.True(!other.ReceiveNews(sent.news[len(sent.news)-1], start)) // nothing new
+		is.True(other.hasBeenInformed())
+	})
+	t.Run("cleared parts are news as well", func(t *testing.T) {
+		is := is.New(t)
+		other, _ := newQuietExchange()
+		other.ReceiveNews(sent.news[len(sent.news)-1], start)
+		known.Answered([]prompt.Part{deadly}, start.Add(time.Second))
+		is.Equal(compare(other, false), 1)
+		other.ReceiveNews(sent.news[len(sent.news)-1], start.Add(time.Second))
+		is.Equal(other.table.Blamed(deadly, start.Add(time.Second)), 0)
+	})
+}
+
+func TestUnreadableMessages(t *testing.T) {
+	x, q := newQuietExchange()
+	is := is.New(t)
+	for n, data := range [][]byte{nil, {0xff}, {0xa1, 0x01, 0x20}} {
+		x.ReceiveAsk(data, start)
+		x.ReceiveGrant(data)
+		x.ReceiveComparison(data, start)
+		is.True(!x.ReceiveNews(data, start))
+		is.Equal(q.unreadable, 4*(n+1))
+	}
+	is.Equal(len(x.table.Crashes(start)), 0)
+	is.True((&News{Answers: []AnswerNotice{{Part: deadly, Age: -time.Second}}}).Check() != nil)
+	is.True((&Grant{Verdict: VerdictRefused + 1}).Check() != nil)
+	is.True((&Ask{}).Check() != nil)
+}
