--- a/coordination/quarantine/exchange_test.go
+++ b/coordination/quarantine/exchange_test.go
@@ -80,7 +80,7 @@
 
 func TestComparison(t *testing.T) {
 	known, sent := newQuietExchange()
-	known.Crashed(processOf(1), []prompt.Part{deadly}, start)
+	known.Crashed(processOf(1), []prompt.Part{fatal}, start)
 	known.setInformed()
 	compare := func(x *Exchange, starting bool) int {
 		x.mutex.Lock()
@@ -111,10 +111,10 @@
 		is := is.New(t)
 		other, _ := newQuietExchange()
 		other.ReceiveNews(sent.news[len(sent.news)-1], start)
-		known.Answered([]prompt.Part{deadly}, start.Add(time.Second))
+		known.Answered([]prompt.Part{fatal}, start.Add(time.Second))
 		is.Equal(compare(other, false), 1)
 		other.ReceiveNews(sent.news[len(sent.news)-1], start.Add(time.Second))
-		is.Equal(other.table.Blamed(deadly, start.Add(time.Second)), 0)
+		is.Equal(other.table.Blamed(fatal, start.Add(time.Second)), 0)
 	})
 }
 
@@ -129,7 +129,7 @@
 		is.Equal(q.unreadable, 4*(n+1))
 	}
 	is.Equal(len(x.table.Crashes(start)), 0)
-	is.True((&News{Answers: []AnswerNotice{{Part: deadly, Age: -time.Second}}}).Check() != nil)
+	is.True((&News{Answers: []AnswerNotice{{Part: fatal, Age: -time.Second}}}).Check() != nil)
 	is.True((&Grant{Verdict: VerdictRefused + 1}).Check() != nil)
 	is.True((&Ask{}).Check() != nil)
 }
--- a/coordination/quarantine/fleet_test.go
+++ b/coordination/quarantine/fleet_test.go
@@ -26,12 +26,12 @@
 	allowedArrivals  = 3               // after that
 	excuse           = 3 * time.Second // after a fault of an instance, in which its requests do not count
 	callers          = 10
-	deadlyPart       = prompt.Part(1)
+	fatalPart        = prompt.Part(1)
 	firstCallersPart = prompt.Part(100) // of the part that all requests of the first caller share
 	firstSessionPart = prompt.Part(1000)
 )
 
-// world is a fleet of instances before endpoints, in virtual time. An endpoint that begins to answer a prompt with the deadly part crashes, and
+// world is a fleet of instances before endpoints, in virtual time. An endpoint that begins to answer a prompt with the fatal part crashes, and
 // another process takes its place after a while.
 type world struct {
 	t         *testing.T
@@ -43,9 +43,9 @@
 
 	mutex    sync.Mutex
 	crashes  []time.Time
-	arrivals []time.Time // of requests with the deadly part, of instances without a fault
-	sound    tally       // requests without the deadly part
-	deadly   tally       // requests with it
+	arrivals []time.Time // of requests with the fatal part, of instances without a fault
+	sound    tally       // requests without the fatal part
+	fatal    tally       // requests with it
 	session  prompt.Part
 }
 
@@ -83,7 +83,7 @@
 }
 
 func newWorld(t *testing.T, nodes, endpoints int, newsDelay time.Duration) *world {
-	w := &world{t: t, random: rand.New(rand.NewPCG(1, 2)), newsDelay: newsDelay, part: deadlyPart, session: firstSessionPart}
+	w := &world{t: t, random: rand.New(rand.NewPCG(1, 2)), newsDelay: newsDelay, part: fatalPart, session: firstSessionPart}
 	for n := range endpoints {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 80)
 		w.endpoints = append(w.endpoints, &endpoint{address: address, waiting: make(map[*run]bool)})
@@ -212,8 +212,8 @@
 	apply()
 }
 
-// generate sends one request through the instance. Its prompt has a part that all requests of its caller share, a deadly one or one of a session.
-func (n *node) generate(deadly bool) {
+// generate sends one request through the instance. Its prompt has a part that all requests of its caller share, a fatal one or one of a session.
+func (n *node) generate(fatal bool) {
 	w := n.world
 	w.mutex.Lock()
 	caller := firstCallersPart + prompt.Part(w.random.IntN(callers))
@@ -221,8 +221,8 @@
 	w.session++
 	exchange, frozen, count := n.exchange, n.isFrozen(), &w.sound
 	parts := []prompt.Part{caller, session}
-	if deadly {
-		parts, count = []prompt.Part{firstCallersPart, deadlyPart, session}, &w.deadly
+	if fatal {
+		parts, count = []prompt.Part{firstCallersPart, fatalPart, session}, &w.fatal
 	}
 	if !frozen {
 		count.sent++
@@ -274,8 +274,8 @@
 	}
 	w.mutex.Lock()
 	e.waiting[r] = true
-	deadly := r.has(deadlyPart)
-	if deadly && time.Now().After(r.node.excused) {
+	fatal := r.has(fatalPart)
+	if fatal && time.Now().After(r.node.excused) {
 		w.arrivals = append(w.arrivals, time.Now())
 	}
 	id := process.ID{Address: e.address, Start: e.start}
@@ -320,20 +320,20 @@
 	}
 }
 
-// drive sends requests at the rate through instances chosen at random, a share of them with the deadly part, for the duration.
+// drive sends requests at the rate through instances chosen at random, a share of them with the fatal part, for the duration.
 func (w *world) drive(perSecond, share float64, duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		w.mutex.Lock()
 		pause := w.random.ExpFloat64() / perSecond
 		n := w.nodes[w.random.IntN(len(w.nodes))]
-		deadly := w.random.Float64() < share
+		fatal := w.random.Float64() < share
 		w.mutex.Unlock()
 		time.Sleep(time.Duration(pause * float64(time.Second)))
-		go n.generate(deadly)
+		go n.generate(fatal)
 	}
 }
 
-// assertKept checks that few requests with the deadly part arrived at endpoints after the allowed crashes, and that sound ones were served.
+// assertKept checks that few requests with the fatal part arrived at endpoints after the allowed crashes, and that sound ones were served.
 func (w *world) assertKept() {
 	w.t.Helper()
 	is := is.New(w.t)
@@ -347,18 +347,18 @@
 			}
 		}
 	}
-	w.t.Logf("%d crashes, %d requests with the part after that, deadly %+v, sound %+v", len(w.crashes), late, w.deadly, w.sound)
+	w.t.Logf("%d crashes, %d requests with the part after that, fatal %+v, sound %+v", len(w.crashes), late, w.fatal, w.sound)
 	is.True(late <= allowedArrivals)
 	is.True(w.sound.refused*20 <= w.sound.sent)
 }
 
 // counts returns the tallies and forgets them.
-func (w *world) counts() (sound, deadly tally) {
+func (w *world) counts() (sound, fatal tally) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	sound, deadly = w.sound, w.deadly
-	w.sound, w.deadly = tally{}, tally{}
-	return sound, deadly
+	sound, fatal = w.sound, w.fatal
+	w.sound, w.fatal = tally{}, tally{}
+	return sound, fatal
 }
 
 // crashShare has a share of the endpoints crash together, for no reason of the requests.
@@ -470,9 +470,9 @@
 			w.drive(size.perSecond, 0.3, 60*time.Second)
 			w.counts()
 			w.drive(size.perSecond, 0.3, 10*time.Second)
-			sound, deadly := w.counts()
-			t.Logf("sound %+v, formerly deadly %+v", sound, deadly)
-			is.Equal(sound.refused+deadly.refused, 0)
+			sound, fatal := w.counts()
+			t.Logf("sound %+v, formerly fatal %+v", sound, fatal)
+			is.Equal(sound.refused+fatal.refused, 0)
 		})
 	}
 }
--- a/coordination/quarantine/steward_test.go
+++ b/coordination/quarantine/steward_test.go
@@ -14,7 +14,7 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-const deadly prompt.Part = 1
+const fatal prompt.Part = 1
 
 // trials is a steward with the evidence that it decides by.
 type trials struct {
@@ -28,17 +28,17 @@
 	return &trials{is: is.New(t), table: suspicion.NewTable(), steward: NewSteward()}
 }
 
-// crash adds a crash of another process under a request with the deadly part.
+// crash adds a crash of another process under a request with the fatal part.
 func (t *trials) crash(at time.Time) {
 	t.number++
-	t.table.AddCrash(suspicion.Crash{Process: process.ID{Start: t.number}, At: at, Prompts: [][]prompt.Part{{deadly}}})
+	t.table.AddCrash(suspicion.Crash{Process: process.ID{Start: t.number}, At: at, Prompts: [][]prompt.Part{{fatal}}})
 }
 
-// ask asks about another request with the deadly part.
+// ask asks about another request with the fatal part.
 func (t *trials) ask(implicated bool, now time.Time) (Decision, TrialID) {
 	t.number++
 	id := TrialID{Instance: netip.MustParseAddrPort("10.0.0.1:1"), Number: t.number}
-	return t.steward.Decide(t.table, []prompt.Part{deadly}, implicated, id, now), id
+	return t.steward.Decide(t.table, []prompt.Part{fatal}, implicated, id, now), id
 }
 
 func (t *trials) assert(now time.Time, want Verdict) TrialID {
@@ -117,7 +117,7 @@
 			s.crash(at(n))
 		}
 		s.assert(at(4), VerdictRefused)
-		s.table.AddAnswer(deadly, at(5))
+		s.table.AddAnswer(fatal, at(5))
 		s.assert(at(5), VerdictSound)
 	})
 	t.Run("a request that was at one crash is on trial when it is sent again", func(t *testing.T) {
@@ -149,7 +149,7 @@
 		s.crash(at(0))
 		s.crash(at(1))
 		id := s.assert(at(1), VerdictTrial)
-		d := s.steward.Decide(s.table, []prompt.Part{deadly}, false, id, at(1))
+		d := s.steward.Decide(s.table, []prompt.Part{fatal}, false, id, at(1))
 		s.is.Equal(d.Verdict, VerdictTrial)
 	})
 }
--- a/instance/crashes_test.go
+++ b/instance/crashes_test.go
@@ -26,10 +26,10 @@
 		return sum
 	}
 	for _, e := range f.engines {
-		is.NoErr(e.Fault(standin.Fault{Kind: standin.FaultCrashOn, Text: "deadly"}))
+		is.NoErr(e.Fault(standin.Fault{Kind: standin.FaultCrashOn, Text: "fatal"}))
 	}
 	for n := range 12 {
-		response := f.post(n%2, conversation("deadly", n))
+		response := f.post(n%2, conversation("fatal", n))
 		readEvents(response.Body, 1<<20)
 	}
 	t.Logf("%d generations started", started())
@@ -44,7 +44,7 @@
 		response := f.post(n%2, conversation("sound", n))
 		is.Equal(response.StatusCode, http.StatusOK)
 		readEvents(response.Body, 1<<20)
-		response = f.post(n%2, conversation("deadly", n))
+		response = f.post(n%2, conversation("fatal", n))
 		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
 		is.True(response.Header.Get("Retry-After") != "")
 	}
--- a/state/suspicion/table_test.go
+++ b/state/suspicion/table_test.go
@@ -44,7 +44,7 @@
 
 const (
 	shared prompt.Part = iota + 1 // by all requests of a caller
-	deadly
+	fatal
 	session
 	other
 )
@@ -57,18 +57,18 @@
 		c := newCrashes()
 		c.answer(0, shared)
 		for n := range 3 {
-			c.add(1000*(n+1), parts(shared, deadly, prompt.Part(100+n)))
+			c.add(1000*(n+1), parts(shared, fatal, prompt.Part(100+n)))
 		}
-		is.Equal(c.Suspects(after(4000)), map[prompt.Part]Suspect{deadly: {Crashes: 3, Latest: after(3000)}})
+		is.Equal(c.Suspects(after(4000)), map[prompt.Part]Suspect{fatal: {Crashes: 3, Latest: after(3000)}})
 	})
 	t.Run("not the parts of requests that were at the same endpoints", func(t *testing.T) {
 		is := is.New(t)
 		c := newCrashes()
-		c.add(0, parts(shared, deadly), parts(shared, session))
-		c.add(1000, parts(shared, session), parts(shared, deadly))
-		c.add(2000, parts(shared, deadly))
+		c.add(0, parts(shared, fatal), parts(shared, session))
+		c.add(1000, parts(shared, session), parts(shared, fatal))
+		c.add(2000, parts(shared, fatal))
 		suspects := c.Suspects(after(4000))
-		is.Equal(suspects[deadly].Crashes, 3)
+		is.Equal(suspects[fatal].Crashes, 3)
 		is.Equal(suspects[session].Crashes, 0)
 		is.Equal(suspects[shared].Crashes, 0)
 	})
@@ -106,32 +106,32 @@
 	t.Run("an answer from before a crash that arrives late clears nothing", func(t *testing.T) {
 		is := is.New(t)
 		c := newCrashes()
-		c.add(1000, parts(deadly))
-		c.add(2000, parts(deadly))
-		c.answer(500, deadly)
-		is.Equal(c.Blamed(deadly, after(2000)), 2)
+		c.add(1000, parts(fatal))
+		c.add(2000, parts(fatal))
+		c.answer(500, fatal)
+		is.Equal(c.Blamed(fatal, after(2000)), 2)
 	})
 	t.Run("a crash that several instances report counts once", func(t *testing.T) {
 		is := is.New(t)
 		c := newCrashes()
-		crash := Crash{At: after(0), Prompts: [][]prompt.Part{parts(deadly)}}
+		crash := Crash{At: after(0), Prompts: [][]prompt.Part{parts(fatal)}}
 		is.True(c.AddCrash(crash))
 		crash.At = after(900)
 		is.True(!c.AddCrash(crash))
 		crash.Prompts = [][]prompt.Part{parts(session)}
 		is.True(c.AddCrash(crash))
-		is.Equal(c.Blamed(deadly, after(1000)), 1)
+		is.Equal(c.Blamed(fatal, after(1000)), 1)
 	})
 }
 
 func TestIsUnexplained(t *testing.T) {
 	is := is.New(t)
 	c := newCrashes()
-	c.add(0, parts(deadly), parts(session))
+	c.add(0, parts(fatal), parts(session))
 	is.True(c.IsUnexplained(session, after(0)))
-	c.add(1000, parts(deadly))
+	c.add(1000, parts(fatal))
 	is.True(!c.IsUnexplained(session, after(1000)))
-	is.True(c.IsUnexplained(deadly, after(1000)))
+	is.True(c.IsUnexplained(fatal, after(1000)))
 }
 
 func TestCrashesAreForgotten(t *testing.T) {
@@ -139,7 +139,7 @@
 		is := is.New(t)
 		c := newCrashes()
 		c.add(0, parts(shared))
-		c.add(1, parts(deadly))
+		c.add(1, parts(fatal))
 		c.answer(10, shared)
 		is.Equal(len(c.Crashes(after(100))), 2)
 		is.Equal(len(c.Crashes(start.Add(2*clearedLifetime))), 1)
@@ -165,7 +165,7 @@
 			c.answer(2, prompt.Part(1000+n))
 		}
 		is.Equal(len(c.answers), maximumAnswers)
-		c.AddAnswer(deadly, start.Add(2*answerLifetime))
+		c.AddAnswer(fatal, start.Add(2*answerLifetime))
 		is.Equal(len(c.answers), 2)
 		is.Equal(c.AnsweredAt(shared), after(1))
 	})
