--- a/coordination/quarantine/fleet_test.go
+++ b/coordination/quarantine/fleet_test.go
@@ -466,7 +466,9 @@
 		run("the end of the crashes", func(t *testing.T, w *world) {
 			is := is.New(t)
 			w.drive(size.perSecond, 0.3, 20*time.Second)
+			w.mutex.Lock()
 			w.part = 0
+			w.mutex.Unlock()
 			w.drive(size.perSecond, 0.3, 60*time.Second)
 			w.counts()
 			w.drive(size.perSecond, 0.3, 10*time.Second)
