--- a/coordination/quarantine/news.go
+++ b/coordination/quarantine/news.go
@@ -11,7 +11,7 @@
 	"dogwooddyke/state/suspicion"
 )
 
-// News is what an instance tells others about crashes and answers. Clocks of instances differ, so it holds ages, not times.
+// News is what an instance reports to others about crashes and answers. Clocks of instances differ, so it holds ages, not times.
 type News struct {
 	Crashes []CrashNotice  `cbor:"1,keyasint,omitempty"`
 	Answers []AnswerNotice `cbor:"2,keyasint,omitempty"`
--- a/experiment/soak/crash.go
+++ b/experiment/soak/crash.go
@@ -66,7 +66,7 @@
 	l.arrivals = append(l.arrivals, a)
 }
 
-// judgeCrashes tells whether requests with the part went on arriving at engines once these had crashed often enough. It counts those of
+// judgeCrashes returns what is wrong if requests with the part went on arriving at engines once these had crashed often enough. It counts those of
 // instances without a fault of their own.
 func (l *ledger) judgeCrashes(instances int) []string {
 	l.mutex.Lock()
--- a/instance/hosted/spoilt_test.go
+++ b/instance/hosted/spoilt_test.go
@@ -31,7 +31,7 @@
 
 // head is the head of a signed answer; more headers may follow.
 func head(r *http.Request) string {
-	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + r.Header.Get(standin.HeaderRequest) + "\r\nResponse-Signature: signed\r\n"
+	return "HTTP/1.1 200 OK\r\n" + standin.HeaderRequest + ": " + r.Header.Get(standin.HeaderRequest) + "\r\n" + standin.HeaderSignature + ": signed\r\n"
 }
 
 // endless writes the text again and again until the other side closes, and reports whether that happened.
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -273,58 +272,6 @@
 	}
 }
 
-// endUnadmitted sets the result of a request that was granted no slot.
-func (x *execution) endUnadmitted(err error) {
-	x.result.Err = err
-	if x.caller.Err() != nil {
-		x.result.Outcome, x.result.Reason = OutcomeCallerLeft, ReasonCallerLeft
-		return
-	}
-	x.result.Reason = ReasonNoSlot
-	if refusal, ok := errors.AsType[*routing.RefusalError](err); ok {
-		x.result.RetryAt = refusal.RetryAt
-	}
-	if refusal, ok := errors.AsType[*quarantine.RefusalError](err); ok {
-		x.result.Reason, x.result.RetryAt = ReasonQuarantined, refusal.RetryAt
-	}
-	x.setUnansweredOutcome()
-}
-
-// endFailed sets the result of a request whose latest dispatch failed.
-func (x *execution) endFailed(err error) {
-	x.result.Err = err
-	x.result.Reason = reasonOf(err)
-	switch {
-	case x.caller.Err() != nil:
-		x.result.Outcome, x.result.Reason = OutcomeCallerLeft, ReasonCallerLeft
-		return
-	case x.ctx.Err() != nil:
-		x.result.Reason = ReasonDeadline
-	case x.mayHaveRun == 0 && x.notRun > 0:
-		x.result.Reason = ReasonRefused
-	case x.mayHaveRun == 0 && x.unreached > 0:
-		x.result.Reason = ReasonUnreached
-	}
-	x.setUnansweredOutcome()
-}
-
-// setUnansweredOutcome sets the outcome of a request that has no complete answer. An answer with an error status that an endpoint has given to
-// an earlier dispatch is forwarded; without one the outcome is interrupted if a part of the answer was forwarded,
-// unknown if an endpoint may have run the request, else not run.
-func (x *execution) setUnansweredOutcome() {
-	switch {
-	case x.kept != nil && !x.result.Begun:
-		_ = x.deliverKept() // deliver has set the outcome if the caller has left
-	case x.result.Begun:
-		x.result.Outcome = OutcomeInterrupted
-	case x.mayHaveRun > 0:
-		x.result.Outcome = OutcomeUnknown
-	default:
-		x.result.Outcome = OutcomeNotRun
-		x.result.RetryAt = retryAt(time.Now(), x.result.RetryAt, x.request.Priority, rand.Float64())
-	}
-}
-
 // passHead sends the head of the answer to the caller unless that has been done.
 func (x *execution) passHead(status int, header http.Header) error {
 	if x.result.Begun {
