--- a/coordination/quarantine/screening.go
+++ b/coordination/quarantine/screening.go
@@ -8,7 +8,7 @@
 	"dogwooddyke/state/prompt"
 )
 
-// Screening is one request's way through the quarantine. It is not safe for concurrent use, except for AllowsMove.
+// Screening tracks the admission of one request. It is not safe for concurrent use, except for AllowsMove.
 type Screening struct {
 	exchange   *Exchange
 	parts      []prompt.Part
