--- a/coordination/quarantine/fleet_test.go
+++ b/coordination/quarantine/fleet_test.go
@@ -381,8 +381,7 @@
 		run := func(name string, check func(t *testing.T, w *world)) {
 			t.Run(fmt.Sprintf("%d/%s", size.nodes, name), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					w := newWorld(t, size.nodes, size.endpoints, size.newsDelay)
-					time.Sleep(noticing)
+					w := newWorld(t, size.nodes, size.endpoints, size.newsDelay) // traffic begins as the instances start
 					check(t, w)
 					time.Sleep(5 * time.Second) // requests under way end
 					for _, n := range w.nodes {
