--- a/instance/hosted/spoilt_test.go
+++ b/instance/hosted/spoilt_test.go
@@ -204,3 +204,60 @@
 		})
 	}
 }
+
+func TestRefusalOfAnotherRequestIsTakenForThisOne(t *testing.T) {
+	for _, c := range []struct{ name, refusal string }{
+		{"refused with 503", "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderNotRun + ": 1\r\n"},
+		{"refused with 429", "HTTP/1.1 429 Too Many Requests\r\n" + standin.HeaderNotRun + ": 1\r\n"},
+		{"sent to another endpoint", "HTTP/1.1 421 Misdirected Request\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newSpoiltFleet(t)
+			f.startEngine("d-2", "desk").Fail(f.desk.LostBehind(c.refusal, "earlier"))
+			f.desk.Fail(f.desk.LostBehind(c.refusal, "earlier"))
+			f.eventually("endpoints", func() bool { return len(f.instance.roster.List()) == 3 })
+			response, _ := f.request(requestSpec{instance: f.instance, method: "POST", path: "/write/", id: "r1"})
+			is.Equal(response.StatusCode, http.StatusBadGateway)
+			is.Equal(f.engines.Ran("r1"), 1)
+		})
+	}
+}
+
+func TestErrorIsSentWithinStream(t *testing.T) {
+	const status = "HTTP/1.1 500 Internal Server Error\r\n"
+	signature := standin.HeaderSignature + ": signed\r\n"
+	stream := "Content-Type: text/event-stream\r\n"
+	for _, c := range []struct{ name, answer string }{
+		{"with a signature and a length", status + signature + "Content-Length: 7\r\n\r\nfailed\n"},
+		{"without either", status + "\r\nfailed\n"},
+		{"with the status of a success and no signature", "HTTP/1.1 200 OK\r\n" + stream + "\r\nid: 4\ndata: failed\n\n"},
+		{"as text of a success", "HTTP/1.1 200 OK\r\n" + signature + stream + "\r\nfailed\n\n"},
+		{"with its head in the body of a success", "HTTP/1.1 200 OK\r\n" + signature + stream + "\r\n" + status + "Content-Length: 7\r\n\r\nfailed\n"},
+		{"behind an event that is missing", "HTTP/1.1 200 OK\r\n" + signature + stream + "\r\nid: 9\ndata: failed\n\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newSpoiltFleet(t)
+			other := f.startEngine("m-2", "model")
+			f.eventually("engines", func() bool { return len(f.instance.roster.List()) == 3 })
+			const begun = "id: 1\ndata: b-1\n\nid: 2\ndata: b-2\n\n"
+			serve := raw(func(connection net.Conn, r *http.Request) {
+				if r.Header.Get(standin.HeaderLastEvent) != "" {
+					_, _ = io.WriteString(connection, c.answer)
+					return
+				}
+				_, _ = io.WriteString(connection, head(r)+stream+"Transfer-Encoding: chunked\r\n\r\n"+fmt.Sprintf("%x\r\n%s\r\n", len(begun), begun))
+				time.Sleep(20 * time.Millisecond)
+				reset(connection)
+			})
+			f.model.Fail(serve)
+			other.Fail(serve)
+			_, body := f.request(requestSpec{instance: f.instance, method: "POST", path: "/short/", id: "b1", headers: map[string]string{standin.HeaderTokens: "100,3"}})
+			is.Equal(len(f.model.Seen())+len(other.Seen()), 2) // the second one answers with the error
+			text, broken := strings.CutPrefix(body, begun)
+			is.True(broken)
+			is.True(strings.HasPrefix(text, "broken: ")) // not a part of the error, and not complete
+		})
+	}
+}
--- /dev/null
+++ b/instance/hosted/statements_test.go
@@ -0,0 +1,190 @@
+package hosted
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dogwooddyke/platform/standin"
+)
+
+// statementFleet is a fleet before plain endpoints that say something of themselves in their answers.
+type statementFleet struct {
+	*fleet
+	endpoints []*standin.Engine
+	sent      int
+}
+
+func newStatementFleet(t *testing.T, instances, endpoints int) *statementFleet {
+	f := &statementFleet{fleet: newFleet(t)}
+	f.publishCatalogue(1, "desk")
+	for n := range endpoints {
+		f.endpoints = append(f.endpoints, f.startEngine(fmt.Sprint("d-", n+1), "desk"))
+	}
+	for range instances {
+		f.awaitReady(f.startInstance())
+	}
+	for _, i := range f.instances {
+		f.eventually("endpoints", func() bool { return len(i.roster.List()) == endpoints && live(i) == instances })
+	}
+	return f
+}
+
+// read sends a repeatable request to an instance and returns the response.
+func (f *statementFleet) read(i *Instance) *http.Response {
+	f.sent++
+	response, _ := f.request(requestSpec{instance: i, method: "GET", path: "/read/", id: fmt.Sprint("q", f.sent)})
+	return response
+}
+
+// readUntil sends requests until the time, a few at a time, and returns how many were not served.
+func (f *statementFleet) readUntil(i *Instance, end time.Time) int {
+	failed := 0
+	for time.Now().Before(end) {
+		if f.read(i).StatusCode != http.StatusOK {
+			failed++
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return failed
+}
+
+// arrivedIn returns how many requests reached an endpoint between two times.
+func arrivedIn(e *standin.Engine, from, to time.Time) int {
+	count := 0
+	for _, s := range e.Seen() {
+		if s.At.After(from) && s.At.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// rested returns when the first request reached an endpoint.
+func rested(e *standin.Engine) time.Time { return e.Seen()[0].At }
+
+func TestEndpointIsSentRequestsWhileItRests(t *testing.T) {
+	const rest = 2 * time.Second
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+		t.Run("the only endpoint refuses with "+strconv.Itoa(status), func(t *testing.T) {
+			is := is.New(t)
+			f := newStatementFleet(t, 1, 1)
+			one := f.endpoints[0]
+			one.Fail(standin.Resting(status, "2"))
+			f.read(f.instances[0])
+			begin := rested(one)
+			refused := f.read(f.instances[0])
+			is.Equal(refused.StatusCode, http.StatusServiceUnavailable)
+			after, err := strconv.ParseFloat(refused.Header.Get(standin.HeaderRetry), 64)
+			is.NoErr(err)
+			is.True(time.Now().Add(time.Duration(after * float64(time.Second))).After(begin.Add(rest))) // not asked to come back too early
+			f.readUntil(f.instances[0], begin.Add(rest-300*time.Millisecond))
+			is.Equal(arrivedIn(one, begin, begin.Add(rest)), 0)
+			one.Fail(nil)
+			f.eventually("served again", func() bool { return f.read(f.instances[0]).StatusCode == http.StatusOK })
+		})
+	}
+	t.Run("others serve in the meantime", func(t *testing.T) {
+		is := is.New(t)
+		f := newStatementFleet(t, 1, 2)
+		one := f.endpoints[0]
+		one.Fail(standin.Resting(http.StatusServiceUnavailable, "2"))
+		f.eventually("told", func() bool { f.read(f.instances[0]); return len(one.Seen()) > 0 })
+		begin := rested(one)
+		is.Equal(f.readUntil(f.instances[0], begin.Add(rest-300*time.Millisecond)), 0)
+		is.Equal(arrivedIn(one, begin, begin.Add(rest)), 0)
+	})
+	t.Run("an answer that is no refusal asks for rest as well", func(t *testing.T) {
+		is := is.New(t)
+		f := newStatementFleet(t, 1, 2)
+		one := f.endpoints[0]
+		one.Fail(func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set(standin.HeaderRetry, "1.5")
+			return false
+		})
+		f.eventually("told", func() bool { f.read(f.instances[0]); return len(one.Seen()) > 0 })
+		begin := rested(one)
+		is.Equal(f.readUntil(f.instances[0], begin.Add(1200*time.Millisecond)), 0)
+		is.Equal(arrivedIn(one, begin, begin.Add(1500*time.Millisecond)), 0)
+	})
+	t.Run("the other instances are told of an endpoint that is not available", func(t *testing.T) {
+		is := is.New(t)
+		f := newStatementFleet(t, 2, 2)
+		one := f.endpoints[0]
+		one.Fail(standin.Resting(http.StatusServiceUnavailable, "3"))
+		f.eventually("told", func() bool { f.read(f.instances[0]); return len(one.Seen()) > 0 })
+		begin := rested(one)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(f.readUntil(f.instances[1], begin.Add(2500*time.Millisecond)), 0)
+		is.Equal(arrivedIn(one, begin, begin.Add(3*time.Second)), 0)
+	})
+}
+
+func TestEndpointIsSentRequestsAfterItSaidThatItLeaves(t *testing.T) {
+	t.Run("others serve", func(t *testing.T) {
+		is := is.New(t)
+		f := newStatementFleet(t, 1, 4)
+		one := f.endpoints[0]
+		one.Leave(true)
+		f.eventually("told", func() bool { f.read(f.instances[0]); return len(one.Seen()) > 0 })
+		latest := rested(one).Add(f.settings[0].Drain)
+		is.Equal(f.readUntil(f.instances[0], latest.Add(time.Second)), 0)
+		is.Equal(arrivedIn(one, latest, time.Now()), 0)
+	})
+	t.Run("requests are refused at once when all have said so", func(t *testing.T) {
+		is := is.New(t)
+		f := newStatementFleet(t, 1, 2)
+		for _, e := range f.endpoints {
+			e.Leave(true)
+		}
+		var response *http.Response
+		f.eventually("refused", func() bool {
+			response = f.read(f.instances[0])
+			return response.StatusCode == http.StatusServiceUnavailable
+		})
+		is.True(response.Header.Get(standin.HeaderRetry) != "")
+		f.readUntil(f.instances[0], time.Now().Add(f.settings[0].Drain+500*time.Millisecond))
+		for _, e := range f.endpoints {
+			is.Equal(arrivedIn(e, rested(e).Add(f.settings[0].Drain), time.Now()), 0)
+			e.Leave(false)
+		}
+		f.eventually("served again", func() bool { return f.read(f.instances[0]).StatusCode == http.StatusOK })
+	})
+	t.Run("the only endpoint closes each connection and does not leave", func(t *testing.T) {
+		is := is.New(t)
+		f := newStatementFleet(t, 1, 1)
+		f.endpoints[0].Fail(func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Connection", "close")
+			return false
+		})
+		is.Equal(f.readUntil(f.instances[0], time.Now().Add(f.settings[0].Drain+time.Second)), 0)
+	})
+	t.Run("long runs are moved off before it ends", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t)
+		_, one, response := f.startStream("l1", 300)
+		other := f.startEngine("m-2", "model")
+		f.eventually("both engines", func() bool { return len(f.instances[0].roster.List()) == 2 })
+		one.Leave(true)
+		f.eventually("told", func() bool {
+			f.request(requestSpec{instance: f.instances[0], method: "POST", path: "/short/", id: fmt.Sprint("l2-", time.Now().UnixNano()), headers: map[string]string{standin.HeaderTokens: "100,1"}})
+			return len(one.Seen()) > 1
+		})
+		f.eventually("moved", func() bool {
+			for _, s := range other.Seen() {
+				if s.Header.Get(standin.HeaderRequest) == "l1" {
+					return true
+				}
+			}
+			return false
+		})
+		assertEvents(t, response.Body, "l1", 300)
+		_, err := io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+	})
+}
