An event without a number in a stream of numbered ones breaks the stream off

What callers saw: the text of an error, at times its whole head, in the middle of a resumed stream, which then ended as if it were complete. Cause: a success of the next endpoint whose body is no events was read as an event without an id, and such events were forwarded. The platform's streams number each event, so that one without an id, other than a comment, is not of this stream: it breaks off, and the run continues elsewhere or the caller's connection is cut.

--- a/protocol/relay/events.go
+++ b/protocol/relay/events.go
@@ -12,9 +12,10 @@
 
 // event is one complete server-sent event of a stream, as the endpoint sent it.
 type event struct {
-	data  []byte // with the empty line at the end; valid until the next event is read
-	id    int64  // value of the id field; valid if hasID is set
-	hasID bool
+	data    []byte // with the empty line at the end; valid until the next event is read
+	id      int64  // value of the id field; valid if hasID is set
+	hasID   bool
+	comment bool // it has no lines but comments, and so is no event
 }
 
 // eventReader reads a stream event by event, so that no event is forwarded in part.
@@ -32,7 +33,7 @@
 // next returns the next complete event, or io.EOF if the stream ended after a complete event.
 func (e *eventReader) next() (event, error) {
 	e.buffer = e.buffer[:0]
-	found := event{}
+	found := event{comment: true}
 	for {
 		begin := len(e.buffer)
 		if err := e.readLine(); err != nil {
@@ -46,6 +47,7 @@
 			found.data = e.buffer
 			return found, e.checkNumbered(found)
 		}
+		found.comment = found.comment && line[0] == ':'
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 			found.id, found.hasID = id, err == nil
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -30,7 +30,7 @@
 	ReasonConnectionLost Reason = "broken"      // the connection to the endpoint failed
 	ReasonSilent         Reason = "silent"      // the endpoint sent nothing in time
 	ReasonInvalidAnswer  Reason = "spoiled"     // the answer was not signed by the endpoint, or was content-encoded
-	ReasonGap            Reason = "gap"         // the ids of the stream's events are not consecutive
+	ReasonGap            Reason = "gap"         // the events of the stream are not numbered consecutively
 	ReasonCallerLeft     Reason = "caller"      // the caller disconnected
 	ReasonRetryBudget    Reason = "budget"      // the service's retry budget is exhausted
 	ReasonNoSlot         Reason = "place"       // the router granted no slot
@@ -60,6 +60,7 @@
 	errCallerLeft    = errors.New("caller left")
 	errInvalidAnswer = errors.New("answer is not signed by the endpoint, or is content-encoded")
 	errGap           = errors.New("stream lacks an event")
+	errUnnumbered    = errors.New("stream of numbered events has one without a number")
 	errBodySize      = errors.New("body of the answer exceeds the size limit")
 	errSilent        = errors.New("endpoint is silent")
 	errEnded         = errors.New("run has ended")
@@ -75,7 +76,7 @@
 		return ReasonCallerLeft
 	case errors.Is(err, errInvalidAnswer):
 		return ReasonInvalidAnswer
-	case errors.Is(err, errGap):
+	case errors.Is(err, errGap), errors.Is(err, errUnnumbered):
 		return ReasonGap
 	case errors.Is(err, errSilent):
 		return ReasonSilent
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -85,6 +85,9 @@
 		if err != nil {
 			return err
 		}
+		if !found.hasID && !found.comment && x.lastEvent > 0 {
+			return errUnnumbered
+		}
 		if found.hasID && found.id <= x.lastEvent && x.lastEvent > 0 {
 			continue
 		}
