--- a/coordination/gossip/constants.go
+++ b/coordination/gossip/constants.go
@@ -30,6 +30,7 @@
 	maximumPeers            = 4096                    // instances in the table
 	maximumLeaving          = 64                      // leaving endpoints in a report, and as many updates of endpoints
 	maximumRateLimits       = 64                      // rate limits in a report
+	maximumStandings        = 64                      // rests and departures in a report
 	maximumEvacuations      = 64                      // data centres in a report
 	maximumUses             = 512                     // endpoints whose use a report lists, and whose use is recorded for one instance
 )
--- a/coordination/gossip/report.go
+++ b/coordination/gossip/report.go
@@ -10,6 +10,7 @@
 
 	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
+	"dogwooddyke/coordination/standing"
 	"dogwooddyke/state/evacuation"
 	"dogwooddyke/state/position"
 	"dogwooddyke/state/roster"
@@ -34,6 +35,7 @@
 	Stopping     bool                `cbor:"17,keyasint,omitempty"` // whether the sender ends after this report
 	RateLimits   []quota.Notice      `cbor:"18,keyasint,omitempty"` // limits that the sender has learnt of, or for which it grants permits
 	Evacuations  []evacuation.Change `cbor:"20,keyasint,omitempty"` // orders to evacuate data centres, and those withdrawn lately
+	Standings    []standing.Notice   `cbor:"21,keyasint,omitempty"` // rests and departures that endpoints have told the sender of
 	Crashes      *quarantine.News    `cbor:"19,keyasint,omitempty"` // crashes of endpoints that the sender has noticed, and answers on prompts; nil if none are new
 }
 
@@ -112,6 +114,14 @@
 			return nil, oops.In("gossip").With("from", r.From).Wrap(err)
 		}
 	}
+	if len(r.Standings) > maximumStandings {
+		return nil, oops.In("gossip").With("from", r.From).Errorf("report lists more than %d standings", maximumStandings)
+	}
+	for _, n := range r.Standings {
+		if err := n.Check(); err != nil {
+			return nil, oops.In("gossip").With("from", r.From).Wrap(err)
+		}
+	}
 	if err := r.Crashes.Check(); err != nil {
 		return nil, oops.In("gossip").With("from", r.From).Wrap(err)
 	}
--- a/coordination/routing/admission.go
+++ b/coordination/routing/admission.go
@@ -108,7 +108,7 @@
 	for _, p := range c.sortedPools {
 		p.backlogged = p.missRound == c.round
 	}
-	c.refuseRateLimited(now)
+	c.refuseHeldBack(now)
 	if c.queue.size > 0 && slices.ContainsFunc(c.sortedPools, (*pool).anyLimited) {
 		c.wantPermits()
 	}
--- a/coordination/routing/asks.go
+++ b/coordination/routing/asks.go
@@ -54,7 +54,7 @@
 func (c *Core) asksOfQueue(p *pool, now time.Time) []PermitAsk {
 	waiting, patience := 0, time.Duration(0)
 	for _, r := range c.servingOrder(p, now) {
-		if r.onlyLimited(now) {
+		if r.isHeldBack(now) {
 			waiting++
 			patience = max(patience, r.latestPermit().Sub(now))
 		}
--- a/coordination/routing/choice.go
+++ b/coordination/routing/choice.go
@@ -96,6 +96,9 @@
 	if e.health.Blocked(now) {
 		return VerdictEjected
 	}
+	if now.Before(e.restsUntil) {
+		return VerdictResting
+	}
 	if !e.quota.allows(r, now) {
 		return VerdictRateLimited
 	}
@@ -113,6 +116,9 @@
 		score += remaining * step * memoryPressureCost * (candidate.Memory - memoryPressureThreshold)
 	}
 	score += float64(e.load.Waiting) * step
+	if e.doubted {
+		score += doubtedSeconds
+	}
 	if excess := candidate.Batch + 1 - r.spec.MovableRuns; r.spec.MovableRuns > 0 && excess > 0 {
 		score += immovableRunSeconds * float64(excess)
 	}
@@ -139,12 +145,16 @@
 func (c *Core) chooseOfPair(r *Request, now time.Time) *endpointState {
 	endpoints := r.pool.endpoints
 	var pair [2]*endpointState
+	var lastResort *endpointState // one that may be leaving
 	found := 0
 	offset := c.config.Random.IntN(max(len(endpoints), 1))
 	for i := range endpoints {
 		e := endpoints[(offset+i*pairStride(len(endpoints)))%len(endpoints)]
-		verdict := r.ineligibility(e, now)
-		if verdict != "" {
+		if r.ineligibility(e, now) != "" {
+			continue
+		}
+		if e.doubted {
+			lastResort = e
 			continue
 		}
 		pair[found] = e
@@ -152,10 +162,14 @@
 			break
 		}
 	}
-	if found == 2 && pair[1].running() < pair[0].running() {
+	switch {
+	case found == 0:
+		return lastResort
+	case found == 2 && pair[1].running() < pair[0].running():
 		return pair[1]
+	default:
+		return pair[0]
 	}
-	return pair[0]
 }
 
 // pairStride returns a stride that is coprime to the count, so that stepping by it visits each endpoint once.
--- a/coordination/routing/constants.go
+++ b/coordination/routing/constants.go
@@ -20,6 +20,8 @@
 	latenessFactor          = 1.2                    // factor by which a predicted wait must exceed the time left before a refusal
 	maximumMisses           = 6                      // requests of an entry that find no room in a round before its other requests are skipped
 	remoteSeconds           = 0.010                  // added to the score of an endpoint in another data centre, in seconds
+	doubtedSeconds          = 30.0                   // added to the score of an endpoint that may be leaving, in seconds
+	doubtedFill             = 10.0                   // the same, added to its filled fraction
 	immovableRunSeconds     = 1.0                    // added to the score per run that can't be moved away at short notice, in seconds
 	defaultPromptWeight     = 1.0
 	lateFirstTokenWeight    = 8.0                    // of a second by which a request makes the first tokens of others late, relative to one of its answer
--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -184,6 +184,20 @@
 	}
 }
 
+// SetResting sets the time until which an endpoint is sent nothing, because it has asked for rest.
+func (c *Core) SetResting(address netip.AddrPort, until time.Time) {
+	if e := c.endpoints[address]; e != nil {
+		e.restsUntil = until
+	}
+}
+
+// SetDoubted sets whether an endpoint may be leaving. It is sent work only if no other endpoint can take it.
+func (c *Core) SetDoubted(address netip.AddrPort, doubted bool) {
+	if e := c.endpoints[address]; e != nil {
+		e.doubted = doubted
+	}
+}
+
 // Tick does the periodic work; it must be called several times a second.
 func (c *Core) Tick(now time.Time) {
 	for _, p := range c.sortedPools {
--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -27,6 +27,7 @@
 	VerdictNotReady    Verdict = "notReady"
 	VerdictEjected     Verdict = "ejected"
 	VerdictRateLimited Verdict = "rateLimited" // the endpoint limits the rate of requests, and there is no permit
+	VerdictResting     Verdict = "resting"     // the endpoint has asked for rest
 	VerdictNoSlots     Verdict = "slots"
 	VerdictNoMemory    Verdict = "memory"
 )
--- a/coordination/routing/endpoint.go
+++ b/coordination/routing/endpoint.go
@@ -11,10 +11,12 @@
 type endpointState struct {
 	address            netip.AddrPort
 	dataCentre         string
-	entryCount         int  // entries that use the endpoint
-	plainService       bool // reports no load and has no shares
-	leavingInCatalogue bool // the catalogue lists it as leaving
-	leavingByEvidence  bool // set by SetLeaving
+	entryCount         int       // entries that use the endpoint
+	plainService       bool      // reports no load and has no shares
+	leavingInCatalogue bool      // the catalogue lists it as leaving
+	leavingByEvidence  bool      // set by SetLeaving
+	doubted            bool      // it may be leaving; set by SetDoubted
+	restsUntil         time.Time // time until which it is sent nothing; set by SetResting
 	load               endpoint.Load
 	loadReceived       time.Time // when load was received; zero: never
 	ownRunsAtLoad      int       // runs of this instance there when load was received
--- a/coordination/routing/patience.go
+++ b/coordination/routing/patience.go
@@ -1,23 +1,31 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// onlyLimited reports whether the request could start now but for permits: no endpoint may take it without one, and at least one may with
-// one. Endpoints without free slots don't matter here.
-func (r *Request) onlyLimited(now time.Time) bool {
-	limited := false
+// isHeldBack reports whether the request could start now but for permits and rests: no endpoint may take it now, and at least one may with a
+// permit or after its rest. Endpoints without free slots don't matter here.
+func (r *Request) isHeldBack(now time.Time) bool {
+	held := false
 	for _, e := range r.pool.endpoints {
 		switch r.ineligibility(e, now) {
 		case "":
 			return false
-		case VerdictRateLimited:
-			limited = true
+		case VerdictRateLimited, VerdictResting:
+			held = true
 		}
 	}
-	return limited
+	return held
+}
+
+// holdsBack reports whether any endpoint of the pool rests or limits the rate of its requests.
+func (p *pool) holdsBack(now time.Time) bool {
+	return p.anyLimited() || slices.ContainsFunc(p.endpoints, func(e *endpointState) bool { return now.Before(e.restsUntil) })
 }
 
-// latestPermit returns the time until which the request waits for a permit: for half of the time to its first token, within bounds.
+// latestPermit returns the time until which the request waits for a permit or for the end of a rest: for half of the time to its first token, within bounds.
 func (r *Request) latestPermit() time.Time {
 	patience := maximumPermitPatience
 	if !r.spec.FirstTokenDeadline.IsZero() {
@@ -30,53 +38,67 @@
 	return latest
 }
 
-// refuseRateLimited refuses the queued requests that only limited endpoints can take and that will get no permit in time.
-func (c *Core) refuseRateLimited(now time.Time) {
+// refuseHeldBack refuses the queued requests that only limited and resting endpoints can take, and that none of these will take in time.
+func (c *Core) refuseHeldBack(now time.Time) {
 	for _, p := range c.sortedPools {
-		if c.queue.size == 0 || !p.anyLimited() {
+		if c.queue.size == 0 || !p.holdsBack(now) {
 			continue
 		}
 		ahead := make(map[*endpointState]int) // permits that earlier requests will use
 		for _, r := range c.servingOrder(p, now) {
-			if !r.onlyLimited(now) || r.mayGetPermit(ahead, now) {
+			if !r.isHeldBack(now) || r.mayStartInTime(ahead, now) {
 				continue
 			}
-			retryAt := r.permitRetryAt(now)
-			c.Withdraw(r, ReasonRateLimit, now)
+			reason, retryAt := r.heldBackUntil(now)
+			c.Withdraw(r, reason, now)
 			r.refusal.RetryAt = retryAt
 			c.decidedRequests = append(c.decidedRequests, r)
 		}
 	}
 }
 
-// mayGetPermit reports whether the request may get a permit in time: one that will be valid by then, the answer to an ask, or another ask.
-func (r *Request) mayGetPermit(ahead map[*endpointState]int, now time.Time) bool {
+// mayStartInTime reports whether an endpoint may take the request in time: after its rest, or with a permit, which is one that will be valid by
+// then, the answer to an ask, or another ask.
+func (r *Request) mayStartInTime(ahead map[*endpointState]int, now time.Time) bool {
 	latest := r.latestPermit()
 	if now.After(latest) {
 		return false
 	}
 	for _, e := range r.pool.endpoints {
-		if r.ineligibility(e, now) != VerdictRateLimited {
-			continue
-		}
-		if n := ahead[e]; n < len(e.quota.permits) && !e.quota.permits[n].From.After(latest) {
-			ahead[e]++
-			return true
-		}
-		if !e.quota.askedAt.IsZero() || !e.quota.retryAt.After(latest) {
-			return true
+		switch r.ineligibility(e, now) {
+		case VerdictResting:
+			if !e.restsUntil.After(latest) {
+				return true
+			}
+		case VerdictRateLimited:
+			if n := ahead[e]; n < len(e.quota.permits) && !e.quota.permits[n].From.After(latest) {
+				ahead[e]++
+				return true
+			}
+			if !e.quota.askedAt.IsZero() || !e.quota.retryAt.After(latest) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
-// permitRetryAt returns the earliest time at which an ask for a permit may succeed.
-func (r *Request) permitRetryAt(now time.Time) time.Time {
+// heldBackUntil returns the earliest time at which a rest ends or an ask for a permit may succeed, and which of the two it is.
+func (r *Request) heldBackUntil(now time.Time) (Reason, time.Time) {
+	var reason Reason
 	var earliest time.Time
 	for _, e := range r.pool.endpoints {
-		if r.ineligibility(e, now) == VerdictRateLimited && (earliest.IsZero() || e.quota.retryAt.Before(earliest)) {
-			earliest = e.quota.retryAt
+		at, why := e.quota.retryAt, ReasonRateLimit
+		switch r.ineligibility(e, now) {
+		case VerdictRateLimited:
+		case VerdictResting:
+			at, why = e.restsUntil, ReasonResting
+		default:
+			continue
+		}
+		if reason == "" || at.Before(earliest) {
+			reason, earliest = why, at
 		}
 	}
-	return earliest
+	return reason, earliest
 }
--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -7,7 +7,8 @@
 
 // Place starts a request immediately on the most suitable endpoint, even if none has room. When an engine is reclaimed while the others
 // are full, its runs must continue elsewhere at the cost of the runs there, because they would be lost if they were queued. If only a permit
-// is missing, Place asks for one and refuses with ReasonRateLimit: the caller should try again shortly.
+// is missing, Place asks for one and refuses with ReasonRateLimit; if only endpoints that rest are left, it refuses with ReasonResting. The caller
+// should try again shortly then.
 func (c *Core) Place(spec *RequestSpec, now time.Time) *Request {
 	r := c.newRequest(spec, now)
 	r.inProgress = true
@@ -16,9 +17,11 @@
 		return r
 	}
 	e := c.preferredEndpoint(r, now)
-	if e == nil && spec.PreferredEndpoint.IsValid() && c.demandUrgentPermit(r, now) {
-		c.refuse(r, ReasonRateLimit, time.Time{}, now)
-		return r
+	if e == nil && spec.PreferredEndpoint.IsValid() {
+		if reason := c.preferredIsHeldBack(r, now); reason != "" {
+			c.refuse(r, reason, time.Time{}, now)
+			return r
+		}
 	}
 	if e == nil {
 		e = c.chooseEndpoint(r, now)
@@ -28,8 +31,11 @@
 	}
 	if e == nil {
 		reason := ReasonNoEndpoint
-		if c.demandUrgentPermit(r, now) {
+		switch {
+		case c.demandUrgentPermit(r, now):
 			reason = ReasonRateLimit
+		case r.isHeldBack(now):
+			reason = ReasonResting
 		}
 		c.refuse(r, reason, time.Time{}, now)
 		return r
@@ -53,6 +59,19 @@
 	return nil
 }
 
+// preferredIsHeldBack returns why the preferred endpoint can't take the run now but may soon; the reason is empty if it can't at all.
+func (c *Core) preferredIsHeldBack(r *Request, now time.Time) Reason {
+	if c.demandUrgentPermit(r, now) {
+		return ReasonRateLimit
+	}
+	for _, e := range r.pool.endpoints {
+		if e.address == r.spec.PreferredEndpoint && r.ineligibility(e, now) == VerdictResting {
+			return ReasonResting
+		}
+	}
+	return ""
+}
+
 // leastFilled returns the eligible endpoint whose memory share would be filled least, as a fraction, with the request added; nil if none
 // is eligible.
 func (c *Core) leastFilled(r *Request, now time.Time) *endpointState {
@@ -66,7 +85,11 @@
 		}
 		e.refreshProfile(now)
 		share := e.currentShare(c.config.Instances, now)
-		if filled := e.profile.peakWith(&runProfile, share.Spread) / float64(max(share.Memory, 1)); filled < least {
+		filled := e.profile.peakWith(&runProfile, share.Spread) / float64(max(share.Memory, 1))
+		if e.doubted {
+			filled += doubtedFill
+		}
+		if filled < least {
 			best, least = e, filled
 		}
 	}
--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -82,6 +82,16 @@
 	r.update(now, func(c *Core) { c.SetLeaving(address, leaving) })
 }
 
+// SetResting sets the time until which an endpoint is sent nothing.
+func (r *Router) SetResting(address netip.AddrPort, until, now time.Time) {
+	r.update(now, func(c *Core) { c.SetResting(address, until) })
+}
+
+// SetDoubted sets whether an endpoint may be leaving.
+func (r *Router) SetDoubted(address netip.AddrPort, doubted bool, now time.Time) {
+	r.update(now, func(c *Core) { c.SetDoubted(address, doubted) })
+}
+
 // SetShare replaces this instance's share of an endpoint.
 func (r *Router) SetShare(address netip.AddrPort, share endpoint.Share, now time.Time) {
 	r.update(now, func(c *Core) { c.SetShare(address, share) })
--- a/coordination/routing/spec.go
+++ b/coordination/routing/spec.go
@@ -53,6 +53,7 @@
 	ReasonDeadline       Reason = "deadline"       // the request can't start before its deadline
 	ReasonWorkspaceLimit Reason = "workspaceLimit" // the workspace's limits delay the start past the deadline
 	ReasonRateLimit      Reason = "rateLimit"      // the endpoints limit the rate of requests, and none permits the request in time
+	ReasonResting        Reason = "resting"        // the endpoints have asked for rest, and none of the rests ends in time
 	ReasonQuarantined    Reason = "quarantined"    // a part of the prompt crashes engines
 	ReasonDraining       Reason = "draining"       // the instance takes no new work
 	ReasonCancelled      Reason = "cancelled"      // the caller disconnected while the request was queued
@@ -60,7 +61,12 @@
 
 // MayPassWithoutExclusions reports whether the request might have been admitted if it excluded no endpoint.
 func (r *RefusalError) MayPassWithoutExclusions() bool {
-	return r.Reason == ReasonNoEndpoint || r.Reason == ReasonRateLimit
+	return r.Reason == ReasonNoEndpoint || r.MayPassSoon()
+}
+
+// MayPassSoon reports whether an endpoint may take the request without a change of the endpoints.
+func (r *RefusalError) MayPassSoon() bool {
+	return r.Reason == ReasonRateLimit || r.Reason == ReasonResting
 }
 
 // Error returns the reason in one line.
--- /dev/null
+++ b/coordination/standing/departure.go
@@ -0,0 +1,64 @@
+package standing
+
+import "time"
+
+// departure is what an endpoint has said of whether it leaves. Each answer of one that leaves carries the sign, and now and then an answer of
+// one that stays. So the first sign is a doubt, which the endpoint must confirm or take back in an answer to something sent after it.
+type departure struct {
+	doubtedAt time.Time // receipt of the first sign that was not taken back; zero: none
+	signedAt  time.Time // receipt of the latest sign
+	confirmed bool
+	toldUntil time.Time // time until which another instance's word holds that the endpoint leaves
+
+	questions int       // asked since the first sign
+	askAt     time.Time // time of the next question
+	asking    bool      // whether a question has no answer yet
+}
+
+// observe applies an answer to something that was sent at the given time. An answer of another process at the endpoint's address needs no
+// confirmation.
+func (d *departure) observe(sign, replaced bool, sent, now time.Time) {
+	later := !sent.Before(d.signedAt)
+	switch {
+	case !sign && !replaced:
+		if !d.doubtedAt.IsZero() && later {
+			*d = departure{toldUntil: d.toldUntil, asking: d.asking}
+		}
+		return
+	case d.doubtedAt.IsZero():
+		d.doubtedAt, d.askAt = now, now
+	case later:
+		d.confirmed = true
+	}
+	d.confirmed = d.confirmed || replaced
+	d.signedAt = now
+}
+
+// expire ends a doubt that the endpoint has not taken back within the limit.
+func (d *departure) expire(limit time.Duration, now time.Time) {
+	if d.doubted() && now.Sub(d.doubtedAt) >= limit {
+		d.confirmed = true
+	}
+}
+
+// doubted reports whether it is not known yet if the endpoint leaves.
+func (d *departure) doubted() bool { return !d.doubtedAt.IsZero() && !d.confirmed }
+
+// leaves reports whether the endpoint is to be sent no new work.
+func (d *departure) leaves(now time.Time) bool { return d.confirmed || now.Before(d.toldUntil) }
+
+// ask reports whether a question is due, and marks it as asked.
+func (d *departure) ask(now time.Time) bool {
+	if d.doubtedAt.IsZero() || d.asking || now.Before(d.askAt) {
+		return false
+	}
+	d.asking = true
+	return true
+}
+
+// asked notes that a question has been answered, or has failed.
+func (d *departure) asked(now time.Time) {
+	d.asking = false
+	d.askAt = now.Add(min(firstQuestionPause<<min(d.questions, 10), longestQuestionPause))
+	d.questions++
+}
--- /dev/null
+++ b/coordination/standing/departure_test.go
@@ -0,0 +1,88 @@
+package standing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestDeparture(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+	sign := func(d *departure, sent, received int) { d.observe(true, false, at(sent), at(received)) }
+	none := func(d *departure, sent, received int) { d.observe(false, false, at(sent), at(received)) }
+
+	t.Run("the first sign is a doubt", func(t *testing.T) {
+		is := is.New(t)
+		d := &departure{}
+		none(d, 0, 5)
+		is.True(!d.doubted())
+		sign(d, 0, 10)
+		is.True(d.doubted())
+		is.True(!d.leaves(at(10)))
+	})
+	t.Run("an answer to something sent after it confirms or ends the doubt", func(t *testing.T) {
+		is := is.New(t)
+		d := &departure{}
+		sign(d, 0, 10)
+		sign(d, 11, 20)
+		is.True(d.leaves(at(20)))
+		d = &departure{}
+		sign(d, 0, 10)
+		none(d, 11, 20)
+		is.True(!d.doubted() && !d.leaves(at(20)))
+	})
+	t.Run("answers to what was sent before it do neither", func(t *testing.T) {
+		is := is.New(t)
+		d := &departure{}
+		sign(d, 0, 10)
+		sign(d, 5, 20)
+		none(d, 10, 30)
+		is.True(d.doubted())
+		none(d, 15, 40) // sent before the latest sign
+		is.True(d.doubted())
+		none(d, 21, 50)
+		is.True(!d.doubted())
+	})
+	t.Run("an endpoint that stays after all gets work again", func(t *testing.T) {
+		is := is.New(t)
+		d := &departure{}
+		sign(d, 0, 10)
+		sign(d, 11, 20)
+		none(d, 21, 30)
+		is.True(!d.leaves(at(30)))
+	})
+	t.Run("a doubt that is not ended in time counts", func(t *testing.T) {
+		is := is.New(t)
+		d := &departure{}
+		sign(d, 0, 10)
+		d.expire(time.Second, at(1009))
+		is.True(d.doubted())
+		d.expire(time.Second, at(1010))
+		is.True(d.leaves(at(1010)))
+	})
+	t.Run("another process at the address needs no confirmation", func(t *testing.T) {
+		is := is.New(t)
+		d := &departure{}
+		d.observe(false, true, at(0), at(10))
+		is.True(d.leaves(at(10)))
+	})
+	t.Run("questions are asked at once, then more and more seldom", func(t *testing.T) {
+		is := is.New(t)
+		d := &departure{}
+		is.True(!d.ask(at(0)))
+		sign(d, 0, 10)
+		is.True(d.ask(at(10)))
+		is.True(!d.ask(at(11))) // one at a time
+		pause, now := time.Duration(0), at(20)
+		for range 12 {
+			d.asked(now)
+			next := d.askAt.Sub(now)
+			is.True(next >= pause && next <= longestQuestionPause)
+			pause, now = next, d.askAt
+			is.True(d.ask(now))
+		}
+		is.Equal(pause, longestQuestionPause)
+	})
+}
--- /dev/null
+++ b/coordination/standing/exchange.go
@@ -0,0 +1,306 @@
+package standing
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"dogwooddyke/state/process"
+	"dogwooddyke/state/statement"
+)
+
+// How statements travel:
+//
+//	endpoint's answer -> Learn     the router rests the endpoint, or avoids it while it may be leaving; it is asked whether it leaves
+//	question's answer -> Learn     the endpoint leaves, or it does not
+//	Notices -> report -> Receive   the other instances learn of it
+
+// Endpoint is an endpoint that this instance knows.
+type Endpoint struct {
+	Process process.ID
+	ID      string
+	Service string
+	Born    int64 // start of the process by the endpoint's clock, in Unix milliseconds
+	Listed  bool  // the endpoint list says that it leaves, so that it is not asked
+}
+
+// Router heeds the standing of endpoints in each of its decisions.
+type Router interface {
+	SetResting(address netip.AddrPort, until, now time.Time)
+	SetDoubted(address netip.AddrPort, doubted bool, now time.Time)
+}
+
+// Asker asks an endpoint something whose answer passes through Learn before it returns.
+type Asker interface {
+	Ask(ctx context.Context, e Endpoint) error
+}
+
+// Observer is notified of changes; its methods must be fast and safe for concurrent use.
+type Observer interface {
+	// Rests is called when an endpoint begins to rest.
+	Rests(e Endpoint, until time.Time, source string)
+	// Doubted is called when an endpoint may be leaving.
+	Doubted(e Endpoint)
+	// LeavingChanged is called when an endpoint is known to leave, or not to leave after all.
+	LeavingChanged(e Endpoint, leaving bool)
+	// Asked is called after each question, with the error if there was no answer.
+	Asked(e Endpoint, err error)
+}
+
+// Config is what an exchange works with; all fields are required.
+type Config struct {
+	Router     Router
+	Asker      Asker
+	Observer   Observer
+	DoubtLimit time.Duration                  // time from an endpoint's first sign after which it is taken for leaving unless it has said otherwise
+	OnLeaving  func(e Endpoint, leaving bool) // called without a lock; may be called again with the same value
+	OnNotices  func()                         // called when the next report should be sent soon, because it carries news
+}
+
+// Exchange holds what endpoints have said of themselves. It is safe for concurrent use. Lock order: mutex is locked before that of the router.
+type Exchange struct {
+	config Config
+	wake   chan struct{} // receives a value when a question may be due
+
+	mutex     sync.Mutex
+	endpoints map[process.ID]Endpoint // of the endpoint list
+	states    map[process.ID]*state   // of endpoints that have said something
+	passed    map[netip.AddrPort]bool // addresses of which the router was told something that may have to be taken back
+}
+
+// state is what is known of one endpoint.
+type state struct {
+	restUntil   time.Time
+	restOfAll   bool // the rest was asked for here, of all instances
+	departure   departure
+	leaving     bool // as last passed on
+	told        bool // the others have been told that it leaves
+	doubted     bool // as last passed to the router
+	reportsLeft int  // further reports that carry it
+}
+
+// NewExchange returns an exchange that knows nothing; Run must be called.
+func NewExchange(c Config) *Exchange {
+	return &Exchange{
+		config:    c,
+		wake:      make(chan struct{}, 1),
+		endpoints: make(map[process.ID]Endpoint),
+		states:    make(map[process.ID]*state),
+		passed:    make(map[netip.AddrPort]bool),
+	}
+}
+
+// change is a change of whether an endpoint leaves.
+type change struct {
+	endpoint Endpoint
+	leaving  bool
+}
+
+// Learn applies what an answer says of its endpoint, and when that was asked.
+func (x *Exchange) Learn(p process.ID, s statement.Statement, sent, now time.Time) {
+	x.mutex.Lock()
+	e, known := x.endpoints[p]
+	st := x.states[p]
+	says := s.Rest.For > 0 || s.Closes || s.Replaced
+	if !known || st == nil && !says {
+		x.mutex.Unlock()
+		return
+	}
+	if st == nil {
+		st = &state{}
+		x.states[p] = st
+	}
+	news := x.rest(e, st, s.Rest.For, s.Rest.All, "answer", now)
+	st.departure.observe(s.Closes, s.Replaced, sent, now)
+	changes := x.settle(e, st, nil, now)
+	x.mutex.Unlock()
+	signal(x.wake)
+	x.pass(changes)
+	if news || len(changes) > 0 {
+		x.config.OnNotices()
+	}
+}
+
+// rest extends an endpoint's rest, and reports whether the others are to be told; the caller holds the mutex.
+func (x *Exchange) rest(e Endpoint, st *state, lasts time.Duration, ofAll bool, source string, now time.Time) bool {
+	until := now.Add(lasts)
+	if lasts <= 0 || !until.After(st.restUntil) {
+		return false
+	}
+	if !now.Before(st.restUntil) {
+		x.config.Observer.Rests(e, until, source)
+	}
+	st.restUntil = until
+	if ofAll {
+		st.restOfAll, st.reportsLeft = true, newsRepeats
+	}
+	x.passed[e.Process.Address] = true
+	x.config.Router.SetResting(e.Process.Address, until, now)
+	return ofAll
+}
+
+// settle passes an endpoint's departure to the router, and adds a change of whether it leaves to the list; the caller holds the mutex.
+func (x *Exchange) settle(e Endpoint, st *state, changes []change, now time.Time) []change {
+	if doubted := st.departure.doubted(); doubted != st.doubted {
+		st.doubted = doubted
+		if doubted && !e.Listed {
+			x.config.Observer.Doubted(e)
+		}
+		x.passed[e.Process.Address] = true
+		x.config.Router.SetDoubted(e.Process.Address, doubted, now)
+	}
+	leaving := st.departure.leaves(now)
+	if leaving == st.leaving {
+		return changes
+	}
+	st.leaving = leaving
+	if st.departure.confirmed || st.told {
+		st.told, st.reportsLeft = true, newsRepeats
+	}
+	x.config.Observer.LeavingChanged(e, leaving)
+	return append(changes, change{e, leaving})
+}
+
+// pass passes changes on; no lock may be held.
+func (x *Exchange) pass(changes []change) {
+	for _, c := range changes {
+		x.config.OnLeaving(c.endpoint, c.leaving)
+	}
+}
+
+// SetEndpoints replaces the endpoints that this instance knows, forgets what others have said, and passes what is known to the router, which may
+// have forgotten it.
+func (x *Exchange) SetEndpoints(endpoints []Endpoint, now time.Time) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	clear(x.endpoints)
+	for _, e := range endpoints {
+		x.endpoints[e.Process] = e
+	}
+	for p := range x.states {
+		if _, known := x.endpoints[p]; !known {
+			delete(x.states, p)
+		}
+	}
+	for _, e := range endpoints {
+		address := e.Process.Address
+		st := x.states[e.Process]
+		if st == nil && !x.passed[address] {
+			continue
+		}
+		if st == nil {
+			st = &state{} // of a process that was started after the one that said something
+			delete(x.passed, address)
+		}
+		x.config.Router.SetResting(address, st.restUntil, now)
+		x.config.Router.SetDoubted(address, st.doubted, now)
+	}
+}
+
+// Expire ends doubts that have lasted too long, and what other instances have told of endpoints; it must be called several times a second.
+func (x *Exchange) Expire(now time.Time) {
+	x.mutex.Lock()
+	var changes []change
+	for p, st := range x.states {
+		e := x.endpoints[p]
+		st.departure.expire(x.config.DoubtLimit, now)
+		before := len(changes)
+		changes = x.settle(e, st, changes, now)
+		if st.leaving && len(changes) == before {
+			changes = append(changes, change{e, true}) // the list may have it under a new entry
+		}
+		if st.isOver(now) {
+			delete(x.states, p)
+		}
+	}
+	x.mutex.Unlock()
+	x.pass(changes)
+}
+
+// isOver reports whether nothing follows any more from what the endpoint has said.
+func (s *state) isOver(now time.Time) bool {
+	d := &s.departure
+	return !now.Before(s.restUntil) && d.doubtedAt.IsZero() && !d.asking && !now.Before(d.toldUntil) && s.reportsLeft == 0
+}
+
+// Resting returns the number of endpoints that rest.
+func (x *Exchange) Resting() int {
+	now := time.Now()
+	return x.count(func(s *state) bool { return now.Before(s.restUntil) })
+}
+
+// Leaving returns the number of endpoints that leave by their own word.
+func (x *Exchange) Leaving() int { return x.count(func(s *state) bool { return s.leaving }) }
+
+func (x *Exchange) count(holds func(s *state) bool) int {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	count := 0
+	for _, st := range x.states {
+		if holds(st) {
+			count++
+		}
+	}
+	return count
+}
+
+// Run asks endpoints that may be leaving until the context ends.
+func (x *Exchange) Run(ctx context.Context) {
+	var questions conc.WaitGroup
+	defer questions.Wait()
+	for ctx.Err() == nil {
+		due, next := x.due(time.Now())
+		for _, e := range due {
+			questions.Go(func() { x.ask(ctx, e) })
+		}
+		timer := time.NewTimer(next)
+		select {
+		case <-ctx.Done():
+		case <-x.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// ask asks one endpoint.
+func (x *Exchange) ask(ctx context.Context, e Endpoint) {
+	err := x.config.Asker.Ask(ctx, e)
+	x.config.Observer.Asked(e, err)
+	x.mutex.Lock()
+	if st := x.states[e.Process]; st != nil {
+		st.departure.asked(time.Now())
+	}
+	x.mutex.Unlock()
+	signal(x.wake)
+}
+
+// due returns the endpoints that are to be asked now, and the time until the next one is.
+func (x *Exchange) due(now time.Time) ([]Endpoint, time.Duration) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	var due []Endpoint
+	next := longestQuestionPause
+	for p, st := range x.states {
+		e := x.endpoints[p]
+		switch d := &st.departure; {
+		case e.Listed:
+		case d.ask(now):
+			due = append(due, e)
+		case !d.doubtedAt.IsZero() && !d.asking:
+			next = min(next, d.askAt.Sub(now))
+		}
+	}
+	return due, next
+}
+
+// signal sends to a channel of capacity one unless a value is pending.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -20,6 +20,7 @@
 	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/coordination/standing"
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/platform"
 	"dogwooddyke/protocol/relay"
@@ -44,7 +45,7 @@
 //
 //	log -> consumer -> state/route, state/evacuation, state/roster -> the router's entries
 //
-// Lock order: Instance.mutex is locked before the mutex of the gossiper, that one before the mutexes of quotas and the quarantine, and these before
+// Lock order: Instance.mutex is locked before the mutex of the gossiper, that one before the mutexes of quotas, the quarantine and the standings, and these before
 // the mutexes of the roster, the evacuations and the router.
 
 // Instance holds the components of one instance and runs them.
@@ -61,6 +62,8 @@
 	observer         *observer
 	gossiper         *gossiper
 	quotas           *quota.Exchange
+	standings        *standing.Exchange
+	engines          *platform.Engines
 	quarantine       *quarantine.Exchange
 	sharers          *sharers
 	scheduler        *moveScheduler
@@ -121,19 +124,22 @@
 	i.observer = newObserver(logger)
 	i.gossiper = newGossiper(i)
 	i.quotas = i.newQuotas()
+	i.engines = platform.NewEngines(i.stated)
+	i.standings = i.newStandings()
 	i.quarantine = i.newQuarantine()
 	i.node = peer.NewNode(peer.Config{Address: i.gossiper.self, Keys: [][]byte{[]byte(settings.PeerKey)}})
 	i.node.Handle(methodState, i.serveState)
 	i.scheduler = newMoveScheduler(i.gossiper)
 	i.observer.onGenerationDispatched = i.gossiper.reportUse
-	i.observer.onRateLimitStated = i.rateLimitStated
 	i.observer.rateLimit = func(e process.ID) ratelimit.Limit { return i.quotas.Limit(e, time.Now()) }
 	i.observer.metrics.registerCount("limited_endpoints", "Endpoints that name a limit on the rate of requests.", i.quotas.LimitedEndpoints)
 	i.observer.metrics.registerCount("cold_endpoints", "Endpoints that have just started and take few requests.", i.quotas.ColdEndpoints)
+	i.observer.metrics.registerCount("resting_endpoints", "Endpoints that have asked for rest.", i.standings.Resting)
+	i.observer.metrics.registerCount("departing_endpoints", "Endpoints that leave by their own word.", i.standings.Leaving)
 	i.observer.metrics.registerCount("held_bytes", "Bytes that are held for callers who send or read slowly.", i.memory.Used)
 	i.observer.metrics.registerCount("evacuated_data_centres", "Data centres to which no request may be sent.", i.evacuations.Count)
 	i.runner = &relay.Runner{
-		Endpoints:     platform.NewEngines(),
+		Endpoints:     i.engines,
 		Router:        i.router,
 		Roster:        rosterAdapter{i.roster, i.evacuations},
 		Budgets:       &relay.Budgets{},
@@ -189,6 +195,7 @@
 	i.group.Go(func() { i.consumeCatalogue(ctx) })
 	i.group.Go(func() { i.consumeEndpoints(ctx) })
 	i.group.Go(func() { i.quotas.Run(ctx) })
+	i.group.Go(func() { i.standings.Run(ctx) })
 	i.group.Go(func() { i.quarantine.Run(ctx) })
 	i.group.Go(func() { i.tick(ctx) })
 	i.logger.Info("started", "dataCentre", i.settings.DataCentre)
@@ -256,6 +263,7 @@
 		i.roster.Expire(missingGrace, now)
 		i.expireEvacuations(now)
 		i.quotas.Expire(now)
+		i.standings.Expire(now)
 		i.checkSettled(now)
 		i.renewShares(now)
 		i.router.Tick(now)
--- a/instance/hosted/gossiper.go
+++ b/instance/hosted/gossiper.go
@@ -18,7 +18,7 @@
 
 // gossiper reports to the other instances what this one has in progress, and applies their reports.
 //
-// Lock order: mutex is locked before the mutexes of the quota exchange, the quarantine, the roster, the router and the sharers; it is not held while a report is sent.
+// Lock order: mutex is locked before the mutexes of the quota exchange, the standings, the quarantine, the roster, the router and the sharers; it is not held while a report is sent.
 type gossiper struct {
 	instance  *Instance
 	socket    *datagram.Socket
@@ -165,6 +165,7 @@
 	}
 	r.Updates = g.nextUpdates()
 	r.RateLimits = g.instance.quotas.Notices(!r.Partial, now)
+	r.Standings = g.instance.standings.Notices(!r.Partial, now)
 	r.Crashes = g.instance.quarantine.Notices(now)
 	r.Evacuations = g.instance.evacuations.Changes()
 	targets := g.peers.Targets(r.DataCentre, r.Sequence, now)
--- a/instance/hosted/metrics.go
+++ b/instance/hosted/metrics.go
@@ -24,6 +24,9 @@
 	limitedDispatches prometheus.Counter
 	permitAsks        *prometheus.CounterVec
 	permits           prometheus.Counter
+	rests             prometheus.Counter
+	doubts            prometheus.Counter
+	questions         *prometheus.CounterVec
 	lateFirstTokens   *prometheus.CounterVec
 	timeToAnswer      *prometheus.HistogramVec
 	totalTime         *prometheus.HistogramVec
@@ -54,12 +57,15 @@
 		limitedDispatches: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "limited_dispatches_total", Help: "Dispatches to endpoints whose rate limit was known."}),
 		permitAsks:        counter("permit_asks_total", "Asks for permits of endpoints that limit their rate, by result.", "result"),
 		permits:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "permits_total", Help: "Permits that this instance was granted; an unused one lapses."}),
+		rests:             prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "rests_total", Help: "Times that an endpoint began to rest because it had asked for that."}),
+		doubts:            prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "departure_signs_total", Help: "Answers by which an endpoint may be leaving that was not taken for leaving before."}),
+		questions:         counter("departure_questions_total", "Questions whether an endpoint leaves, by whether it answered.", "answered"),
 		lateFirstTokens:   counter("late_first_total", "Answers that began later than their route's target.", "class"),
 		timeToAnswer:      histogram("first_seconds", "Time to the beginning of the answer."),
 		totalTime:         histogram("whole_seconds", "Time to the end of the answer."),
 		longestPause:      histogram("pause_seconds", "Longest time between two events of a stream."),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.crashes, m.suspicions, m.trials, m.limitedDispatches, m.permitAsks, m.permits, m.lateFirstTokens, m.timeToAnswer, m.totalTime, m.longestPause)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.crashes, m.suspicions, m.trials, m.limitedDispatches, m.permitAsks, m.permits, m.rests, m.doubts, m.questions, m.lateFirstTokens, m.timeToAnswer, m.totalTime, m.longestPause)
 	return m
 }
 
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -10,6 +10,7 @@
 
 	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
+	"dogwooddyke/coordination/standing"
 	"dogwooddyke/protocol/relay"
 	"dogwooddyke/state/process"
 	"dogwooddyke/state/prompt"
@@ -19,9 +20,8 @@
 
 // observer logs and counts each decision about a request, and logs each change of an endpoint.
 type observer struct {
-	onGenerationDispatched func(engine netip.AddrPort)                                   // called for each dispatch of a generation
-	onRateLimitStated      func(e relay.Endpoint, sent time.Time, limit ratelimit.Limit) // called for each answer that says whether its endpoint limits its rate
-	rateLimit              func(e process.ID) ratelimit.Limit                            // returns the limit of an endpoint
+	onGenerationDispatched func(engine netip.AddrPort)        // called for each dispatch of a generation
+	rateLimit              func(e process.ID) ratelimit.Limit // returns the limit of an endpoint
 	logger                 *slog.Logger
 	metrics                *metrics
 
@@ -58,13 +58,34 @@
 		"sent", dispatches, "after", d.After, "copied", d.Copy != nil, "backup", d.Backup, "prompt", d.Request.PromptTokens, "request", d.Request.Whole.String(), "parts", prompt.Format(d.Request.Parts), "output", d.Request.MaximumTokens, "expected", int(d.ExpectedTokens), "batch", d.Choice.Batch, "filled", roundToThousandths(d.Choice.Memory), "score", roundToThousandths(d.Choice.Score), "expectedFirstMs", d.Choice.FirstToken.Milliseconds(), "leftMs", time.Until(d.Deadline).Milliseconds())
 }
 
-// RateLimitStated passes on what an answer says of its endpoint's rate limit, or logs why that can't be read.
-func (o *observer) RateLimitStated(e relay.Endpoint, sent time.Time, stated relay.RateLimit) {
-	if stated.Err != nil {
-		o.logger.Warn("could not read the rate limit of an endpoint", "endpoint", e.ID, "error", stated.Err.Error())
-		return
+// statementUnreadable logs a part of what an endpoint says of itself that can't be read.
+func (o *observer) statementUnreadable(e relay.Endpoint, err error) {
+	o.logger.Warn("could not read what an endpoint says of itself", "endpoint", e.ID, "error", err.Error())
+}
+
+// Rests logs and counts the begin of an endpoint's rest.
+func (o *observer) Rests(e standing.Endpoint, until time.Time, source string) {
+	o.metrics.rests.Inc()
+	o.logger.Info("endpoint asks for rest", "endpoint", e.ID, "address", e.Process.Address, "restMs", time.Until(until).Milliseconds(), "source", source)
+}
+
+// Doubted logs and counts an answer by which an endpoint may be leaving.
+func (o *observer) Doubted(e standing.Endpoint) {
+	o.metrics.doubts.Inc()
+	o.logger.Info("endpoint may be leaving", "endpoint", e.ID, "address", e.Process.Address)
+}
+
+// LeavingChanged logs that an endpoint leaves by its own word, or does not after all.
+func (o *observer) LeavingChanged(e standing.Endpoint, leaving bool) {
+	o.logger.Info("endpoint has said whether it leaves", "endpoint", e.ID, "address", e.Process.Address, "leaving", leaving)
+}
+
+// Asked counts the questions whether an endpoint leaves.
+func (o *observer) Asked(e standing.Endpoint, err error) {
+	o.metrics.questions.WithLabelValues(strconv.FormatBool(err == nil)).Inc()
+	if err != nil {
+		o.logger.Debug("endpoint did not say whether it leaves", "endpoint", e.ID, "error", err.Error())
 	}
-	o.onRateLimitStated(e, sent, stated.Limit)
 }
 
 // RateLimitChanged logs a notable change of an endpoint's rate limit.
--- a/instance/hosted/quota.go
+++ b/instance/hosted/quota.go
@@ -7,9 +7,7 @@
 	"dogwooddyke/coordination/gossip"
 	"dogwooddyke/coordination/member"
 	"dogwooddyke/coordination/quota"
-	"dogwooddyke/protocol/relay"
 	"dogwooddyke/state/process"
-	"dogwooddyke/state/ratelimit"
 )
 
 // quotaFleet is what the quota exchange needs to know of the other instances.
@@ -71,16 +69,6 @@
 	return g.peers.LiveCount(now) + 1, g.peers.SilentCount(now)
 }
 
-// rateLimitStated passes what an answer says of its endpoint's rate limit to the quota exchange.
-func (i *Instance) rateLimitStated(e relay.Endpoint, sent time.Time, limit ratelimit.Limit) {
-	now := time.Now()
-	news := ratelimit.News{Endpoint: e.Process(), Limit: limit, At: sent}
-	if limit.Named {
-		news.At = now
-	}
-	i.quotas.Learn(news, now)
-}
-
 // updateQuotas passes the known endpoints to the quota exchange; a catalogue must be known, and the router's entries must be up to date.
 func (i *Instance) updateQuotas(now time.Time) {
 	table := i.table.Load()
--- a/instance/hosted/receiver.go
+++ b/instance/hosted/receiver.go
@@ -70,6 +70,7 @@
 	}
 	r.Updates = g.instance.applyUpdates(r)
 	g.instance.quotas.Receive(r.RateLimits, r.From, now)
+	g.instance.standings.Receive(r.Standings, r.From.String(), now)
 	g.instance.quarantine.Receive(r.Crashes, now)
 	g.instance.receiveEvacuations(r.Evacuations, r.From.String())
 	if !fresh {
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -229,7 +229,7 @@
 // copyMemory copies the run's memory once, and stops the run first if last is set.
 func (m *mover) copyMemory(ctx context.Context, id string, target Endpoint, last bool) (Copy, error) {
 	began := time.Now()
-	copied, err := m.execution.runner.Endpoints.Move(ctx, id, m.from.Address, target.Address, last)
+	copied, err := m.execution.runner.Endpoints.Move(ctx, id, m.from, target.Address, last)
 	m.execution.runner.Observer.Moved(m.execution.request, m.from.Address, target.Address, copied, last, began, err)
 	return copied, err
 }
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -10,7 +10,6 @@
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/state/process"
 	"dogwooddyke/state/prompt"
-	"dogwooddyke/state/ratelimit"
 	"dogwooddyke/state/route"
 )
 
@@ -88,14 +87,6 @@
 	Encoded  bool        // the body has a content encoding, so its bytes are not those that the endpoint produced
 	Unframed bool        // the end of the body is marked only by the end of the connection
 	Body     io.ReadCloser
-
-	RateLimit RateLimit // that the answer names
-}
-
-// RateLimit is what an answer of an endpoint says of its rate limit.
-type RateLimit struct {
-	Limit ratelimit.Limit
-	Err   error // why the value can't be read; the answer then says nothing of the limit
 }
 
 // NotRunError reports that an endpoint certainly did not run a dispatch.
@@ -103,8 +94,6 @@
 	Status        int   // HTTP status of the endpoint's refusal; zero if the dispatch did not reach it
 	AddressReused bool  // the address belongs to another endpoint than the expected one
 	Cause         error // why the dispatch did not reach the endpoint; nil if it did
-
-	RateLimit RateLimit // that the refusal names
 }
 
 // Error returns the cause on one line.
@@ -129,7 +118,7 @@
 	Send(ctx context.Context, d *Dispatch) (*Reply, error)
 	// Move copies a run's memory from one endpoint to another. If last is set, it stops the run first; the returned copy is then
 	// valid even with an error, provided that its handle is set.
-	Move(ctx context.Context, id string, from, to netip.AddrPort, last bool) (Copy, error)
+	Move(ctx context.Context, id string, from Endpoint, to netip.AddrPort, last bool) (Copy, error)
 	// Drop frees a copy that is no longer needed.
 	Drop(ctx context.Context, c Copy)
 	// Crashed reports whether no process listens at an endpoint's address any more; false if that can't be found out soon.
--- a/protocol/relay/restore.go
+++ b/protocol/relay/restore.go
@@ -35,7 +35,7 @@
 	spec.PreferredEndpoint = d.Backup
 	spec.GeneratedTokens = int(x.passedTokens.Load())
 	spec.Exclude = append(spec.Exclude[:len(spec.Exclude):len(spec.Exclude)], d.Endpoint.Address)
-	slot, err := x.placeWithPermit(&spec)
+	slot, err := x.placeSoon(&spec)
 	if err != nil {
 		return nil
 	}
@@ -52,14 +52,14 @@
 	return &next
 }
 
-// placeWithPermit returns a slot for a run that continues at another endpoint. If only a permit is missing, which the router then asks for,
-// it waits for that a little.
-func (x *execution) placeWithPermit(spec *routing.RequestSpec) (*routing.Slot, error) {
+// placeSoon returns a slot for a run that continues at another endpoint. If only a permit is missing, which the router then asks for, or only
+// endpoints that rest are left, it waits a little.
+func (x *execution) placeSoon(spec *routing.RequestSpec) (*routing.Slot, error) {
 	deadline := time.Now().Add(permitWait)
 	for {
 		slot, err := x.runner.Router.Place(spec)
 		refusal, ok := errors.AsType[*routing.RefusalError](err)
-		if !ok || refusal.Reason != routing.ReasonRateLimit || !time.Now().Before(deadline) {
+		if !ok || !refusal.MayPassSoon() || !time.Now().Before(deadline) {
 			return slot, err
 		}
 		if err := wait.For(x.ctx, permitPollInterval); err != nil {
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -49,9 +49,6 @@
 type Observer interface {
 	// Dispatched is called before each dispatch, with the number of its request's dispatches, including this one.
 	Dispatched(d *Dispatch, dispatches int)
-	// RateLimitStated is called for each answer that says whether its endpoint limits the rate of requests, with the time at which the
-	// request was sent.
-	RateLimitStated(endpoint Endpoint, sent time.Time, limit RateLimit)
 	// RetryDecided is called after each failed dispatch, with its cause and whether the request is sent again.
 	RetryDecided(r *Request, endpoint Endpoint, cause error, allowed bool)
 	// CrashNoticed is called when an endpoint has crashed under a dispatch, with the events of its answer until then.
@@ -237,11 +234,7 @@
 	x.result.Endpoint = d.Endpoint
 	x.result.Dispatches++
 	x.runner.Observer.Dispatched(d, x.result.Dispatches)
-	sent := time.Now()
 	reply, err := x.runner.Endpoints.Send(ctx, d)
-	if limit, stated := statedRateLimit(reply, err); stated {
-		x.runner.Observer.RateLimitStated(d.Endpoint, sent, limit)
-	}
 	if err == nil {
 		x.mayHaveRun++
 		x.result.Status = reply.Status
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -10,14 +10,15 @@
 
 // Endpoint describes one start of the process of an endpoint.
 type Endpoint struct {
-	ID         string // identifies this start of the process; another process at the same address has another id
-	Service    string
-	Address    netip.AddrPort
-	DataCentre string
-	Slots      int
-	Leaving    bool      // takes no new work, and finishes the work that it has
-	Born       int64     // start time by the clock of the endpoint, in Unix milliseconds; zero if unknown
-	ColdUntil  time.Time `cbor:"-" json:"-"` // end of the time in which the endpoint has just started and takes few requests; set by the table
+	ID          string // identifies this start of the process; another process at the same address has another id
+	Service     string
+	Address     netip.AddrPort
+	DataCentre  string
+	Slots       int
+	Leaving     bool      // by the list; the endpoint takes no new work, and finishes the work that it has
+	Born        int64     // start time by the clock of the endpoint, in Unix milliseconds; zero if unknown
+	SaidLeaving bool      `cbor:"-" json:"-"` // the endpoint itself has said that it is leaving; set by the table
+	ColdUntil   time.Time `cbor:"-" json:"-"` // end of the time in which the endpoint has just started and takes few requests; set by the table
 }
 
 // Change is one record of the log about one endpoint.
@@ -33,6 +34,7 @@
 	endpoint     Endpoint
 	position     position.Position // of the newest change applied
 	gone         bool
+	saidLeaving  bool          // the endpoint itself has said that it is leaving
 	forgetAt     time.Time     // time until which a gone endpoint is kept, so that stale updates are ignored
 	notice       chan struct{} // closed when the endpoint is leaving or gone
 	noticeClosed bool
@@ -87,9 +89,7 @@
 	}
 	e.endpoint, e.position, e.missingSince = *c.Endpoint, c.Position, time.Time{}
 	e.endpoint.ColdUntil = coldUntil
-	if c.Endpoint.Leaving {
-		e.closeNotice()
-	}
+	e.updateNotice()
 	if !same {
 		t.latest = position.Latest(t.latest, c.Position)
 	}
@@ -126,6 +126,19 @@
 	return true
 }
 
+// isLeaving reports whether the endpoint takes no new work.
+func (e *entry) isLeaving() bool { return e.endpoint.Leaving || e.saidLeaving }
+
+// updateNotice closes the notice channel of an endpoint that is leaving, and replaces a closed one if the endpoint stays after all.
+func (e *entry) updateNotice() {
+	switch {
+	case e.isLeaving():
+		e.closeNotice()
+	case e.noticeClosed:
+		e.notice, e.noticeClosed = make(chan struct{}), false
+	}
+}
+
 // closeNotice closes the notice channel unless it is closed already; the entry may be nil.
 func (e *entry) closeNotice() {
 	if e != nil && !e.noticeClosed {
@@ -196,6 +209,20 @@
 	return true
 }
 
+// SetSaidLeaving sets whether an endpoint itself has said that it is leaving, whatever the list says, and reports whether that changed its state.
+func (t *Table) SetSaidLeaving(id string, leaving bool) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.entries[id]
+	if e == nil || e.gone || e.saidLeaving == leaving {
+		return false
+	}
+	before := e.isLeaving()
+	e.saidLeaving = leaving
+	e.updateNotice()
+	return e.isLeaving() != before
+}
+
 // List returns the endpoints that are not gone.
 func (t *Table) List() []Endpoint {
 	t.mutex.Lock()
@@ -203,7 +230,9 @@
 	list := make([]Endpoint, 0, len(t.entries))
 	for _, e := range t.entries {
 		if !e.gone {
-			list = append(list, e.endpoint)
+			endpoint := e.endpoint
+			endpoint.SaidLeaving = e.saidLeaving
+			list = append(list, endpoint)
 		}
 	}
 	return list
@@ -227,7 +256,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, e := range t.entries {
-		if !e.gone && !e.endpoint.Leaving && e.endpoint.Address == address {
+		if !e.gone && !e.isLeaving() && e.endpoint.Address == address {
 			return true
 		}
 	}
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -159,3 +159,49 @@
 		is.Equal(len(table.List()), 8)
 	})
 }
+
+func TestEndpointThatSaidItLeaves(t *testing.T) {
+	now := time.Unix(1000, 0)
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	list := func(table *Table, offset int64, leaving bool) {
+		endpoint := &Endpoint{ID: "e-1", Service: "desk", Address: address, Leaving: leaving}
+		table.Apply(Change{ID: "e-1", Position: position.Position{Offset: offset}, Endpoint: endpoint}, now)
+	}
+	noticed := func(table *Table) bool {
+		_, notice, _ := table.Lookup("desk", address)
+		select {
+		case <-notice:
+			return true
+		default:
+			return false
+		}
+	}
+	t.Run("takes no work, whatever the list says", func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		list(table, 1, false)
+		is.True(table.SetSaidLeaving("e-1", true))
+		is.True(!table.SetSaidLeaving("e-1", true))
+		list(table, 2, false)
+		is.True(!table.TakesWork(address))
+		is.True(noticed(table))
+		is.Equal(len(table.GoneOrLeaving()), 0) // the others learn of it for as long as it holds only
+	})
+	t.Run("has a new notice once it stays after all", func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		list(table, 1, false)
+		table.SetSaidLeaving("e-1", true)
+		is.True(table.SetSaidLeaving("e-1", false))
+		is.True(table.TakesWork(address))
+		is.True(!noticed(table))
+	})
+	t.Run("an endpoint that the list has as ready again has a new notice", func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		list(table, 1, true)
+		is.True(noticed(table))
+		list(table, 2, false)
+		is.True(!noticed(table))
+	})
+}
--- /dev/null
+++ b/state/statement/doc.go
@@ -0,0 +1,2 @@
+// Package statement describes what endpoints say of themselves in their answers.
+package statement
