--- a/coordination/standing/exchange_test.go
+++ b/coordination/standing/exchange_test.go
@@ -21,7 +21,8 @@
 	doubted map[netip.AddrPort]bool
 }
 
-func (r *fakeRouter) SetResting(a netip.AddrPort, until, _ time.Time)        { r.resting[a] = until }
+func (r *fakeRouter) SetResting(a netip.AddrPort, until, _ time.Time) { r.resting[a] = until }
+
 func (r *fakeRouter) SetDoubted(a netip.AddrPort, doubted bool, _ time.Time) { r.doubted[a] = doubted }
 
 type silentObserver struct{}
