No run returns to an endpoint after its drain time

What callers would have seen: a run whose last copy failed went on at its former endpoint, whenever that was, though no request may reach it any more (DRAIN). Cause: the only bound was an evacuated data centre; a last copy may take four seconds, and each return took the notice for a new one. TestRunReturnsToEndpointAfterItsDrainTime failed before (a request with the copy 2 s after the notice), none now; within the drain time it still returns.

--- a/coordination/standing/constants.go
+++ b/coordination/standing/constants.go
@@ -8,5 +8,4 @@
 	toldLifetime         = 10 * time.Second // for which another instance's word that an endpoint leaves holds; its whole reports repeat it
 	newsRepeats          = 3                // reports that carry each change
 	maximumNotices       = 64               // in a report
-	maximumRest          = 10 * time.Minute
 )
--- a/coordination/standing/news.go
+++ b/coordination/standing/news.go
@@ -1,6 +1,10 @@
 package standing
 
-import "time"
+import (
+	"time"
+
+	"dogwooddyke/state/statement"
+)
 
 // Notices returns what endpoints have said to this instance, for its next report: what is new and, in a full report, all that holds.
 func (x *Exchange) Notices(full bool, now time.Time) []Notice {
@@ -13,7 +17,7 @@
 		}
 		n := Notice{Endpoint: p.Address, Start: p.Start}
 		if st.restOfAll {
-			n.RestFor = min(max(st.restUntil.Sub(now), 0), maximumRest)
+			n.RestFor = min(max(st.restUntil.Sub(now), 0), statement.MaximumRest)
 		}
 		switch {
 		case st.departure.confirmed:
--- a/coordination/standing/notice.go
+++ b/coordination/standing/notice.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwooddyke/state/process"
+	"dogwooddyke/state/statement"
 )
 
 // Notice is what an instance tells the others of what an endpoint has said to it. Clocks of instances differ, so it holds a duration.
@@ -35,8 +36,8 @@
 	switch {
 	case !n.Endpoint.IsValid():
 		return errors.New("standing: endpoint has no valid address")
-	case n.RestFor < 0 || n.RestFor > maximumRest:
-		return fmt.Errorf("standing of endpoint %s: restFor is outside 0 to %s: %s", n.Endpoint, maximumRest, n.RestFor)
+	case n.RestFor < 0 || n.RestFor > statement.MaximumRest:
+		return fmt.Errorf("standing of endpoint %s: restFor is outside 0 to %s: %s", n.Endpoint, statement.MaximumRest, n.RestFor)
 	case n.Departure > Stays:
 		return fmt.Errorf("standing of endpoint %s: departure is not known: %d", n.Endpoint, n.Departure)
 	}
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -144,6 +144,7 @@
 		Roster:        rosterAdapter{i.roster, i.evacuations},
 		Budgets:       &relay.Budgets{},
 		RetryLimits:   i.retryLimits,
+		Drain:         settings.Drain,
 		MoveScheduler: i.scheduler,
 		Quarantine:    i.quarantine,
 		Memory:        i.memory,
--- a/instance/hosted/statements_test.go
+++ b/instance/hosted/statements_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"dogwooddyke/platform"
 	"dogwooddyke/platform/standin"
 )
 
@@ -184,3 +186,35 @@
 		is.NoErr(err)
 	})
 }
+
+// A run whose last copy failed can go on at its former endpoint only, which takes no more requests once its drain time is over.
+func TestRunReturnsToEndpointAfterItsDrainTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost    time.Duration
+		returns bool
+	}{
+		"while it is left":  {100 * time.Millisecond, true},
+		"after it has gone": {2 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			_, one, response := f.startStream("m1", 1000)
+			f.startEngine("m-2", "model")
+			f.eventually("both engines", func() bool { return len(f.instances[0].roster.List()) == 2 })
+			one.LoseMove(c.lost)
+			f.log.Put(platform.TopicEndpoints, "m-1", one.Entry("model", "a", "draining"))
+			noticed := time.Now()
+			body, err := io.ReadAll(response.Body)
+			returned := 0
+			for _, s := range one.Seen() {
+				if s.Header.Get(standin.HeaderCopy) != "" {
+					returned++
+					is.True(s.At.Before(noticed.Add(f.settings[0].Drain)))
+				}
+			}
+			is.Equal(returned > 0, c.returns)
+			is.Equal(err == nil && strings.Contains(string(body), "m1-1000"), c.returns)
+		})
+	}
+}
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -33,12 +33,13 @@
 	copy     Copy
 	slot     *routing.Slot // slot at the new endpoint; nil if the run continues at its former one
 	endpoint Endpoint      // endpoint at which the run continues
+	noticed  time.Time     // when the notice of its former endpoint came, if the run continues there; zero otherwise
 }
 
 // startMover starts a mover that waits for the notice of the run's endpoint. A run that can't or needn't be moved gets an idle one.
 func (x *execution) startMover(d *Dispatch) *mover {
 	ctx, cancel := context.WithCancel(x.ctx)
-	m := &mover{execution: x, from: d.Endpoint, ended: make(chan struct{}), cancel: cancel}
+	m := &mover{execution: x, from: d.Endpoint, ended: make(chan struct{}), cancel: cancel, stop: handover.StopRule{Noticed: d.Noticed}}
 	if x.request.Engine == nil || !x.request.Engine.Moves || x.request.Route.Resumable {
 		return m
 	}
@@ -99,7 +100,9 @@
 	case <-m.ended:
 		return
 	}
-	m.stop.Noticed = time.Now()
+	if m.stop.Noticed.IsZero() {
+		m.stop.Noticed = time.Now()
+	}
 	if err := wait.For(ctx, m.execution.runner.MoveScheduler.SettleTime()); err != nil {
 		return
 	}
@@ -211,8 +214,8 @@
 	if err != nil {
 		// The run was stopped but its memory was not transferred, so the run continues at its former endpoint.
 		slot.Release(routing.OutcomeCancelled, time.Now())
-		if !m.isEvacuated() {
-			m.moved = &move{copy: copied, endpoint: m.from}
+		if m.mayReturn(time.Now()) {
+			m.moved = &move{copy: copied, endpoint: m.from, noticed: m.stop.Noticed}
 		}
 		return false, true
 	}
@@ -220,10 +223,14 @@
 	return false, true
 }
 
-// isEvacuated reports whether no request may be sent to the run's endpoint any more, not even one that continues the run.
-func (m *mover) isEvacuated() bool {
-	now, found := m.execution.runner.Roster.At(m.execution.request.Service, m.from.Address)
-	return found && now.Evacuated
+// mayReturn reports whether a request that continues the run may still be sent to the run's former endpoint.
+func (m *mover) mayReturn(now time.Time) bool {
+	drain := m.execution.runner.Drain
+	if drain > 0 && !now.Before(m.stop.Noticed.Add(drain-returnMargin)) {
+		return false
+	}
+	current, found := m.execution.runner.Roster.At(m.execution.request.Service, m.from.Address)
+	return !found || !current.Evacuated
 }
 
 // copyMemory copies the run's memory once, and stops the run first if last is set.
@@ -261,6 +268,6 @@
 		x.slot.Resend(time.Now())
 	}
 	next := *d
-	next.Endpoint, next.After, next.Copy = m.endpoint, x.lastEvent, &m.copy
+	next.Endpoint, next.After, next.Copy, next.Noticed = m.endpoint, x.lastEvent, &m.copy, m.noticed
 	return &next
 }
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -76,6 +76,7 @@
 	Copy           *Copy             // copy from which the run continues; nil for a new run
 	Choice         routing.Candidate // the router's assessment of the endpoint
 	ExpectedTokens float64           // predicted length of the output in tokens
+	Noticed        time.Time         // when the notice of the endpoint came, if the run has returned to one that it was to leave; zero otherwise
 	Backup         netip.AddrPort    // endpoint to which the run's memory is copied while the run continues; invalid if there is none
 }
 
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -66,6 +66,7 @@
 	MoveScheduler MoveScheduler
 	Quarantine    *quarantine.Exchange // may be nil: no request is kept back then
 	RetryLimits   func() RetryLimits
+	Drain         time.Duration  // from an endpoint's notice until no request may reach it, not even one that continues a run there; zero: no limit
 	Memory        *memory.Budget // of answers that callers have not read yet; nil: no limit
 	Observer      Observer
 
