The own interface heeds the rest that endpoints ask for; the soak has endpoints say that they rest or leave

What callers saw: calls and generations were sent again at once to an endpoint that had answered 503 with Retry-After, until three or more refusals had used them up; the project's own stand-ins have sent that header all along. Cause: the same as on the platform: nothing read it. Each answer of an endpoint on the own interface passes one place now that extends the endpoint's rest in the router.

--- a/cmd/dykectl/soak.go
+++ b/cmd/dykectl/soak.go
@@ -24,6 +24,7 @@
 	WithoutCrashingParts bool    `long:"withoutCrashingParts" description:"has no engine crash on a part of prompts, as for seeds of older runs"`
 	WithoutRepeated      bool    `long:"withoutRepeated" description:"has no service crash under a request that is repeated, as for seeds of older runs"`
 	WithoutEvacuations   bool    `long:"withoutEvacuations" description:"evacuates no data centre, as for seeds of older runs"`
+	WithoutStatements    bool    `long:"withoutStatements" description:"has no engine say of itself that it rests or leaves, as for seeds of older runs"`
 	WithoutLimits        bool    `long:"withoutLimits" description:"has no engine name a limit on the rate of requests, as for seeds of older runs"`
 	WithoutRestores      bool    `long:"withoutRestores" description:"never restores the log from an older copy, as for seeds of older runs"`
 	Keep                 string  `long:"keep" value-name:"DIRECTORY" description:"where settings and logs of failed runs are kept"`
@@ -71,7 +72,7 @@
 	}
 	options := &soak.Options{
 		Binary: c.Binary, Directory: directory, Seed: seed, Seconds: c.Seconds, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers,
-		Without: soak.Without{Limits: c.WithoutLimits, Restores: c.WithoutRestores, CrashingParts: c.WithoutCrashingParts, RepeatedRequests: c.WithoutRepeated, Evacuations: c.WithoutEvacuations},
+		Without: soak.Without{Limits: c.WithoutLimits, Restores: c.WithoutRestores, CrashingParts: c.WithoutCrashingParts, RepeatedRequests: c.WithoutRepeated, Evacuations: c.WithoutEvacuations, Statements: c.WithoutStatements},
 	}
 	if err := options.Check(); err != nil {
 		return false, &exitError{exitBadInput, errors.Join(err, os.RemoveAll(directory))}
--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -191,6 +191,13 @@
 	}
 }
 
+// ExtendRest is SetResting, unless a longer rest is known.
+func (c *Core) ExtendRest(address netip.AddrPort, until time.Time) {
+	if e := c.endpoints[address]; e != nil && until.After(e.restsUntil) {
+		e.restsUntil = until
+	}
+}
+
 // SetDoubted sets whether an endpoint may be leaving. It is sent work only if no other endpoint can take it.
 func (c *Core) SetDoubted(address netip.AddrPort, doubted bool) {
 	if e := c.endpoints[address]; e != nil {
--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -87,6 +87,11 @@
 	r.update(now, func(c *Core) { c.SetResting(address, until) })
 }
 
+// ExtendRest is SetResting, unless a longer rest is known.
+func (r *Router) ExtendRest(address netip.AddrPort, until, now time.Time) {
+	r.update(now, func(c *Core) { c.ExtendRest(address, until) })
+}
+
 // SetDoubted sets whether an endpoint may be leaving.
 func (r *Router) SetDoubted(address netip.AddrPort, doubted bool, now time.Time) {
 	r.update(now, func(c *Core) { c.SetDoubted(address, doubted) })
--- a/experiment/soak/fault.go
+++ b/experiment/soak/fault.go
@@ -58,6 +58,8 @@
 		return s.crashOn(ctx, &s.crashes.request, p.last)
 	case kindEvacuate:
 		return s.evacuate(ctx, p)
+	case kindRest, kindSaidLeaving:
+		return s.state(ctx, p)
 	case kindCatalogue:
 		s.publish()
 		return true
--- a/experiment/soak/options.go
+++ b/experiment/soak/options.go
@@ -28,6 +28,7 @@
 
 	RepeatedRequests bool // services do not crash under a request that callers repeat
 	Evacuations      bool // no data centre is evacuated
+	Statements       bool // engines do not say of themselves that they rest or leave
 }
 
 // Check lists what is wrong with the options.
--- a/experiment/soak/plan.go
+++ b/experiment/soak/plan.go
@@ -28,6 +28,9 @@
 	kindCrashing  kind = "crashing"  // engines crash on a part of prompts that some callers send
 	kindRepeated  kind = "repeated"  // services crash under a request that callers repeat
 	kindEvacuate  kind = "evacuate"  // a data centre is evacuated; its engines are cold after that
+	kindRest      kind = "rest"      // an engine asks in its answers to be sent nothing
+
+	kindSaidLeaving kind = "saidLeaving" // an engine says in its answers that it leaves, which the list does not show
 )
 
 // shares are the weights of the kinds.
@@ -92,6 +95,9 @@
 	if !without.Evacuations {
 		steps = append(steps, evacuations(seed, span)...)
 	}
+	if !without.Statements {
+		steps = append(steps, statements(seed, span)...)
+	}
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
--- a/experiment/soak/run.go
+++ b/experiment/soak/run.go
@@ -56,6 +56,7 @@
 	report.Broken = append(report.Broken, s.ledger.judgeLimits(o.Instances)...)
 	report.Broken = append(report.Broken, s.ledger.judgeCrashes(o.Instances)...)
 	report.Broken = append(report.Broken, s.ledger.judgeEvacuations(append(s.fleet, s.gone...), o.Instances)...)
+	report.Broken = append(report.Broken, s.ledger.judgeStatements(append(s.fleet, s.gone...), o.Instances)...)
 	report.Counts = s.ledger.counts()
 	for _, t := range s.ledger.troubles {
 		report.Faults[t.step.kind]++
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -1,6 +1,9 @@
 package instance
 
 import (
+	"net/netip"
+	"time"
+
 	"dogwooddyke/coordination/claim"
 	"dogwooddyke/coordination/lease"
 	"dogwooddyke/coordination/member"
@@ -61,6 +64,7 @@
 
 		OnPermitsWanted: func() { i.quotas.Want() },
 	})
+	i.clients.OnRest = func(e netip.AddrPort, until time.Time) { i.router.ExtendRest(e, until, time.Now()) }
 	i.wireQuotas()
 	i.wireQuarantine()
 	i.shares = share.NewExchange(i.peers, i.members, i.loadRouter)
--- a/transport/endpoint/connection.go
+++ b/transport/endpoint/connection.go
@@ -5,8 +5,11 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"sync/atomic"
+	"time"
 
+	"dogwooddyke/state/statement"
 	"dogwooddyke/transport/traffic"
 )
 
@@ -15,6 +18,9 @@
 	pooled  *http.Client
 	fresh   *http.Client
 	reports *http.Client // for what endpoints say of themselves
+
+	// OnRest is called when an answer of an endpoint asks for rest, with the time until which the endpoint is to be sent nothing; nil: not called.
+	OnRest func(endpoint netip.AddrPort, until time.Time)
 }
 
 // NewClients returns clients without any open connection.
@@ -64,6 +70,19 @@
 	}
 }
 
+// do sends a request to an endpoint, and notes whether the answer asks for rest.
+func (c *Clients) do(client *http.Client, request *http.Request, endpoint netip.AddrPort) (*http.Response, error) {
+	response, err := client.Do(request)
+	if err != nil || c.OnRest == nil {
+		return response, err
+	}
+	// A value that can't be read asks for nothing.
+	if lasts, err := statement.ParseRest(response.Header.Get(headerRetry)); err == nil && lasts > 0 {
+		c.OnRest(endpoint, time.Now().Add(lasts))
+	}
+	return response, nil
+}
+
 // departure records whether a request got a connection, before which no byte of it can have left.
 type departure struct {
 	connected atomic.Bool
--- a/transport/endpoint/constants.go
+++ b/transport/endpoint/constants.go
@@ -29,6 +29,7 @@
 	headerPriority   = "Priority"
 	headerRequest    = "Request-Id"
 	headerOutcome    = "Outcome"
+	headerRetry      = "Retry-After" // in seconds, for which the endpoint asks to be sent nothing
 	outcomeNotRun    = "notRun"
 	generationsPath  = "/generations/"
 	doneData         = "[DONE]"
--- a/transport/endpoint/engine.go
+++ b/transport/endpoint/engine.go
@@ -29,15 +29,15 @@
 	header.Set("Accept", "text/event-stream")
 	header.Set(headerGeneration, generation)
 	header.Set(headerPriority, strconv.Itoa(request.Spec.Priority))
-	return e.open(ctx, http.MethodPost, address(endpoint, request.Path), header, request.Body)
+	return e.open(ctx, endpoint, http.MethodPost, request.Path, header, request.Body)
 }
 
 // Resume opens a new connection to a generation, from the index on; the context bounds the wait for the engine's first byte.
 func (e *Engines) Resume(ctx context.Context, endpoint netip.AddrPort, generation string, from int) (answer.Stream, error) {
-	target := address(endpoint, generationsPath+url.PathEscape(generation)) + "?from=" + strconv.Itoa(from)
+	target := generationsPath + url.PathEscape(generation) + "?from=" + strconv.Itoa(from)
 	header := http.Header{}
 	header.Set("Accept", "text/event-stream")
-	return e.open(ctx, http.MethodGet, target, header, nil)
+	return e.open(ctx, endpoint, http.MethodGet, target, header, nil)
 }
 
 // Cancel ends a generation; it succeeds when the engine does not have it.
@@ -59,17 +59,17 @@
 }
 
 // open sends a request on a fresh connection and returns its events; the stream outlives the context.
-func (e *Engines) open(ctx context.Context, method, target string, header http.Header, body []byte) (answer.Stream, error) {
+func (e *Engines) open(ctx context.Context, endpoint netip.AddrPort, method, path string, header http.Header, body []byte) (answer.Stream, error) {
 	alive, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
 	left := &departure{}
-	request, err := http.NewRequestWithContext(left.trace(alive), method, target, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(left.trace(alive), method, address(endpoint, path), bytes.NewReader(body))
 	if err != nil {
 		cancel()
 		return nil, fmt.Errorf("%w: %w", answer.ErrNotStarted, err)
 	}
 	request.Header = header
-	response, err := e.clients.fresh.Do(request)
+	response, err := e.clients.do(e.clients.fresh, request, endpoint)
 	if err != nil {
 		cancel()
 		return nil, dispatchError(left, err)
--- a/transport/endpoint/service.go
+++ b/transport/endpoint/service.go
@@ -47,7 +47,7 @@
 	if repeatable {
 		client = s.clients.pooled
 	}
-	response, err := client.Do(request)
+	response, err := s.clients.do(client, request, endpoint)
 	if err != nil {
 		return nil, dispatchError(left, err)
 	}
--- a/transport/endpoint/service_test.go
+++ b/transport/endpoint/service_test.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -48,6 +50,23 @@
 		is.True(ok)
 		is.True(refused.Final())
 	})
+	t.Run("serviceAsksForRest", func(t *testing.T) {
+		is := is.New(t)
+		at := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Retry-After", r.URL.Query().Get("rest"))
+			w.Header().Set("Outcome", "notRun")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		clients := NewClients()
+		defer clients.Close()
+		rests := map[netip.AddrPort]time.Duration{}
+		clients.OnRest = func(e netip.AddrPort, until time.Time) { rests[e] = time.Until(until).Round(time.Second) }
+		for _, value := range []string{"", "0", "x", "-1", "3"} {
+			_, err := NewServices(clients).Do(t.Context(), at, &call.Request{Method: "POST", Path: "/log?rest=" + value}, false)
+			is.True(errors.Is(err, answer.ErrNotStarted))
+		}
+		is.Equal(rests, map[netip.AddrPort]time.Duration{at: 3 * time.Second})
+	})
 	t.Run("redirectIsPassedOn", func(t *testing.T) {
 		is := is.New(t)
 		at := serve(t, func(w http.ResponseWriter, r *http.Request) {
