--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -75,9 +75,13 @@
 	o.logger.Info("endpoint may be leaving", "endpoint", e.ID, "address", e.Process.Address)
 }
 
-// LeavingChanged logs that an endpoint leaves by its own word, or does not after all.
+// LeavingChanged logs that an endpoint leaves by its own answers, or does not after all.
 func (o *observer) LeavingChanged(e standing.Endpoint, leaving bool) {
-	o.logger.Info("endpoint has said whether it leaves", "endpoint", e.ID, "address", e.Process.Address, "leaving", leaving)
+	message := "endpoint is not leaving after all"
+	if leaving {
+		message = "endpoint is leaving by its own answers"
+	}
+	o.logger.Info(message, "endpoint", e.ID, "address", e.Process.Address)
 }
 
 // Asked counts the questions whether an endpoint leaves.
--- a/instance/hosted/standings.go
+++ b/instance/hosted/standings.go
@@ -28,6 +28,9 @@
 		}
 		i.quotas.Learn(news, now)
 	}
+	if s.ColdFor > 0 && i.roster.SetCold(e.ID, now.Add(s.ColdFor), now) {
+		i.refreshRouter()
+	}
 	i.standings.Learn(e.Process(), s, sent, now)
 }
 
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -223,6 +223,18 @@
 	return e.isLeaving() != before
 }
 
+// SetCold sets until when an endpoint is cold by its own word, and reports whether that is news.
+func (t *Table) SetCold(id string, until, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.entries[id]
+	if e == nil || e.gone || !e.becomesCold(until, now) {
+		return false
+	}
+	e.endpoint.ColdUntil = until
+	return true
+}
+
 // List returns the endpoints that are not gone.
 func (t *Table) List() []Endpoint {
 	t.mutex.Lock()
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -205,3 +205,15 @@
 		is.True(!noticed(table))
 	})
 }
+
+func TestEndpointThatSaysItIsCold(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	table.Apply(Change{ID: "e-1", Endpoint: &Endpoint{ID: "e-1", Address: netip.MustParseAddrPort("10.0.0.1:80")}}, now)
+	until := now.Add(3 * time.Second)
+	is.True(table.SetCold("e-1", until, now))
+	is.True(!table.SetCold("e-1", until, now)) // known
+	is.True(!table.SetCold("e-2", until, now))
+	is.Equal(table.List()[0].ColdUntil, until)
+}
--- a/state/statement/statement.go
+++ b/state/statement/statement.go
@@ -11,8 +11,9 @@
 	Signed    bool // the answer carries the endpoint's signature
 	RateLimit RateLimit
 	Rest      Rest
-	Closes    bool // the endpoint ends the connection though the request did not ask for that: it may be leaving
-	Replaced  bool // another process answers at the endpoint's address
+	ColdFor   time.Duration // for which the endpoint stays cold, having just started; zero: it says nothing of that
+	Closes    bool          // the endpoint ends the connection though the request did not ask for that: it may be leaving
+	Replaced  bool          // another process answers at the endpoint's address
 }
 
 // RateLimit is what an answer says of the endpoint's rate limit.
