--- a/coordination/standing/exchange.go
+++ b/coordination/standing/exchange.go
@@ -142,11 +142,15 @@
 	return ofAll
 }
 
-// settle passes an endpoint's departure to the router, and adds a change of whether it leaves to the list; the caller holds the mutex.
+// settle passes an endpoint's departure to the router, and adds a change of whether it leaves to the list; the caller holds the mutex. What an
+// endpoint says that leaves by the endpoint list matters only if the list takes that back.
 func (x *Exchange) settle(e Endpoint, st *state, changes []change, now time.Time) []change {
+	if e.Listed {
+		return changes
+	}
 	if doubted := st.departure.doubted(); doubted != st.doubted {
 		st.doubted = doubted
-		if doubted && !e.Listed {
+		if doubted {
 			x.config.Observer.Doubted(e)
 		}
 		x.passed[e.Process.Address] = true
--- a/coordination/standing/exchange_test.go
+++ b/coordination/standing/exchange_test.go
@@ -202,9 +202,14 @@
 			listed := one
 			listed.Listed = true
 			n.SetEndpoints([]Endpoint{listed}, time.Now())
+			n.endpoint.leaving = true
 			n.says(statement.Statement{Closes: true})
-			n.run(t, time.Second)
+			n.run(t, 2*time.Second)
 			is.Equal(n.endpoint.asked, 0)
+			is.Equal(len(n.Notices(true, time.Now())), 0)
+			n.SetEndpoints([]Endpoint{one}, time.Now()) // a record of before its notice
+			n.Expire(time.Now())
+			is.True(n.leaves())
 		})
 	})
 	t.Run("others are told, and told again when it stays", func(t *testing.T) {
--- a/coordination/standing/news.go
+++ b/coordination/standing/news.go
@@ -20,7 +20,7 @@
 			n.RestFor = min(max(st.restUntil.Sub(now), 0), statement.MaximumRest)
 		}
 		switch {
-		case st.departure.confirmed:
+		case st.told && st.departure.confirmed:
 			n.Departure = Leaves
 		case st.told && st.reportsLeft > 0:
 			n.Departure = Stays
--- a/instance/hosted/standings.go
+++ b/instance/hosted/standings.go
@@ -76,7 +76,7 @@
 // Ask asks an endpoint for its health; what the answer says of the endpoint has been passed on when it returns.
 func (a healthAsker) Ask(ctx context.Context, e standing.Endpoint) error {
 	table := a.instance.table.Load()
-	if table == nil || table.Services[e.Service] == nil {
+	if table == nil || table.Services[e.Service] == nil || table.Services[e.Service].HealthPath == "" {
 		return errNoHealthPath
 	}
 	endpoint := relay.Endpoint{ID: e.ID, Address: e.Process.Address, Born: e.Born}
