--- a/coordination/standing/exchange_test.go
+++ b/coordination/standing/exchange_test.go
@@ -134,7 +134,7 @@
 			time.Sleep(time.Second)
 			other.Receive(n.Notices(false, time.Now()), "n", time.Now())
 			is.Equal(other.router.resting[address], time.Now().Add(2*time.Second))
-			is.Equal(len(other.Notices(true, time.Now())), 0) // only who was asked tells
+			is.Equal(len(other.Notices(true, time.Now())), 0) // only the instance that got the answer reports it
 		})
 	})
 	t.Run("others are not told of a rest that is asked of one", func(t *testing.T) {
--- a/coordination/standing/notice.go
+++ b/coordination/standing/notice.go
@@ -10,7 +10,7 @@
 	"dogwooddyke/state/statement"
 )
 
-// Notice is what an instance tells the others of what an endpoint has said to it. Clocks of instances differ, so it holds a duration.
+// Notice carries what an endpoint has said to one instance to the others. Clocks of instances differ, so it holds a duration.
 type Notice struct {
 	Endpoint  netip.AddrPort `cbor:"1,keyasint"`
 	Start     uint64         `cbor:"2,keyasint"`
--- /dev/null
+++ b/state/roster/statement.go
@@ -0,0 +1,42 @@
+package roster
+
+import "time"
+
+// SetSaidLeaving sets whether an endpoint itself has said that it is leaving, whatever the list says, and reports whether that changed its state.
+func (t *Table) SetSaidLeaving(id string, leaving bool) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.entries[id]
+	if e == nil || e.gone || e.saidLeaving == leaving {
+		return false
+	}
+	before := e.isLeaving()
+	e.saidLeaving = leaving
+	e.updateNotice()
+	return e.isLeaving() != before
+}
+
+// SetCold sets until when an endpoint is cold by its own word, and reports whether that is news.
+func (t *Table) SetCold(id string, until, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.entries[id]
+	if e == nil || e.gone || !e.becomesCold(until, now) {
+		return false
+	}
+	e.endpoint.ColdUntil = until
+	return true
+}
+
+// isLeaving reports whether the endpoint takes no new work.
+func (e *entry) isLeaving() bool { return e.endpoint.Leaving || e.saidLeaving }
+
+// updateNotice closes the notice channel of an endpoint that is leaving, and replaces a closed one if the endpoint stays after all.
+func (e *entry) updateNotice() {
+	switch {
+	case e.isLeaving():
+		e.closeNotice()
+	case e.noticeClosed:
+		e.notice, e.noticeClosed = make(chan struct{}), false
+	}
+}
