A request waits for the end of a rest as long as its answer is of use

A caller comes back once, after a third of its time at most; most rests are shorter than the time that is left. So refusing at once, as a request that waits for a permit is, would lose callers that the queue can serve: the end of a rest is certain, and all that waits may start then. What no rest ends in time for is refused at once, also when a rest is extended meanwhile.

--- a/coordination/routing/patience.go
+++ b/coordination/routing/patience.go
@@ -25,7 +25,7 @@
 	return p.anyLimited() || slices.ContainsFunc(p.endpoints, func(e *endpointState) bool { return now.Before(e.restsUntil) })
 }
 
-// latestPermit returns the time until which the request waits for a permit or for the end of a rest: for half of the time to its first token, within bounds.
+// latestPermit returns the time until which the request waits for a permit: for half of the time to its first token, within bounds.
 func (r *Request) latestPermit() time.Time {
 	patience := maximumPermitPatience
 	if !r.spec.FirstTokenDeadline.IsZero() {
@@ -57,25 +57,16 @@
 	}
 }
 
-// mayStartInTime reports whether an endpoint may take the request in time: after its rest, or with a permit, which is one that will be valid by
-// then, the answer to an ask, or another ask.
+// mayStartInTime reports whether an endpoint may take the request in time: after its rest, or with a permit.
 func (r *Request) mayStartInTime(ahead map[*endpointState]int, now time.Time) bool {
-	latest := r.latestPermit()
-	if now.After(latest) {
-		return false
-	}
 	for _, e := range r.pool.endpoints {
 		switch r.ineligibility(e, now) {
 		case VerdictResting:
-			if !e.restsUntil.After(latest) {
+			if !e.restsUntil.After(r.latestRest()) {
 				return true
 			}
 		case VerdictRateLimited:
-			if n := ahead[e]; n < len(e.quota.permits) && !e.quota.permits[n].From.After(latest) {
-				ahead[e]++
-				return true
-			}
-			if !e.quota.askedAt.IsZero() || !e.quota.retryAt.After(latest) {
+			if r.mayGetPermit(e, ahead, now) {
 				return true
 			}
 		}
@@ -83,6 +74,29 @@
 	return false
 }
 
+// latestRest returns the time until which the request waits for the end of a rest. That time is certain, unlike the one of a permit, and all that
+// wait may start then; so the request waits as long as its answer is of use.
+func (r *Request) latestRest() time.Time {
+	if r.spec.Deadline.IsZero() {
+		return r.latestPermit()
+	}
+	return r.spec.Deadline
+}
+
+// mayGetPermit reports whether the request may get a permit of the endpoint in time: one that will be valid by then, the answer to an ask, or
+// another ask.
+func (r *Request) mayGetPermit(e *endpointState, ahead map[*endpointState]int, now time.Time) bool {
+	latest := r.latestPermit()
+	if now.After(latest) {
+		return false
+	}
+	if n := ahead[e]; n < len(e.quota.permits) && !e.quota.permits[n].From.After(latest) {
+		ahead[e]++
+		return true
+	}
+	return !e.quota.askedAt.IsZero() || !e.quota.retryAt.After(latest)
+}
+
 // heldBackUntil returns the earliest time at which a rest ends or an ask for a permit may succeed, and which of the two it is.
 func (r *Request) heldBackUntil(now time.Time) (Reason, time.Time) {
 	var reason Reason
--- a/coordination/routing/standing_test.go
+++ b/coordination/routing/standing_test.go
@@ -18,6 +18,25 @@
 			p.is.Equal(r.Endpoint(), address(2))
 		}
 	})
+	t.Run("a request waits for a rest that ends before its latest start", func(t *testing.T) {
+		p := newPermitCase(t, 0)
+		rest(p, 1, 900*time.Millisecond)
+		rest(p, 2, time.Hour)
+		r := p.submit()
+		p.is.Equal(len(p.admit(899*time.Millisecond)), 0)
+		p.is.Equal(p.admit(time.Millisecond), []*Request{r})
+		p.is.Equal(r.Endpoint(), address(1))
+	})
+	t.Run("a request that waits is refused once the rest is extended beyond that", func(t *testing.T) {
+		p := newPermitCase(t, 0)
+		rest(p, 1, 900*time.Millisecond)
+		rest(p, 2, time.Hour)
+		r := p.submit()
+		p.is.Equal(len(p.admit(100*time.Millisecond)), 0)
+		rest(p, 1, 2*time.Second)
+		p.is.Equal(p.admit(0), []*Request{r})
+		p.is.Equal(r.Refusal().RetryAt, p.now.Add(2*time.Second))
+	})
 	t.Run("a request waits for a rest that ends in time", func(t *testing.T) {
 		p := newPermitCase(t, 0)
 		rest(p, 1, 80*time.Millisecond)
