What an endpoint has said is passed on in order, and taken back also while the list has it as leaving

Found by reading: two changes of one endpoint, passed on after the lock, could arrive in the wrong order; and what another instance had told lapsed without being taken back while the list had the endpoint as leaving. Either left a ready endpoint without work at this instance for good. Changes are passed on one at a time with what holds then, and a state is kept until all of it is taken back; the new case of TestLeaving failed before. A run returns to its endpoint only within the drain time from the endpoint's first sign, not from the notice that follows from it.

--- a/coordination/standing/departure.go
+++ b/coordination/standing/departure.go
@@ -8,7 +8,8 @@
 	doubtedAt time.Time // receipt of the first sign that was not taken back; zero: none
 	signedAt  time.Time // receipt of the latest sign
 	confirmed bool
-	toldUntil time.Time // time until which another instance's word holds that the endpoint leaves
+	toldSince time.Time // receipt of another instance's first word that the endpoint leaves
+	toldUntil time.Time // time until which that word holds
 
 	questions int       // asked since the first sign
 	askAt     time.Time // time of the next question
@@ -22,7 +23,7 @@
 	switch {
 	case !sign && !replaced:
 		if !d.doubtedAt.IsZero() && later {
-			*d = departure{toldUntil: d.toldUntil, asking: d.asking}
+			*d = departure{toldSince: d.toldSince, toldUntil: d.toldUntil, asking: d.asking}
 		}
 		return
 	case d.doubtedAt.IsZero():
@@ -47,6 +48,22 @@
 // leaves reports whether the endpoint is to be sent no new work.
 func (d *departure) leaves(now time.Time) bool { return d.confirmed || now.Before(d.toldUntil) }
 
+// since returns the time since which an endpoint that leaves has said so.
+func (d *departure) since() time.Time {
+	if d.confirmed {
+		return d.doubtedAt
+	}
+	return d.toldSince
+}
+
+// tell applies the word of another instance, which holds for the given time.
+func (d *departure) tell(lasts time.Duration, now time.Time) {
+	if !now.Before(d.toldUntil) {
+		d.toldSince = now
+	}
+	d.toldUntil = now.Add(lasts)
+}
+
 // ask reports whether a question is due, and marks it as asked.
 func (d *departure) ask(now time.Time) bool {
 	if d.doubtedAt.IsZero() || d.asking || now.Before(d.askAt) {
--- a/coordination/standing/exchange.go
+++ b/coordination/standing/exchange.go
@@ -53,15 +53,17 @@
 	Router     Router
 	Asker      Asker
 	Observer   Observer
-	DoubtLimit time.Duration                  // time from an endpoint's first sign after which it is taken for leaving unless it has said otherwise
-	OnLeaving  func(e Endpoint, leaving bool) // called without a lock; may be called again with the same value
-	OnNotices  func()                         // called when the next report should be sent soon, because it carries news
+	DoubtLimit time.Duration                     // time from an endpoint's first sign after which it is taken for leaving unless it has said otherwise
+	OnLeaving  func(e Endpoint, since time.Time) // called with the time since which an endpoint leaves, zero if it stays; may be called again with the same
+	OnNotices  func()                            // called when the next report should be sent soon, because it carries news
 }
 
-// Exchange holds what endpoints have said of themselves. It is safe for concurrent use. Lock order: mutex is locked before that of the router.
+// Exchange holds what endpoints have said of themselves. It is safe for concurrent use. Lock order: passing is locked before mutex, and mutex before
+// that of the router. OnLeaving is called with passing held only.
 type Exchange struct {
-	config Config
-	wake   chan struct{} // receives a value when a question may be due
+	config  Config
+	wake    chan struct{} // receives a value when a question may be due
+	passing sync.Mutex    // held while changes are passed on, so that the latest one comes last
 
 	mutex     sync.Mutex
 	endpoints map[process.ID]Endpoint // of the endpoint list
@@ -74,7 +76,7 @@
 	restUntil   time.Time
 	restOfAll   bool // the rest was asked for here, of all instances
 	departure   departure
-	leaving     bool // as last passed on
+	leaving     bool // as last found by settle
 	told        bool // the others have been told that it leaves
 	doubted     bool // as last passed to the router
 	reportsLeft int  // further reports that carry it
@@ -91,12 +93,6 @@
 	}
 }
 
-// change is a change of whether an endpoint leaves.
-type change struct {
-	endpoint Endpoint
-	leaving  bool
-}
-
 // Learn applies what an answer says of its endpoint, and when that was asked.
 func (x *Exchange) Learn(p process.ID, s statement.Statement, sent, now time.Time) {
 	x.mutex.Lock()
@@ -113,11 +109,11 @@
 	}
 	news := x.rest(e, st, s.Rest.For, s.Rest.All, "answer", now)
 	st.departure.observe(s.Closes, s.Replaced, sent, now)
-	changes := x.settle(e, st, nil, now)
+	changed := x.settle(e, st, nil, now)
 	x.mutex.Unlock()
 	signal(x.wake)
-	x.pass(changes)
-	if news || len(changes) > 0 {
+	x.pass(changed)
+	if news || len(changed) > 0 {
 		x.config.OnNotices()
 	}
 }
@@ -140,11 +136,11 @@
 	return ofAll
 }
 
-// settle passes an endpoint's departure to the router, and adds a change of whether it leaves to the list; the caller holds the mutex. What an
-// endpoint says that leaves by the endpoint list matters only if the list takes that back.
-func (x *Exchange) settle(e Endpoint, st *state, changes []change, now time.Time) []change {
+// settle passes an endpoint's departure to the router, and adds the endpoint to the changed ones if it begins or ceases to leave; the caller holds
+// the mutex. What an endpoint says that leaves by the endpoint list matters only if the list takes that back.
+func (x *Exchange) settle(e Endpoint, st *state, changed []Endpoint, now time.Time) []Endpoint {
 	if e.Listed {
-		return changes
+		return changed
 	}
 	if doubted := st.departure.doubted(); doubted != st.doubted {
 		st.doubted = doubted
@@ -156,21 +152,34 @@
 	}
 	leaving := st.departure.leaves(now)
 	if leaving == st.leaving {
-		return changes
+		return changed
 	}
 	st.leaving = leaving
 	if st.departure.confirmed || st.told {
 		st.told, st.reportsLeft = true, newsRepeats
 	}
 	x.config.Observer.LeavingChanged(e, leaving)
-	return append(changes, change{e, leaving})
+	return append(changed, e)
+}
+
+// pass passes on whether the endpoints leave now; no lock may be held.
+func (x *Exchange) pass(changed []Endpoint) {
+	x.passing.Lock()
+	defer x.passing.Unlock()
+	for _, e := range changed {
+		x.config.OnLeaving(e, x.leavesSince(e.Process))
+	}
 }
 
-// pass passes changes on; no lock may be held.
-func (x *Exchange) pass(changes []change) {
-	for _, c := range changes {
-		x.config.OnLeaving(c.endpoint, c.leaving)
+// leavesSince returns the time since which an endpoint leaves; zero if it does not.
+func (x *Exchange) leavesSince(p process.ID) time.Time {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	st := x.states[p]
+	if st == nil || !st.leaving {
+		return time.Time{}
 	}
+	return st.departure.since()
 }
 
 // SetEndpoints replaces the endpoints that this instance knows, forgets what others have said, and passes what is known to the router, which may
@@ -205,27 +214,27 @@
 // Expire ends doubts that have lasted too long, and what other instances have told of endpoints; it must be called several times a second.
 func (x *Exchange) Expire(now time.Time) {
 	x.mutex.Lock()
-	var changes []change
+	var changed []Endpoint
 	for p, st := range x.states {
 		e := x.endpoints[p]
 		st.departure.expire(x.config.DoubtLimit, now)
-		before := len(changes)
-		changes = x.settle(e, st, changes, now)
-		if st.leaving && len(changes) == before {
-			changes = append(changes, change{e, true}) // the list may have it under a new entry
+		before := len(changed)
+		changed = x.settle(e, st, changed, now)
+		if st.leaving && len(changed) == before {
+			changed = append(changed, e) // the list may have it under a new entry
 		}
 		if st.isOver(now) {
 			delete(x.states, p)
 		}
 	}
 	x.mutex.Unlock()
-	x.pass(changes)
+	x.pass(changed)
 }
 
-// isOver reports whether nothing follows any more from what the endpoint has said.
+// isOver reports whether nothing follows any more from what the endpoint has said, and nothing has to be taken back.
 func (s *state) isOver(now time.Time) bool {
 	d := &s.departure
-	return !now.Before(s.restUntil) && d.doubtedAt.IsZero() && !d.asking && !now.Before(d.toldUntil) && s.reportsLeft == 0
+	return !s.leaving && !s.doubted && !now.Before(s.restUntil) && d.doubtedAt.IsZero() && !d.asking && !now.Before(d.toldUntil) && s.reportsLeft == 0
 }
 
 // Resting returns the number of endpoints that rest.
--- a/coordination/standing/exchange_test.go
+++ b/coordination/standing/exchange_test.go
@@ -71,10 +71,10 @@
 	n := &node{router: &fakeRouter{resting: make(map[netip.AddrPort]time.Time), doubted: make(map[netip.AddrPort]bool)}, endpoint: &fakeEndpoint{}, leaving: make(map[string]bool)}
 	n.Exchange = NewExchange(Config{
 		Router: n.router, Asker: n.endpoint, Observer: silentObserver{}, DoubtLimit: time.Second,
-		OnLeaving: func(e Endpoint, leaving bool) {
+		OnLeaving: func(e Endpoint, since time.Time) {
 			n.mutex.Lock()
 			defer n.mutex.Unlock()
-			n.leaving[e.ID] = leaving
+			n.leaving[e.ID] = !since.IsZero()
 		},
 		OnNotices: func() { n.news++ },
 	})
@@ -212,6 +212,34 @@
 			is.True(n.leaves())
 		})
 	})
+	t.Run("what others told does not outlast the list's notice", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n, other := newNode(), newNode()
+			n.says(statement.Statement{Replaced: true})
+			other.Receive(n.Notices(false, time.Now()), "n", time.Now())
+			listed := one
+			listed.Listed = true
+			other.SetEndpoints([]Endpoint{listed}, time.Now())
+			time.Sleep(2 * toldLifetime)
+			other.Expire(time.Now())
+			other.SetEndpoints([]Endpoint{one}, time.Now())
+			other.Expire(time.Now())
+			is.True(!other.leaves())
+			is.Equal(len(other.states), 0)
+		})
+	})
+	t.Run("an endpoint leaves since its first sign", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := newNode()
+			n.endpoint.silent = true
+			began := time.Now()
+			n.says(statement.Statement{Closes: true})
+			n.run(t, 1500*time.Millisecond)
+			is.Equal(n.leavesSince(one.Process), began)
+		})
+	})
 	t.Run("others are told, and told again when it stays", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
--- a/coordination/standing/news.go
+++ b/coordination/standing/news.go
@@ -36,7 +36,7 @@
 // Receive applies what endpoints have said to another instance.
 func (x *Exchange) Receive(notices []Notice, source string, now time.Time) {
 	x.mutex.Lock()
-	var changes []change
+	var changed []Endpoint
 	for _, n := range notices {
 		p := n.process()
 		e, known := x.endpoints[p]
@@ -51,13 +51,13 @@
 		x.rest(e, st, n.RestFor, false, source, now)
 		switch n.Departure {
 		case Leaves:
-			st.departure.toldUntil = now.Add(toldLifetime)
+			st.departure.tell(toldLifetime, now)
 		case Stays:
 			st.departure.toldUntil = time.Time{}
 		case DepartureUnknown:
 		}
-		changes = x.settle(e, st, changes, now)
+		changed = x.settle(e, st, changed, now)
 	}
 	x.mutex.Unlock()
-	x.pass(changes)
+	x.pass(changed)
 }
--- a/instance/hosted/standings.go
+++ b/instance/hosted/standings.go
@@ -47,8 +47,8 @@
 }
 
 // saidLeaving has an endpoint that leaves by its own word get no new work, and its runs be moved.
-func (i *Instance) saidLeaving(e standing.Endpoint, leaving bool) {
-	if i.roster.SetSaidLeaving(e.ID, leaving) {
+func (i *Instance) saidLeaving(e standing.Endpoint, since time.Time) {
+	if i.roster.SetLeavesSince(e.ID, since) {
 		i.refreshRouter()
 	}
 }
--- a/instance/hosted/topics.go
+++ b/instance/hosted/topics.go
@@ -245,11 +245,12 @@
 func (a rosterAdapter) At(service string, address netip.AddrPort) (relay.Endpoint, bool) {
 	e, notice, found := a.table.Lookup(service, address)
 	return relay.Endpoint{
-		ID:         e.ID,
-		Address:    e.Address,
-		Born:       e.Born,
-		DataCentre: e.DataCentre,
-		Evacuated:  found && a.evacuations.Contains(e.DataCentre),
-		Notice:     notice,
+		ID:          e.ID,
+		Address:     e.Address,
+		Born:        e.Born,
+		DataCentre:  e.DataCentre,
+		Evacuated:   found && a.evacuations.Contains(e.DataCentre),
+		Notice:      notice,
+		LeavesSince: e.LeavesSince,
 	}, found
 }
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -225,12 +225,16 @@
 
 // mayReturn reports whether a request that continues the run may still be sent to the run's former endpoint.
 func (m *mover) mayReturn(now time.Time) bool {
-	drain := m.execution.runner.Drain
-	if drain > 0 && !now.Before(m.stop.Noticed.Add(drain-returnMargin)) {
+	current, found := m.execution.runner.Roster.At(m.execution.request.Service, m.from.Address)
+	if found && current.Evacuated {
 		return false
 	}
-	current, found := m.execution.runner.Roster.At(m.execution.request.Service, m.from.Address)
-	return !found || !current.Evacuated
+	noticed := m.stop.Noticed
+	if found && !current.LeavesSince.IsZero() && current.LeavesSince.Before(noticed) {
+		noticed = current.LeavesSince
+	}
+	drain := m.execution.runner.Drain
+	return drain <= 0 || now.Before(noticed.Add(drain-returnMargin))
 }
 
 // copyMemory copies the run's memory once, and stops the run first if last is set.
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -37,12 +37,13 @@
 
 // Endpoint is an endpoint to which a request can be sent.
 type Endpoint struct {
-	ID         string // identifies one start of the endpoint's process
-	Address    netip.AddrPort
-	Born       int64 // start of the process by the endpoint's clock, in Unix milliseconds; zero if unknown
-	DataCentre string
-	Evacuated  bool            // no request may be sent to its data centre
-	Notice     <-chan struct{} // closed when the endpoint is leaving
+	ID          string // identifies one start of the endpoint's process
+	Address     netip.AddrPort
+	Born        int64 // start of the process by the endpoint's clock, in Unix milliseconds; zero if unknown
+	DataCentre  string
+	Evacuated   bool            // no request may be sent to its data centre
+	Notice      <-chan struct{} // closed when the endpoint is leaving
+	LeavesSince time.Time       // time since which the endpoint itself says that it is leaving, which may be before the notice; zero: it does not
 }
 
 // Process returns the identity of the endpoint's process.
--- a/state/roster/query.go
+++ b/state/roster/query.go
@@ -15,7 +15,7 @@
 	for _, e := range t.entries {
 		if !e.gone {
 			endpoint := e.endpoint
-			endpoint.SaidLeaving = e.saidLeaving
+			endpoint.LeavesSince = e.leavesSince
 			list = append(list, endpoint)
 		}
 	}
@@ -118,5 +118,7 @@
 	if best == nil {
 		return Endpoint{}, nil, false
 	}
-	return best.endpoint, best.notice, true
+	endpoint := best.endpoint
+	endpoint.LeavesSince = best.leavesSince
+	return endpoint, best.notice, true
 }
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -17,7 +17,7 @@
 	Slots       int
 	Leaving     bool      // by the list; the endpoint takes no new work, and finishes the work that it has
 	Born        int64     // start time by the clock of the endpoint, in Unix milliseconds; zero if unknown
-	SaidLeaving bool      `cbor:"-" json:"-"` // the endpoint itself has said that it is leaving; set by the table
+	LeavesSince time.Time `cbor:"-" json:"-"` // time since which the endpoint itself says that it is leaving; zero: it does not; set by the table
 	ColdUntil   time.Time `cbor:"-" json:"-"` // end of the time in which the endpoint has just started and takes few requests; set by the table
 }
 
@@ -34,7 +34,7 @@
 	endpoint     Endpoint
 	position     position.Position // of the newest change applied
 	gone         bool
-	saidLeaving  bool          // the endpoint itself has said that it is leaving
+	leavesSince  time.Time     // since which the endpoint itself says that it is leaving; zero: it does not
 	forgetAt     time.Time     // time until which a gone endpoint is kept, so that stale updates are ignored
 	notice       chan struct{} // closed when the endpoint is leaving or gone
 	noticeClosed bool
--- a/state/roster/statement.go
+++ b/state/roster/statement.go
@@ -2,16 +2,17 @@
 
 import "time"
 
-// SetSaidLeaving sets whether an endpoint itself has said that it is leaving, whatever the list says, and reports whether that changed its state.
-func (t *Table) SetSaidLeaving(id string, leaving bool) bool {
+// SetLeavesSince sets the time since which an endpoint itself says that it is leaving, whatever the list says, or zero if it does not say so. It
+// reports whether that changed its state.
+func (t *Table) SetLeavesSince(id string, since time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	e := t.entries[id]
-	if e == nil || e.gone || e.saidLeaving == leaving {
+	if e == nil || e.gone || e.leavesSince.Equal(since) {
 		return false
 	}
 	before := e.isLeaving()
-	e.saidLeaving = leaving
+	e.leavesSince = since
 	e.updateNotice()
 	return e.isLeaving() != before
 }
@@ -29,7 +30,7 @@
 }
 
 // isLeaving reports whether the endpoint takes no new work.
-func (e *entry) isLeaving() bool { return e.endpoint.Leaving || e.saidLeaving }
+func (e *entry) isLeaving() bool { return e.endpoint.Leaving || !e.leavesSince.IsZero() }
 
 // updateNotice closes the notice channel of an endpoint that is leaving, and replaces a closed one if the endpoint stays after all.
 func (e *entry) updateNotice() {
