An endpoint that crashes as its entry is removed counts as crashed

The list's removal of a crashed endpoint reached the instance 1 to 2 ms before it looked whether the endpoint had crashed, and an endpoint that leaves was never blamed on its request. The notice's time also replaces the second copy that runs carried which return to their endpoint. Tests of the roster read the notice through its methods; their assertions are the same.

--- a/instance/hosted/reports.go
+++ b/instance/hosted/reports.go
@@ -25,7 +25,7 @@
 	}
 	changed := len(news) > 0
 	for _, id := range r.Leaving {
-		if i.roster.MarkLeaving(id) {
+		if i.roster.MarkLeaving(id, now) {
 			changed = true
 			i.logger.Info("endpoint leaving", "endpoint", id, "source", r.From)
 		}
--- a/instance/hosted/topics.go
+++ b/instance/hosted/topics.go
@@ -244,13 +244,15 @@
 // At returns the endpoint that was started last at an address, and whether there is one.
 func (a rosterAdapter) At(service string, address netip.AddrPort) (relay.Endpoint, bool) {
 	e, notice, found := a.table.Lookup(service, address)
+	if !found {
+		return relay.Endpoint{}, false
+	}
 	return relay.Endpoint{
-		ID:          e.ID,
-		Address:     e.Address,
-		Born:        e.Born,
-		DataCentre:  e.DataCentre,
-		Evacuated:   found && a.evacuations.Contains(e.DataCentre),
-		Notice:      notice,
-		LeavesSince: e.LeavesSince,
-	}, found
+		ID:         e.ID,
+		Address:    e.Address,
+		Born:       e.Born,
+		DataCentre: e.DataCentre,
+		Evacuated:  a.evacuations.Contains(e.DataCentre),
+		Notice:     notice,
+	}, true
 }
--- a/protocol/relay/constants.go
+++ b/protocol/relay/constants.go
@@ -31,6 +31,7 @@
 	outputDivisor         = 4                      // ratio of a request's output limit to the output that its run usually has when it is moved
 	refusalPauseDivisor   = 4                      // the pause before endpoints that refused are tried again is the route's target divided by this
 	maximumRefusalPause   = 200 * time.Millisecond // longest pause before endpoints that refused are tried again
+	shortestNotice        = time.Second            // from an endpoint's notice until it may have ended as announced
 	returnMargin          = 300 * time.Millisecond // before the end of an endpoint's drain time, after which no run returns to it: its notice and the request take time
 	movePollInterval      = 60 * time.Millisecond  // pause before a run that was not found, or an endpoint for it, is looked for again
 	finalCopyTimeout      = 6 * time.Second        // longest wait for a copy in progress after the stream of the run has broken off
--- a/protocol/relay/crash.go
+++ b/protocol/relay/crash.go
@@ -17,9 +17,10 @@
 }
 
 // noteCrash checks whether the endpoint has crashed under a dispatch, of whose answer so many events had come; the request may be the cause then.
-// An endpoint that was leaving has ended for another reason.
+// An endpoint that had time to leave has ended for that reason. One that breaks off as its notice comes has not: its entry in the list may be
+// removed because it has crashed, and that may be known first.
 func (x *execution) noteCrash(d *Dispatch, err error, events int) {
-	if !isBroken(err) || x.caller.Err() != nil || d.Endpoint.Leaving() {
+	if !isBroken(err) || x.caller.Err() != nil || d.Endpoint.hasTimeToLeave(time.Now()) {
 		return
 	}
 	if !x.runner.Endpoints.Crashed(x.ctx, d.Endpoint.Address) {
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -33,13 +33,12 @@
 	copy     Copy
 	slot     *routing.Slot // slot at the new endpoint; nil if the run continues at its former one
 	endpoint Endpoint      // endpoint at which the run continues
-	noticed  time.Time     // when the notice of its former endpoint came, if the run continues there; zero otherwise
 }
 
 // startMover starts a mover that waits for the notice of the run's endpoint. A run that can't or needn't be moved gets an idle one.
 func (x *execution) startMover(d *Dispatch) *mover {
 	ctx, cancel := context.WithCancel(x.ctx)
-	m := &mover{execution: x, from: d.Endpoint, ended: make(chan struct{}), cancel: cancel, stop: handover.StopRule{Noticed: d.Noticed}}
+	m := &mover{execution: x, from: d.Endpoint, ended: make(chan struct{}), cancel: cancel}
 	if x.request.Engine == nil || !x.request.Engine.Moves || x.request.Route.Resumable {
 		return m
 	}
@@ -96,13 +95,11 @@
 // run waits for the notice of the run's endpoint and for the run's turn, then tries to move the run.
 func (m *mover) run(ctx context.Context) {
 	select {
-	case <-m.from.Notice:
+	case <-m.from.Notice.Done():
 	case <-m.ended:
 		return
 	}
-	if m.stop.Noticed.IsZero() {
-		m.stop.Noticed = time.Now()
-	}
+	m.stop.Noticed = m.from.Notice.At()
 	if err := wait.For(ctx, m.execution.runner.MoveScheduler.SettleTime()); err != nil {
 		return
 	}
@@ -215,7 +212,7 @@
 		// The run was stopped but its memory was not transferred, so the run continues at its former endpoint.
 		slot.Release(routing.OutcomeCancelled, time.Now())
 		if m.mayReturn(time.Now()) {
-			m.moved = &move{copy: copied, endpoint: m.from, noticed: m.stop.Noticed}
+			m.moved = &move{copy: copied, endpoint: m.from}
 		}
 		return false, true
 	}
@@ -225,16 +222,12 @@
 
 // mayReturn reports whether a request that continues the run may still be sent to the run's former endpoint.
 func (m *mover) mayReturn(now time.Time) bool {
-	current, found := m.execution.runner.Roster.At(m.execution.request.Service, m.from.Address)
-	if found && current.Evacuated {
+	drain := m.execution.runner.Drain
+	if drain > 0 && !now.Before(m.stop.Noticed.Add(drain-returnMargin)) {
 		return false
 	}
-	noticed := m.stop.Noticed
-	if found && !current.LeavesSince.IsZero() && current.LeavesSince.Before(noticed) {
-		noticed = current.LeavesSince
-	}
-	drain := m.execution.runner.Drain
-	return drain <= 0 || now.Before(noticed.Add(drain-returnMargin))
+	current, found := m.execution.runner.Roster.At(m.execution.request.Service, m.from.Address)
+	return !found || !current.Evacuated
 }
 
 // copyMemory copies the run's memory once, and stops the run first if last is set.
@@ -272,6 +265,6 @@
 		x.slot.Resend(time.Now())
 	}
 	next := *d
-	next.Endpoint, next.After, next.Copy, next.Noticed = m.endpoint, x.lastEvent, &m.copy, m.noticed
+	next.Endpoint, next.After, next.Copy = m.endpoint, x.lastEvent, &m.copy
 	return &next
 }
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -37,13 +37,12 @@
 
 // Endpoint is an endpoint to which a request can be sent.
 type Endpoint struct {
-	ID          string // identifies one start of the endpoint's process
-	Address     netip.AddrPort
-	Born        int64 // start of the process by the endpoint's clock, in Unix milliseconds; zero if unknown
-	DataCentre  string
-	Evacuated   bool            // no request may be sent to its data centre
-	Notice      <-chan struct{} // closed when the endpoint is leaving
-	LeavesSince time.Time       // time since which the endpoint itself says that it is leaving, which may be before the notice; zero: it does not
+	ID         string // identifies one start of the endpoint's process
+	Address    netip.AddrPort
+	Born       int64 // start of the process by the endpoint's clock, in Unix milliseconds; zero if unknown
+	DataCentre string
+	Evacuated  bool   // no request may be sent to its data centre
+	Notice     Notice // that the endpoint is leaving; nil if unknown
 }
 
 // Process returns the identity of the endpoint's process.
@@ -51,14 +50,20 @@
 	return process.Of(e.Address, e.ID, e.Born)
 }
 
+// Notice says whether and when an endpoint has begun to leave.
+type Notice interface {
+	// Done returns a channel that is closed once the endpoint is leaving.
+	Done() <-chan struct{}
+	// At returns the time since which the endpoint is leaving; zero if it is not.
+	At() time.Time
+}
+
 // Leaving reports whether the endpoint has announced that it is leaving.
-func (e Endpoint) Leaving() bool {
-	select {
-	case <-e.Notice:
-		return true
-	default:
-		return false
-	}
+func (e Endpoint) Leaving() bool { return e.Notice != nil && !e.Notice.At().IsZero() }
+
+// hasTimeToLeave reports whether the endpoint has announced that it is leaving for long enough to have ended as announced.
+func (e Endpoint) hasTimeToLeave(now time.Time) bool {
+	return e.Leaving() && now.Sub(e.Notice.At()) >= shortestNotice
 }
 
 // Copy identifies a copy of a run's memory from which an endpoint can continue the run.
@@ -77,7 +82,6 @@
 	Copy           *Copy             // copy from which the run continues; nil for a new run
 	Choice         routing.Candidate // the router's assessment of the endpoint
 	ExpectedTokens float64           // predicted length of the output in tokens
-	Noticed        time.Time         // when the notice of the endpoint came, if the run has returned to one that it was to leave; zero otherwise
 	Backup         netip.AddrPort    // endpoint to which the run's memory is copied while the run continues; invalid if there is none
 }
 
--- a/protocol/relay/restore.go
+++ b/protocol/relay/restore.go
@@ -48,7 +48,6 @@
 	x.slot = slot
 	x.result.Restores++
 	next := *d
-	next.Noticed = time.Time{}
 	next.Endpoint, next.After, next.Copy = backup, x.lastEvent, &Copy{Source: d.Backup, Handle: x.request.ID}
 	return &next
 }
--- a/state/roster/query.go
+++ b/state/roster/query.go
@@ -103,9 +103,8 @@
 	return ids
 }
 
-// Lookup returns the newest endpoint of a service at an address that is not gone, and a channel that is closed once the endpoint is
-// leaving or gone; it reports whether there is such an endpoint.
-func (t *Table) Lookup(service string, address netip.AddrPort) (Endpoint, <-chan struct{}, bool) {
+// Lookup returns the newest endpoint of a service at an address that is not gone, and its notice; it reports whether there is such an endpoint.
+func (t *Table) Lookup(service string, address netip.AddrPort) (Endpoint, *Notice, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var best *entry
@@ -118,7 +117,5 @@
 	if best == nil {
 		return Endpoint{}, nil, false
 	}
-	endpoint := best.endpoint
-	endpoint.LeavesSince = best.leavesSince
-	return endpoint, best.notice, true
+	return best.endpoint, best.notice, true
 }
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -34,10 +34,9 @@
 	endpoint     Endpoint
 	position     position.Position // of the newest change applied
 	gone         bool
-	leavesSince  time.Time     // since which the endpoint itself says that it is leaving; zero: it does not
-	forgetAt     time.Time     // time until which a gone endpoint is kept, so that stale updates are ignored
-	notice       chan struct{} // closed when the endpoint is leaving or gone
-	noticeClosed bool
+	leavesSince  time.Time // since which the endpoint itself says that it is leaving; zero: it does not
+	forgetAt     time.Time // time until which a gone endpoint is kept, so that stale updates are ignored
+	notice       *Notice
 	knownSince   time.Time // when the table learnt of the endpoint
 	missingSince time.Time // time since which the endpoint is missing from the list though it may be alive; zero: not missing
 	vanishedAt   time.Time // latest time at which the endpoint vanished from the list around an outage; zero: never
@@ -76,8 +75,8 @@
 	coldUntil := c.coldUntil(now)
 	switch {
 	case e == nil, e.gone, !e.endpoint.sameProcess(c.Endpoint):
-		e.closeNotice()
-		e = &entry{notice: make(chan struct{}), knownSince: now}
+		e.giveNotice(now)
+		e = &entry{notice: newNotice(), knownSince: now}
 		t.entries[c.ID] = e
 	case e.endpoint.Leaving && !c.Endpoint.Leaving && c.Position == e.position:
 		return false
@@ -89,7 +88,7 @@
 	}
 	e.endpoint, e.position, e.missingSince = *c.Endpoint, c.Position, time.Time{}
 	e.endpoint.ColdUntil = coldUntil
-	e.updateNotice()
+	e.updateNotice(now)
 	if !same {
 		t.latest = position.Latest(t.latest, c.Position)
 	}
@@ -122,15 +121,14 @@
 	}
 	e.gone, e.position, e.forgetAt = true, at, now.Add(forgetAfter)
 	t.latest = position.Latest(t.latest, at)
-	e.closeNotice()
+	e.giveNotice(now)
 	return true
 }
 
-// closeNotice closes the notice channel unless it is closed already; the entry may be nil.
-func (e *entry) closeNotice() {
-	if e != nil && !e.noticeClosed {
-		e.noticeClosed = true
-		close(e.notice)
+// giveNotice gives the endpoint's notice; the entry may be nil.
+func (e *entry) giveNotice(at time.Time) {
+	if e != nil {
+		e.notice.give(at)
 	}
 }
 
@@ -184,7 +182,7 @@
 
 // MarkLeaving marks an endpoint as leaving on information from another source than the endpoint list, and reports whether that changed
 // its state.
-func (t *Table) MarkLeaving(id string) bool {
+func (t *Table) MarkLeaving(id string, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	e := t.entries[id]
@@ -192,6 +190,6 @@
 		return false
 	}
 	e.endpoint.Leaving = true
-	e.closeNotice()
+	e.giveNotice(now)
 	return true
 }
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -23,10 +23,11 @@
 	return Change{ID: id, Position: at(offset), Endpoint: &Endpoint{ID: id, Service: "s", Address: address, Leaving: leaving}}
 }
 
-func isClosed(notice <-chan struct{}) bool {
+// isGiven reports whether a notice has been given.
+func isGiven(notice *Notice) bool {
 	select {
-	case <-notice:
-		return true
+	case <-notice.Done():
+		return !notice.At().IsZero()
 	default:
 		return false
 	}
@@ -38,9 +39,9 @@
 		table := NewTable()
 		is.True(table.Apply(listed("a", 1, false), now))
 		_, notice, found := table.Lookup("s", address)
-		is.True(found && !isClosed(notice))
+		is.True(found && !isGiven(notice))
 		is.True(table.Apply(listed("a", 2, true), now))
-		is.True(isClosed(notice))
+		is.True(isGiven(notice))
 		is.True(!table.Apply(listed("a", 1, false), now))
 		is.True(table.List()[0].Leaving)
 	})
@@ -61,7 +62,7 @@
 		again.Endpoint.Born = 7
 		is.True(table.Apply(again, now))
 		_, present, _ := table.Lookup("s", address)
-		is.True(isClosed(former) && !isClosed(present))
+		is.True(isGiven(former) && !isGiven(present))
 	})
 }
 
@@ -99,7 +100,7 @@
 		}
 		return table
 	}
-	notice := func(table *Table, id string) <-chan struct{} {
+	notice := func(table *Table, id string) *Notice {
 		table.mutex.Lock()
 		defer table.mutex.Unlock()
 		return table.entries[id].notice
@@ -111,7 +112,7 @@
 		is.Equal(len(table.RemoveVanished([]Change{{ID: "c", Position: at(20)}}, at(10), now)), 1)
 		is.Equal(len(table.List()), 8)
 		select {
-		case <-noticed:
+		case <-noticed.Done():
 		default:
 			t.Fatal("notice channel is not closed")
 		}
@@ -169,12 +170,7 @@
 	}
 	noticed := func(table *Table) bool {
 		_, notice, _ := table.Lookup("desk", address)
-		select {
-		case <-notice:
-			return true
-		default:
-			return false
-		}
+		return !notice.At().IsZero()
 	}
 	t.Run("takes no work, whatever the list says", func(t *testing.T) {
 		is := is.New(t)
--- a/state/roster/statement.go
+++ b/state/roster/statement.go
@@ -13,7 +13,7 @@
 	}
 	before := e.isLeaving()
 	e.leavesSince = since
-	e.updateNotice()
+	e.updateNotice(since)
 	return e.isLeaving() != before
 }
 
@@ -32,12 +32,12 @@
 // isLeaving reports whether the endpoint takes no new work.
 func (e *entry) isLeaving() bool { return e.endpoint.Leaving || !e.leavesSince.IsZero() }
 
-// updateNotice closes the notice channel of an endpoint that is leaving, and replaces a closed one if the endpoint stays after all.
-func (e *entry) updateNotice() {
+// updateNotice gives the notice of an endpoint that is leaving, and replaces a given one if the endpoint stays after all.
+func (e *entry) updateNotice(at time.Time) {
 	switch {
 	case e.isLeaving():
-		e.closeNotice()
-	case e.noticeClosed:
-		e.notice, e.noticeClosed = make(chan struct{}), false
+		e.notice.give(at)
+	case e.notice.isGiven():
+		e.notice = newNotice()
 	}
 }
