Only an endpoint that is asked confirms that it leaves

Seen: TestBytesWithoutEnd hung once it ran after others: the only endpoint of a service, whose answers had no length and so ended their connections, was taken for leaving after two such answers in a row, and the next request was refused. Each such answer is a doubt; a health answer that was asked for after the latest sign confirms it, and any answer without the sign to something sent later ends it.

--- a/coordination/standing/exchange.go
+++ b/coordination/standing/exchange.go
@@ -108,7 +108,7 @@
 		x.states[p] = st
 	}
 	news := x.rest(e, st, s.Rest.For, s.Rest.All, "answer", now)
-	st.departure.observe(s.Closes, s.Replaced, sent, now)
+	st.departure.observe(s, sent, now)
 	changed := x.settle(e, st, nil, now)
 	x.mutex.Unlock()
 	signal(x.wake)
--- a/state/statement/statement.go
+++ b/state/statement/statement.go
@@ -8,6 +8,7 @@
 
 // Statement is what one answer of an endpoint says of the endpoint itself, whatever was asked.
 type Statement struct {
+	Health    bool // the answer is to a question for the endpoint's health
 	Signed    bool // the answer carries the endpoint's signature
 	RateLimit RateLimit
 	Rest      Rest
