--- a/coordination/standing/exchange.go
+++ b/coordination/standing/exchange.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// Learn applies what an answer says of its endpoint, and when that was asked.
+// Learn applies what the answer to a request that was sent at the given time says of its endpoint.
 func (x *Exchange) Learn(p process.ID, s statement.Statement, sent, now time.Time) {
 	x.mutex.Lock()
 	e, known := x.endpoints[p]
@@ -182,7 +182,7 @@
 	return st.departure.since()
 }
 
-// SetEndpoints replaces the endpoints that this instance knows, forgets what others have said, and passes what is known to the router, which may
+// SetEndpoints replaces the endpoints that this instance knows, forgets what endpoints outside the list have said, and passes what is known to the router, which may
 // have forgotten it.
 func (x *Exchange) SetEndpoints(endpoints []Endpoint, now time.Time) {
 	x.mutex.Lock()
--- a/protocol/relay/crash.go
+++ b/protocol/relay/crash.go
@@ -20,7 +20,7 @@
 // An endpoint that had time to leave has ended for that reason. One that breaks off as its notice comes has not: its entry in the list may be
 // removed because it has crashed, and that may be known first.
 func (x *execution) noteCrash(d *Dispatch, err error, events int) {
-	if !isBroken(err) || x.caller.Err() != nil || d.Endpoint.hasTimeToLeave(time.Now()) {
+	if !isBroken(err) || x.caller.Err() != nil || d.Endpoint.hadTimeToLeave(time.Now()) {
 		return
 	}
 	if !x.runner.Endpoints.Crashed(x.ctx, d.Endpoint.Address) {
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -61,8 +61,8 @@
 // Leaving reports whether the endpoint has announced that it is leaving.
 func (e Endpoint) Leaving() bool { return e.Notice != nil && !e.Notice.At().IsZero() }
 
-// hasTimeToLeave reports whether the endpoint has announced that it is leaving for long enough to have ended as announced.
-func (e Endpoint) hasTimeToLeave(now time.Time) bool {
+// hadTimeToLeave reports whether the endpoint announced that it is leaving so long ago that it may have ended as announced.
+func (e Endpoint) hadTimeToLeave(now time.Time) bool {
 	return e.Leaving() && now.Sub(e.Notice.At()) >= shortestNotice
 }
 
