--- a/coordination/lease/follow.go
+++ b/coordination/lease/follow.go
@@ -32,7 +32,7 @@
 	return NewKeeper(self, now, rand.Uint64()>>1)
 }
 
-// over tells whether there is no more reason to follow the partition.
+// over reports whether there is no more reason to follow the partition.
 func (l *Leases) over(partition int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/state/roster/notice.go
+++ b/state/roster/notice.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// give gives the notice unless it has been given; the caller holds the mutex of the table.
+// give records the time and closes the channel, once; the caller holds the mutex of the table.
 func (n *Notice) give(at time.Time) {
 	if n.isGiven() {
 		return
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -125,7 +125,7 @@
 	return true
 }
 
-// giveNotice gives the endpoint's notice; the entry may be nil.
+// giveNotice announces that the endpoint is leaving or gone; the entry may be nil.
 func (e *entry) giveNotice(at time.Time) {
 	if e != nil {
 		e.notice.give(at)
--- a/state/roster/statement.go
+++ b/state/roster/statement.go
@@ -32,7 +32,7 @@
 // isLeaving reports whether the endpoint takes no new work.
 func (e *entry) isLeaving() bool { return e.endpoint.Leaving || !e.leavesSince.IsZero() }
 
-// updateNotice gives the notice of an endpoint that is leaving, and replaces a given one if the endpoint stays after all.
+// updateNotice announces that the endpoint is leaving, if it is; otherwise it replaces a notice that has been given by a new one.
 func (e *entry) updateNotice(at time.Time) {
 	switch {
 	case e.isLeaving():
