--- /dev/null
+++ b/review/driver/twice.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// twice has half of the engines lose the answer to one in twenty of the requests that they run, and counts those that go on at another engine
+// while the engine before still works on them 400 ms later (TWICE).
+func twice(w *world) (int, error) {
+	const (
+		streams = 110
+		every   = 700 * time.Millisecond
+		engines = 9
+		prompt  = 1200
+		lostOne = 20  // of so many streams that the lossy engines run, one of them loses the answer to one
+		lostAt  = 100 // event after which the connection closes
+		events  = 232
+		bound   = 400 * time.Millisecond
+	)
+	var mutex sync.Mutex
+	ran := 0
+	lossy := func(string) int {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if ran++; ran%lostOne == lostOne/2 {
+			return lostAt
+		}
+		return 0
+	}
+	for n := range engines {
+		if _, err := w.engines.start(fmt.Sprintf("m-%d", n+1), serviceModel, string(rune('a'+n%3)), fmt.Sprintf(modelPlace, n+1), func(e *engine) {
+			e.lingers = true
+			if w.trouble && n%2 == 1 { // four of nine
+				e.losesAt = lossy
+			}
+		}); err != nil {
+			return 0, err
+		}
+	}
+	if err := w.publish(1, serviceDesk, keyKept); err != nil {
+		return 0, err
+	}
+	if err := w.start(w.store.address, "a", "b", "c"); err != nil {
+		return 0, err
+	}
+	for n := range streams {
+		w.send(w.digest(fmt.Sprintf("d%03d", n), prompt, events), w.instances[n%3])
+		time.Sleep(every)
+	}
+	w.clients.Wait()
+	time.Sleep(10 * time.Second) // for engines that work on
+	broken := 0
+	work := w.engines.work()
+	for n, second := range work {
+		for _, first := range work[:n] {
+			if first.id != second.id || first.engine == second.engine {
+				continue
+			}
+			if first.to.IsZero() || first.to.Sub(second.from) > bound {
+				broken++
+				w.record.line("TWICE: %s goes on at %s while %s works on it for %d ms more", first.id, second.engine, first.engine, first.to.Sub(second.from).Milliseconds())
+			}
+		}
+	}
+	return broken, nil
+}
