--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -163,6 +163,13 @@
 	return usualOutput / tokensPerEvent
 }
 
+// hasReached reports whether a request has reached an engine.
+func (f *engines) hasReached(id string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.reached[id]
+}
+
 func (f *engines) at(address string) *engine {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/review/driver/instance.go
+++ b/review/driver/instance.go
@@ -29,6 +29,8 @@
 // instance is one process of the system.
 type instance struct {
 	name    string
+	zone    string
+	ip      string
 	callers string
 	ready   string
 	process *exec.Cmd
@@ -112,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := &instance{name: name, callers: at(peerPorts), ready: at(peerPorts + 1), output: output, ended: make(chan struct{})}
+	i := &instance{name: name, zone: zone, ip: ip, callers: at(peerPorts), ready: at(peerPorts + 1), output: output, ended: make(chan struct{})}
 	i.process = exec.Command(program, "--hosted")
 	i.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + directory, "LANG=C", "DOGWOODDYKE_NODE_FILE=" + file}
 	i.process.Stdout, i.process.Stderr = output, output
--- a/review/driver/twice.go
+++ b/review/driver/twice.go
@@ -10,13 +10,13 @@
 // while the engine before still works on them 400 ms later (TWICE).
 func twice(w *world) (int, error) {
 	const (
-		streams = 110
-		every   = 700 * time.Millisecond
+		streams = 160
+		every   = 500 * time.Millisecond
 		engines = 9
-		prompt  = 1200
-		lostOne = 20  // of so many streams that the lossy engines run, one of them loses the answer to one
-		lostAt  = 100 // event after which the connection closes
-		events  = 232
+		prompt  = 600
+		lostOne = 20 // of so many streams that the lossy engines run, one of them loses the answer to one
+		lostAt  = 60 // event after which the connection closes
+		events  = 150
 		bound   = 400 * time.Millisecond
 	)
 	var mutex sync.Mutex
