--- a/review/driver/instance.go
+++ b/review/driver/instance.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +22,7 @@
 	firstPort    = 21000 // of those from which free ones are sought
 	lastPort     = 29000
 	peerPorts    = 16
+	portTries    = 200
 	graceSeconds = 8
 	drainMS      = 2000
 	applyMS      = 2000
@@ -63,7 +65,8 @@
 
 // freePorts finds a range of ports that are free on an address.
 func freePorts(ip string, count int) (int, error) {
-	for first := firstPort + os.Getpid()%97*40; first < lastPort; first += count {
+	for range portTries {
+		first := firstPort + rand.N(lastPort-firstPort)
 		if allFree(ip, first, count) {
 			return first, nil
 		}
@@ -128,6 +131,16 @@
 	return i, nil
 }
 
+// hasEnded reports whether the process has ended.
+func (i *instance) hasEnded() bool {
+	select {
+	case <-i.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // isReady asks as the platform does.
 func (i *instance) isReady() bool {
 	client := &http.Client{Timeout: time.Second}
--- a/review/driver/twice.go
+++ b/review/driver/twice.go
@@ -10,20 +10,28 @@
 // while the engine before still works on them 400 ms later (TWICE).
 func twice(w *world) (int, error) {
 	const (
-		streams = 160
-		every   = 500 * time.Millisecond
-		engines = 9
-		prompt  = 600
-		lostOne = 20 // of so many streams that the lossy engines run, one of them loses the answer to one
-		lostAt  = 60 // event after which the connection closes
-		events  = 150
-		bound   = 400 * time.Millisecond
+		streams      = 160
+		every        = 500 * time.Millisecond
+		engines      = 9
+		lossyEngines = 4
+		prompt       = 600
+		lostOne      = 20 // of so many streams that the lossy engines run, one of them loses the answer to one
+		lostAt       = 60 // event after which the connection closes
+		events       = 150
+		bound        = 400 * time.Millisecond
 	)
 	var mutex sync.Mutex
-	ran := 0
-	lossy := func(string) int {
+	lossy := make(map[string]bool) // engines: the first ones that get work
+	ran := 0                       // streams that these have run
+	losesAt := func(engine string) int {
 		mutex.Lock()
 		defer mutex.Unlock()
+		if len(lossy) < lossyEngines {
+			lossy[engine] = true
+		}
+		if !lossy[engine] {
+			return 0
+		}
 		if ran++; ran%lostOne == lostOne/2 {
 			return lostAt
 		}
@@ -32,8 +40,8 @@
 	for n := range engines {
 		if _, err := w.engines.start(fmt.Sprintf("m-%d", n+1), serviceModel, string(rune('a'+n%3)), fmt.Sprintf(modelPlace, n+1), func(e *engine) {
 			e.lingers = true
-			if w.trouble && n%2 == 1 { // four of nine
-				e.losesAt = lossy
+			if w.trouble {
+				e.losesAt = func(string) int { return losesAt(e.id) }
 			}
 		}); err != nil {
 			return 0, err
--- a/review/driver/unanswered.go
+++ b/review/driver/unanswered.go
@@ -17,7 +17,7 @@
 // unanswered stops and starts two instances in turn, as planned, while requests for long streams wait for a place, and counts those whose
 // connection is closed without an answer (LOST).
 func unanswered(w *world) (int, error) {
-	const every = 300 * time.Millisecond // between two requests of all clients: four tenths more than the engines serve
+	const every = 200 * time.Millisecond // between two requests of all clients: about twice as many as the engines serve
 	zones := []string{"a", "b"}
 	for n, zone := range zones {
 		if _, err := w.engines.start("m-"+zone, serviceModel, zone, fmt.Sprintf(modelPlace, n+1), nil); err != nil {
--- a/review/driver/world.go
+++ b/review/driver/world.go
@@ -81,6 +81,11 @@
 		w.instances = append(w.instances, i)
 	}
 	for limit := time.Now().Add(startTime); time.Now().Before(limit); time.Sleep(50 * time.Millisecond) {
+		for _, i := range w.instances {
+			if i.hasEnded() {
+				return fmt.Errorf("%s has ended", i.name)
+			}
+		}
 		if w.allReady() {
 			w.record.line("%d instances are ready", len(w.instances))
 			return nil
