--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -54,7 +54,7 @@
 	speed    float64              // factor on the time of a step
 	work     time.Duration        // of a request of an application
 	unframed func(id string) bool // whether a stream has neither a length nor chunks, and ends with its connection; may be nil
-	lingers  bool                 // runs go on when the connection of their caller closes
+	lingers  func() bool          // whether runs go on when the connection of their caller closes; may be nil
 	losesAt  func(id string) int  // event after which a stream's connection closes though the run goes on; 0: none; may be nil
 	hasRoom  func() bool          // whether a last copy finds room here; may be nil
 
@@ -327,6 +327,9 @@
 	_, _ = io.WriteString(o.connection, head+"\r\n") // the caller may have left
 }
 
+// worksOn reports whether the engine goes on with a run whose caller has closed the connection.
+func (e *engine) worksOn() bool { return e.lingers != nil && e.lingers() }
+
 // isGone reports whether the caller has closed the connection.
 func (o *output) isGone() bool {
 	select {
@@ -425,7 +428,7 @@
 	if from == "" {
 		e.read(prompt)
 	}
-	if o.isGone() && !e.lingers {
+	if o.isGone() && !e.worksOn() {
 		e.fleet.record.line("engine %s drops %s: its caller has left", e.id, id)
 		return
 	}
@@ -453,7 +456,7 @@
 	}
 	for n := current.events() + 1; n <= count; n++ {
 		gone := o.gone
-		if e.lingers {
+		if e.worksOn() {
 			gone = nil
 		}
 		select {
--- a/review/driver/truncated.go
+++ b/review/driver/truncated.go
@@ -4,25 +4,36 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
-// truncated empties an engine, one in twenty of whose streams has neither a length nor chunks, and counts the streams that end as complete before
-// their last event (ORDER). The engine that the runs are moved to has no room for last copies from a while after the notice on.
+// truncated empties one of four engines, and counts the streams that end as complete before their last event (ORDER). One in twenty-four streams has
+// neither a length nor chunks. The engines that the runs are moved to have no room for last copies from a while after the notice on.
 func truncated(w *world) (int, error) {
 	const (
-		streams  = 20
-		small    = 500  // prompt tokens
-		large    = 3000 // of the stream without a length
-		events   = 400
-		full     = 1400 * time.Millisecond // after the notice, from which on the other engine has no room for last copies
+		engines  = 4
+		streams  = 24
+		usual    = 3000 // prompt tokens
+		large    = 4000 // of the stream without a length
+		events   = 300
+		full     = 1400 * time.Millisecond // after the notice, from which on the other engines have no room for last copies
 		unframed = "d00"
 	)
-	one, err := w.engines.start("m-one", serviceModel, "a", fmt.Sprintf(modelPlace, 1), func(e *engine) {
-		e.unframed = func(id string) bool { return id == unframed }
-	})
-	if err != nil {
-		return 0, err
+	var noticed atomic.Pointer[time.Time]
+	all := make(map[string]*engine)
+	for n := range engines {
+		e, err := w.engines.start(fmt.Sprintf("m-%d", n+1), serviceModel, string(rune('a'+n)), fmt.Sprintf(modelPlace, n+1), func(e *engine) {
+			e.unframed = func(id string) bool { return id == unframed }
+			e.hasRoom = func() bool {
+				at := noticed.Load()
+				return at == nil || time.Since(*at) < full
+			}
+		})
+		if err != nil {
+			return 0, err
+		}
+		all[e.id] = e
 	}
 	if err := w.publish(1, serviceDesk, keyKept); err != nil {
 		return 0, err
@@ -31,7 +42,7 @@
 		return 0, err
 	}
 	for n := range streams {
-		prompt := small
+		prompt := usual
 		if n == 0 {
 			prompt = large
 		}
@@ -42,16 +53,15 @@
 			return 0, errors.New("streams did not start")
 		}
 	}
-	var noticed time.Time
-	if _, err = w.engines.start("m-two", serviceModel, "b", fmt.Sprintf(modelPlace, 2), func(e *engine) {
-		e.hasRoom = func() bool { return time.Since(noticed) < full }
-	}); err != nil {
-		return 0, err
-	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(500 * time.Millisecond)
 	if w.trouble {
-		noticed = time.Now()
-		one.drain()
+		for _, s := range w.engines.work() {
+			if s.id == unframed {
+				now := time.Now()
+				noticed.Store(&now)
+				all[s.engine].drain()
+			}
+		}
 	}
 	w.clients.Wait()
 	broken := 0
--- a/review/driver/twice.go
+++ b/review/driver/twice.go
@@ -32,16 +32,18 @@
 		if !lossy[engine] {
 			return 0
 		}
-		if ran++; ran%lostOne == lostOne/2 {
+		if ran++; w.trouble && ran%lostOne == lostOne/2 {
 			return lostAt
 		}
 		return 0
 	}
 	for n := range engines {
 		if _, err := w.engines.start(fmt.Sprintf("m-%d", n+1), serviceModel, string(rune('a'+n%3)), fmt.Sprintf(modelPlace, n+1), func(e *engine) {
-			e.lingers = true
-			if w.trouble {
-				e.losesAt = func(string) int { return losesAt(e.id) }
+			e.losesAt = func(string) int { return losesAt(e.id) }
+			e.lingers = func() bool { // the five other engines drop what their callers have left
+				mutex.Lock()
+				defer mutex.Unlock()
+				return lossy[e.id]
 			}
 		}); err != nil {
 			return 0, err
