An unframed stream whose run was stopped does not count as complete

Cause: the end of an answer without length or chunks is the end of its connection. When the last copy of a move had stopped the run and was refused, timed out or could not be used any more, the mover returned nothing, as if no stop had been asked for, and the end counted as the end of the answer. The same holds when the engine ends its work at the deadline.

Change: the mover returns what it knows of the stop (not asked, unknown, stopped), and an unframed end counts only if no stop was asked for and the deadline has not come. The run continues from its backup if it has one, else the connection is broken off. The line of an ended request names what ended the answer. A 409 of a move and an endpoint that was not reached have errors of their own.

--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -165,7 +165,7 @@
 	o.metrics.observe(r, result, o.workspaceLabel(r.Workspace), now)
 	line := []any{
 		"id", r.ID, "workspace", r.Workspace, "route", r.Route.Name, "outcome", result.Outcome, "reason", result.Reason, "status", result.Status,
-		"endpoint", result.Endpoint.ID, "sent", result.Dispatches, "moved", result.Moves, "restored", result.Restores, "events", result.Events, "lastEvent", result.LastEvent,
+		"endpoint", result.Endpoint.ID, "sent", result.Dispatches, "moved", result.Moves, "restored", result.Restores, "end", result.End, "events", result.Events, "lastEvent", result.LastEvent,
 		"waitedMs", millisecondsBetween(r.Arrived, result.AdmittedAt), "firstMs", millisecondsBetween(r.Arrived, result.BegunAt), "pauseMs", result.LongestPause.Milliseconds(), "tookMs", now.Sub(r.Arrived).Milliseconds(),
 	}
 	if result.Err != nil {
--- a/protocol/relay/buffered.go
+++ b/protocol/relay/buffered.go
@@ -92,15 +92,6 @@
 	return nil
 }
 
-// checkEnd returns an error if an answer whose end is marked by nothing but the end of its connection may have been broken off: its endpoint has
-// crashed, which ends its connections in the same way.
-func (x *execution) checkEnd(reply *Reply) error {
-	if reply.Unframed && x.runner.Endpoints.Crashed(x.ctx, x.result.Endpoint.Address) {
-		return io.ErrUnexpectedEOF
-	}
-	return nil
-}
-
 // attemptDeadline returns the deadline of one dispatch: earlier than the request's if the request may still be sent to another endpoint.
 func (x *execution) attemptDeadline() time.Time {
 	timeout := time.Duration(hedgeTargetFactor * float64(x.request.Route.Target))
--- a/protocol/relay/ending.go
+++ b/protocol/relay/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"math/rand/v2"
 	"time"
 
@@ -44,6 +45,32 @@
 	x.setUnansweredOutcome()
 }
 
+// checkEnd returns an error if an answer whose end is marked by nothing but the end of its connection may have been broken off: its endpoint has
+// crashed, which ends its connections in the same way, or has stopped work at the deadline.
+func (x *execution) checkEnd(reply *Reply) error {
+	x.result.End = EndFramed
+	if !reply.Unframed {
+		return nil
+	}
+	x.result.End = EndClosed
+	if !time.Now().Before(x.request.Deadline.Add(-deadlineMargin)) {
+		return errEndsAtDeadline
+	}
+	if x.runner.Endpoints.Crashed(x.ctx, x.result.Endpoint.Address) {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// checkUnframedEnd returns an error if the end of an unframed answer may be the stop of its run.
+func (x *execution) checkUnframedEnd(reply *Reply, stop stopState) error {
+	if !reply.Unframed || stop == stopNotAsked {
+		return nil
+	}
+	x.result.End = EndStopped
+	return errStopped
+}
+
 // setUnansweredOutcome sets the outcome of a request that has no complete answer. An answer with an error status that an endpoint has given to
 // an earlier dispatch is forwarded; without one the outcome is interrupted if a part of the answer was forwarded,
 // unknown if an endpoint may have run the request, else not run.
--- a/protocol/relay/failure.go
+++ b/protocol/relay/failure.go
@@ -32,5 +32,12 @@
 	return isUnreached(err) && errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// ErrNoRun reports that the endpoint does not know a run, because the run has not started or has ended.
-var ErrNoRun = errors.New("endpoint does not know the run")
+// Errors of calls that copy a run.
+var (
+	// ErrNoRun reports that the endpoint does not know a run, because the run has not started or has ended.
+	ErrNoRun = errors.New("endpoint does not know the run")
+	// ErrMoveInProgress reports that another call which copies the run is in progress.
+	ErrMoveInProgress = errors.New("run is being copied already")
+	// ErrUnreached reports that no connection to the endpoint was established.
+	ErrUnreached = errors.New("endpoint was not reached")
+)
--- /dev/null
+++ b/protocol/relay/fake_test.go
@@ -0,0 +1,337 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dogwooddyke/coordination/handover"
+	"dogwooddyke/coordination/routing"
+	"dogwooddyke/state/catalogue"
+	"dogwooddyke/state/route"
+)
+
+// fakeEventPause is the time between two events of a fake run.
+const fakeEventPause = 20 * time.Millisecond
+
+// framing says how the end of an answer is marked.
+type framing int
+
+// The framings of a fake endpoint's streams.
+const (
+	framedByChunks framing = iota // an end without the last chunk is an error
+	framedByLength                // likewise an end before the length
+	unframed                      // the end of the connection is the end of the answer
+)
+
+func (f framing) String() string { return [...]string{"chunks", "length", "no framing"}[f] }
+
+// fakeRun is a run of the request at one endpoint; its stream ends when the run is stopped.
+type fakeRun struct {
+	stopped chan struct{}
+	once    sync.Once
+	made    int64 // events until now
+}
+
+func (f *fakeRun) stop() { f.once.Do(func() { close(f.stopped) }) }
+
+// fakeSend is a dispatch that reached an endpoint.
+type fakeSend struct {
+	at       time.Time
+	endpoint netip.AddrPort
+	after    int64
+	copied   bool
+	working  bool // another endpoint worked on the request then
+}
+
+// fakeFleet is the endpoints of one service. Each runs the request of the test, whose events have the numbers from 1 to events.
+type fakeFleet struct {
+	is      *is.I
+	framing framing
+	events  int64
+	notices map[netip.AddrPort]*fakeNotice
+
+	// move answers a call that copies a run; stop ends the run and its stream. By default the run is stopped by the last copy, which succeeds.
+	move func(ctx context.Context, from, to netip.AddrPort, last bool, stop func()) (Copy, error)
+	// breaks says after which event the connection of a stream closes, and whether its endpoint goes on working; zero: never.
+	breaks  func(address netip.AddrPort) (after int64, worksOn bool)
+	crashed func(address netip.AddrPort) bool
+
+	mutex sync.Mutex
+	runs  map[netip.AddrPort]*fakeRun
+	sends []fakeSend
+	moves int // calls that copy a run
+	stops int // those that stop it first
+}
+
+// fakeNotice is a notice that an endpoint leaves.
+type fakeNotice struct {
+	done chan struct{}
+	at   time.Time
+}
+
+func (f *fakeNotice) Done() <-chan struct{} { return f.done }
+
+func (f *fakeNotice) At() time.Time {
+	select {
+	case <-f.done:
+		return f.at
+	default:
+		return time.Time{}
+	}
+}
+
+func fakeAddress(n byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80)
+}
+
+func newFakeFleet(t *testing.T, endpoints byte, events int64) *fakeFleet {
+	f := &fakeFleet{is: is.New(t), events: events, notices: make(map[netip.AddrPort]*fakeNotice), runs: make(map[netip.AddrPort]*fakeRun)}
+	for n := range endpoints {
+		f.notices[fakeAddress(n+1)] = &fakeNotice{done: make(chan struct{})}
+	}
+	return f
+}
+
+// notice has an endpoint announce that it leaves.
+func (f *fakeFleet) notice(address netip.AddrPort) {
+	f.notices[address].at = time.Now()
+	close(f.notices[address].done)
+}
+
+// runner returns a runner before the endpoints.
+func (f *fakeFleet) runner() *Runner {
+	router := routing.New(routing.Config{})
+	entry := &catalogue.Entry{Name: "s", Kind: catalogue.KindEngine}
+	for address := range f.notices {
+		entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: address})
+	}
+	router.SetEntry(entry, time.Now())
+	return &Runner{
+		Endpoints: f, Router: router, Roster: f, Budgets: &Budgets{}, MoveScheduler: f, Observer: f, Drain: 2 * time.Second,
+		RetryLimits: func() RetryLimits { return RetryLimits{Ratio: 1, Extra: 50, Window: 10 * time.Second, Instances: 1} },
+	}
+}
+
+// serve runs a stream to its end, and returns its result and what the caller has.
+func (f *fakeFleet) serve(t *testing.T, resumable bool) (Result, string) {
+	sink := &recordingSink{}
+	attempts := 1
+	if resumable {
+		attempts = 3
+	}
+	now := time.Now()
+	result := f.runner().Run(t.Context(), &Request{
+		ID: "r-1", Method: http.MethodPost, Target: "/x", Service: "s", Arrived: now, Deadline: now.Add(40 * time.Second), PromptTokens: 100, MaximumTokens: 4000,
+		Route:  &route.Route{Name: "long", Kind: route.KindStream, Attempts: attempts, Resumable: resumable},
+		Engine: &route.Engine{Stride: 4, Moves: true, Backups: true},
+	}, sink)
+	return result, sink.text.String()
+}
+
+// firstRun waits for the run of the request and returns its endpoint.
+func (f *fakeFleet) firstRun() netip.AddrPort {
+	for {
+		f.mutex.Lock()
+		for address := range f.runs {
+			f.mutex.Unlock()
+			return address
+		}
+		f.mutex.Unlock()
+		time.Sleep(fakeEventPause)
+	}
+}
+
+// working reports whether another endpoint than the given one works on the request.
+func (f *fakeFleet) working(but netip.AddrPort) bool {
+	for address, r := range f.runs {
+		select {
+		case <-r.stopped:
+		default:
+			if address != but && r.made < f.events {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Send starts a run.
+func (f *fakeFleet) Send(ctx context.Context, d *Dispatch) (*Reply, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.sends = append(f.sends, fakeSend{time.Now(), d.Endpoint.Address, d.After, d.Copy != nil, f.working(d.Endpoint.Address)})
+	r := &fakeRun{stopped: make(chan struct{}), made: d.After}
+	f.runs[d.Endpoint.Address] = r
+	reader, writer := io.Pipe()
+	go f.stream(ctx, d, r, writer)
+	return &Reply{Status: http.StatusOK, Signed: true, Unframed: f.framing == unframed, Body: reader}, nil
+}
+
+// stream makes the events of a run until it is stopped, its connection breaks or its context ends.
+func (f *fakeFleet) stream(ctx context.Context, d *Dispatch, r *fakeRun, w *io.PipeWriter) {
+	breakAfter, worksOn := int64(0), false
+	if f.breaks != nil {
+		breakAfter, worksOn = f.breaks(d.Endpoint.Address)
+	}
+	for n := d.After + 1; n <= f.events; n++ {
+		select {
+		case <-r.stopped:
+			f.cut(w)
+			return
+		case <-ctx.Done():
+			if !worksOn {
+				r.stop()
+			}
+			_ = w.CloseWithError(ctx.Err())
+			return
+		case <-time.After(fakeEventPause):
+		}
+		f.mutex.Lock()
+		r.made = n
+		f.mutex.Unlock()
+		if breakAfter > 0 && n > breakAfter {
+			if !worksOn {
+				r.stop()
+			}
+			_ = w.CloseWithError(io.ErrUnexpectedEOF)
+			if worksOn {
+				f.workOn(r)
+			}
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\n\n", n) // the reader may have left
+	}
+	_ = w.Close()
+}
+
+// workOn makes the events of a run whose connection has closed.
+func (f *fakeFleet) workOn(r *fakeRun) {
+	for r.made < f.events {
+		select {
+		case <-r.stopped:
+			return
+		case <-time.After(fakeEventPause):
+		}
+		f.mutex.Lock()
+		r.made++
+		f.mutex.Unlock()
+	}
+}
+
+// cut ends the stream of a stopped run without its end.
+func (f *fakeFleet) cut(w *io.PipeWriter) {
+	if f.framing == unframed {
+		_ = w.Close()
+		return
+	}
+	_ = w.CloseWithError(io.ErrUnexpectedEOF)
+}
+
+// Move copies a run.
+func (f *fakeFleet) Move(ctx context.Context, _ string, from Endpoint, to netip.AddrPort, last bool) (Copy, error) {
+	f.mutex.Lock()
+	r := f.runs[from.Address]
+	f.moves++
+	if last {
+		f.stops++
+	}
+	f.mutex.Unlock()
+	stop := func() {
+		if r != nil {
+			r.stop()
+		}
+	}
+	if f.move != nil {
+		return f.move(ctx, from.Address, to, last, stop)
+	}
+	if last {
+		stop()
+	}
+	return Copy{Source: from.Address, Handle: "h"}, nil
+}
+
+// Drop does nothing.
+func (f *fakeFleet) Drop(context.Context, Copy) {}
+
+// Crashed reports what the test says.
+func (f *fakeFleet) Crashed(_ context.Context, address netip.AddrPort) bool {
+	return f.crashed != nil && f.crashed(address)
+}
+
+// At returns an endpoint.
+func (f *fakeFleet) At(_ string, address netip.AddrPort) (Endpoint, bool) {
+	n, found := f.notices[address]
+	return Endpoint{ID: address.String(), Address: address, Notice: n}, found
+}
+
+// Register does nothing.
+func (f *fakeFleet) Register(Endpoint, string, func() int) func() { return func() {} }
+
+// Plan has runs copied at once.
+func (f *fakeFleet) Plan(*Request, Endpoint, time.Time, time.Time) handover.Plan {
+	return handover.Plan{Begin: time.Now()}
+}
+
+// SettleTime returns zero.
+func (f *fakeFleet) SettleTime() time.Duration { return 0 }
+
+// Ready reports that no other runs are moved.
+func (f *fakeFleet) Ready(*Request, Endpoint) bool { return true }
+
+// Dispatched does nothing.
+func (f *fakeFleet) Dispatched(*Dispatch, int) {}
+
+// RetryDecided does nothing.
+func (f *fakeFleet) RetryDecided(*Request, Endpoint, error, bool) {}
+
+// CrashNoticed does nothing.
+func (f *fakeFleet) CrashNoticed(*Dispatch, int) {}
+
+// Moved does nothing.
+func (f *fakeFleet) Moved(*Request, netip.AddrPort, netip.AddrPort, Copy, bool, time.Time, error) {}
+
+// recordingSink keeps what the caller gets.
+type recordingSink struct{ text bytes.Buffer }
+
+func (r *recordingSink) Begin(int, http.Header) error { return nil }
+
+func (r *recordingSink) Write(data []byte) error {
+	_, err := r.text.Write(data)
+	return err
+}
+
+func (r *recordingSink) Cancel() {}
+
+// assertAnswer checks that the caller has the events from 1 on in order, each once, and that an answer which ended as complete has all of them.
+func (f *fakeFleet) assertAnswer(result Result, text string) {
+	want := ""
+	for n := int64(1); n <= result.LastEvent; n++ {
+		want += fmt.Sprintf("id: %d\n\n", n)
+	}
+	f.is.Equal(text, want)
+	if result.Outcome == OutcomeServed {
+		f.is.Equal(result.LastEvent, f.events) // a stream that ends early must not look complete
+	}
+}
+
+var errFakeNoAnswer = errors.New("no answer")
+
+// other returns an endpoint other than the given one.
+func (f *fakeFleet) other(address netip.AddrPort) netip.AddrPort {
+	for a := range f.notices {
+		if a != address {
+			return a
+		}
+	}
+	return address
+}
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -21,9 +21,10 @@
 	ended      chan struct{} // closed when the run has ended
 	group      conc.WaitGroup
 	cancel     context.CancelFunc
-	moved      *move  // set when the run was stopped to be moved
-	unregister func() // removes the run from the MoveScheduler; nil if the mover is idle
-	localOnly  bool   // the time left allows only copies within the data centre
+	moved      *move     // set when the run was stopped to be moved
+	stopState  stopState // what is known of the stop of the run at its endpoint
+	unregister func()    // removes the run from the MoveScheduler; nil if the mover is idle
+	localOnly  bool      // the time left allows only copies within the data centre
 
 	stop handover.StopRule // says when the run stops at its endpoint
 }
@@ -60,9 +61,9 @@
 	return 0
 }
 
-// finish stops the mover when its run's stream has ended. If the stream is not complete, finish waits for a final copy in progress. It
-// returns the move from which the run continues; nil if there is none.
-func (m *mover) finish(complete bool) *move {
+// finish stops the mover when its run's stream has ended. If the stream is not known to be complete, finish waits for a final copy in progress.
+// It returns the move from which the run continues, nil if there is none, and what is known of the stop of the run.
+func (m *mover) finish(complete bool) (*move, stopState) {
 	close(m.ended)
 	if m.unregister != nil {
 		defer m.unregister()
@@ -77,9 +78,9 @@
 	m.cancel()
 	if complete && m.moved != nil {
 		m.moved.discard(m.execution)
-		return nil
+		return nil, m.stopState
 	}
-	return m.moved
+	return m.moved, m.stopState
 }
 
 // runEnded reports whether the run has ended.
@@ -205,6 +206,7 @@
 		}
 	}
 	copied, err := m.copyMemory(ctx, id, target, true)
+	m.stopState = m.stopState.after(copied, err)
 	if err != nil && copied.Handle == "" {
 		return errors.Is(err, ErrNoRun), false
 	}
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -31,12 +31,24 @@
 	ReasonSilent         Reason = "silent"      // the endpoint sent nothing in time
 	ReasonInvalidAnswer  Reason = "spoiled"     // the answer was not signed by the endpoint, or was content-encoded
 	ReasonGap            Reason = "gap"         // the events of the stream are not numbered consecutively
+	ReasonStopped        Reason = "stopped"     // the run was stopped at its endpoint and could not continue
 	ReasonCallerLeft     Reason = "caller"      // the caller disconnected
 	ReasonRetryBudget    Reason = "budget"      // the service's retry budget is exhausted
 	ReasonNoSlot         Reason = "place"       // the router granted no slot
 	ReasonQuarantined    Reason = "quarantined" // a part of the request crashes endpoints
 )
 
+// End is what ended the latest answer of an endpoint; it is a value of log lines.
+type End string
+
+// The ends of answers.
+const (
+	EndNone    End = ""
+	EndFramed  End = "framed"  // the mark of its framing: its length, or its last chunk
+	EndClosed  End = "closed"  // the end of its connection, the only mark of an answer without framing
+	EndStopped End = "stopped" // as EndClosed, but after the instance had asked for the stop of the run, so the answer may not be whole
+)
+
 // Result describes how a request ended.
 type Result struct {
 	Outcome      Outcome
@@ -53,18 +65,21 @@
 	BegunAt      time.Time     // when the head of the answer was forwarded; zero if it was not
 	LongestPause time.Duration // longest time between two events
 	Begun        bool          // the head of the answer was forwarded
+	End          End           // of the latest answer that ended without an error of its connection
 	Err          error         // error that ended the request; nil if there was none
 }
 
 var (
-	errCallerLeft    = errors.New("caller left")
-	errInvalidAnswer = errors.New("answer is not signed by the endpoint, or is content-encoded")
-	errGap           = errors.New("stream lacks an event")
-	errUnnumbered    = errors.New("stream of numbered events has one without a number")
-	errBodySize      = errors.New("body of the answer exceeds the size limit")
-	errSilent        = errors.New("endpoint is silent")
-	errEnded         = errors.New("run has ended")
-	errBudget        = errors.New("retry budget of the service is exhausted")
+	errCallerLeft     = errors.New("caller left")
+	errInvalidAnswer  = errors.New("answer is not signed by the endpoint, or is content-encoded")
+	errGap            = errors.New("stream lacks an event")
+	errUnnumbered     = errors.New("stream of numbered events has one without a number")
+	errBodySize       = errors.New("body of the answer exceeds the size limit")
+	errSilent         = errors.New("endpoint is silent")
+	errEnded          = errors.New("run has ended")
+	errStopped        = errors.New("run was stopped, so the end of its stream may be missing")
+	errEndsAtDeadline = errors.New("unframed answer ended as its deadline passed")
+	errBudget         = errors.New("retry budget of the service is exhausted")
 )
 
 // reasonOf returns the reason for an error; ReasonConnectionLost if no other reason applies.
@@ -78,6 +93,10 @@
 		return ReasonInvalidAnswer
 	case errors.Is(err, errGap), errors.Is(err, errUnnumbered):
 		return ReasonGap
+	case errors.Is(err, errStopped):
+		return ReasonStopped
+	case errors.Is(err, errEndsAtDeadline):
+		return ReasonDeadline
 	case errors.Is(err, errSilent):
 		return ReasonSilent
 	case errors.Is(err, errBudget):
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -44,8 +44,10 @@
 	}
 	m := x.startMover(d)
 	err = x.relayEvents(reply, silence)
-	// The end of an answer without framing may also be the stop of its run for a move.
-	move := m.finish(err == nil && !reply.Unframed)
+	move, stop := m.finish(err == nil && !reply.Unframed)
+	if err == nil && move == nil {
+		err = x.checkUnframedEnd(reply, stop)
+	}
 	switch {
 	case err == nil && move == nil:
 		x.release(routing.OutcomeFinished)
