A planned stop answers each request; one plan decides until when

Cause: no one place decided what an instance that is stopping owes. Its times were constants of Drain that the queue, the relay, the reading of bodies and the server's shutdown did not know.

Change: coordination/shutdown has the plan. The router refuses what is not likely to end in the time left, also what waits already; once endpoints may answer no more, a request whose answer has not begun gets 503 (not run) or 502 (outcome unknown), and one whose body has not come 503. http.Server.Shutdown closed connections on which a request had just been read, so the instance tracks its callers' connections itself. A short grace period is divided in parts; before, everything was cut once the wait for the load balancer was over.

--- a/coordination/routing/choice.go
+++ b/coordination/routing/choice.go
@@ -4,14 +4,12 @@
 	"math"
 	"slices"
 	"time"
-
-	"dogwooddyke/state/catalogue"
 )
 
 // chooseEndpoint returns the endpoint with the lowest score among a sample of those that have room for the request, or nil if none has.
 // It records the candidates in the request's decision.
 func (c *Core) chooseEndpoint(r *Request, now time.Time) *endpointState {
-	if r.pool.entry.Kind == catalogue.KindService {
+	if r.pool.isPlain() {
 		return c.chooseOfPair(r, now)
 	}
 	endpoints := r.pool.endpoints
--- /dev/null
+++ b/coordination/routing/closing.go
@@ -0,0 +1,40 @@
+package routing
+
+import "time"
+
+// SetClosing sets the time until which answers must have ended, because the instance is being stopped. Requests that are not likely to end by then
+// are refused, also those that wait already: another instance can serve them whole. The zero time means that there is no limit.
+func (c *Core) SetClosing(at time.Time) { c.closing = at }
+
+// mayEnd reports whether the answer to a request that starts now is likely to end before the instance closes.
+func (c *Core) mayEnd(r *Request, now time.Time) bool {
+	return c.closing.IsZero() || !now.Add(r.longestAnswer()).After(c.closing)
+}
+
+// refuseUnendable refuses the queued requests that are not likely to end before the instance closes.
+func (c *Core) refuseUnendable(now time.Time) {
+	if c.closing.IsZero() {
+		return
+	}
+	for _, r := range c.queue.all() {
+		if c.mayEnd(r, now) {
+			continue
+		}
+		c.Withdraw(r, ReasonDraining, now)
+		r.refusal.RetryAt = now.Add(minimumRetryDelay)
+		c.decidedRequests = append(c.decidedRequests, r)
+	}
+}
+
+// longestAnswer returns the time from the start of a request in which all but few answers like it end.
+func (r *Request) longestAnswer() time.Duration {
+	if r.pool.isPlain() {
+		return max(plainAnswerFactor*r.spec.FirstTokenDeadline.Sub(r.submitted), minimumPlainAnswer)
+	}
+	tokens := r.lengthHistogram.Quantile(int(r.emittedTokens.Load()), longAnswerProbability)
+	if r.spec.MaximumTokens > 0 {
+		tokens = min(tokens, max(r.spec.MaximumTokens-int(r.emittedTokens.Load()), 0))
+	}
+	step, tokenTime := r.pool.meanSpeed()
+	return time.Duration(tokens)*step + time.Duration(r.promptTokens())*tokenTime
+}
--- /dev/null
+++ b/coordination/routing/closing_test.go
@@ -0,0 +1,70 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dogwooddyke/state/catalogue"
+	"dogwooddyke/state/endpoint"
+)
+
+// An instance that is stopped must refuse what it can't serve whole, also what waits already, and serve the rest.
+func TestClosing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	long := func() *RequestSpec { return &RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 4000} }
+	short := func() *RequestSpec { return &RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 20} }
+	// full returns a core whose only slot is taken, and a long and a short request that wait.
+	full := func(is *is.I) (c *Core, waiting [2]*Request) {
+		c = newCore(1, 1, 1<<20, now)
+		is.True(c.Place(short(), now).Running())
+		waiting = [2]*Request{c.Submit(long(), now), c.Submit(short(), now)}
+		c.Admit(now)
+		is.True(!waiting[0].Running() && waiting[0].Refusal() == nil)
+		return c, waiting
+	}
+	t.Run("what waits is refused once it can't end in time", func(t *testing.T) {
+		is := is.New(t)
+		c, waiting := full(is)
+		c.SetClosing(now.Add(5 * time.Second))
+		is.Equal(c.Admit(now), []*Request{waiting[0]})
+		is.Equal(waiting[0].Refusal().Reason, ReasonDraining)
+		is.True(waiting[0].Refusal().RetryAt.After(now))
+		is.True(waiting[1].Refusal() == nil)
+		c.Admit(now.Add(5 * time.Second))
+		is.Equal(waiting[1].Refusal().Reason, ReasonDraining)
+		is.Equal(c.queue.size, 0)
+	})
+	t.Run("what comes is judged likewise", func(t *testing.T) {
+		is := is.New(t)
+		c := newCore(1, 8, 1<<20, now)
+		c.SetClosing(now.Add(5 * time.Second))
+		is.Equal(c.Submit(long(), now).Refusal().Reason, ReasonDraining)
+		is.True(c.Submit(short(), now).Refusal() == nil)
+		is.Equal(len(c.Admit(now)), 1)
+	})
+	t.Run("a run that continues is not refused", func(t *testing.T) {
+		is := is.New(t)
+		c := newCore(1, 8, 1<<20, now)
+		c.SetClosing(now)
+		is.True(c.Place(long(), now).Running())
+	})
+	t.Run("requests of plain services are judged by their target", func(t *testing.T) {
+		is := is.New(t)
+		c := NewCore(Config{})
+		c.SetEntry(&catalogue.Entry{Name: "e", Kind: catalogue.KindService, Endpoints: engines(1)}, now)
+		c.UpdateLoad(address(1), endpoint.Load{At: now}, now)
+		c.SetClosing(now.Add(3 * time.Second))
+		spec := &RequestSpec{Entry: "e", FirstTokenDeadline: now.Add(time.Second)}
+		is.True(c.Submit(spec, now).Refusal() == nil)
+		spec = &RequestSpec{Entry: "e", FirstTokenDeadline: now.Add(2 * time.Second)}
+		is.Equal(c.Submit(spec, now).Refusal().Reason, ReasonDraining)
+	})
+	t.Run("without a limit nothing is refused", func(t *testing.T) {
+		is := is.New(t)
+		c, waiting := full(is)
+		c.Admit(now.Add(time.Second))
+		is.True(waiting[0].Refusal() == nil)
+	})
+}
--- a/coordination/routing/constants.go
+++ b/coordination/routing/constants.go
@@ -53,7 +53,10 @@
 	maximumCandidates       = 8                      // candidates kept in a decision
 	typicalMemorySamples    = 8                      // requests that the moving average of memory per request covers
 	maximumLimiters         = 8192
-	defaultTokenSeconds     = 0.03 // time between tokens when no endpoint is known
+	defaultTokenTime        = 30 * time.Millisecond  // time between tokens when no endpoint is known
+	longAnswerProbability   = 0.95                   // of answers that end in the time which is taken to be the longest
+	plainAnswerFactor       = 2                      // ratio of that time of a plain service's answers to their target
+	minimumPlainAnswer      = 600 * time.Millisecond // the least that it is taken to be
 )
 
 // horizons are the numbers of further tokens per run at which the memory use of an endpoint is predicted.
--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -74,6 +74,7 @@
 	limiters        map[LimitKey]*workspace.Limiter
 	round           uint64 // number of calls of Admit
 	draining        bool
+	closing         time.Time  // until which answers must have ended; zero: no limit
 	decidedRequests []*Request // result of the latest Admit
 }
 
--- a/coordination/routing/deadline.go
+++ b/coordination/routing/deadline.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"dogwooddyke/state/catalogue"
 )
 
 // refuseLate refuses queued requests that can't start before their deadlines any more. When engines are lost or more urgent requests
@@ -14,7 +12,7 @@
 // necessary.
 func (c *Core) refuseLate(now time.Time) {
 	for _, p := range c.sortedPools {
-		if !p.backlogged || p.entry.Kind == catalogue.KindService || now.Sub(p.latenessChecked) < latenessCheckPeriod {
+		if !p.backlogged || p.isPlain() || now.Sub(p.latenessChecked) < latenessCheckPeriod {
 			continue
 		}
 		p.latenessChecked = now
--- a/coordination/routing/estimate.go
+++ b/coordination/routing/estimate.go
@@ -13,20 +13,30 @@
 
 // holdSeconds returns for how many seconds a request is expected to occupy its slot.
 func (r *Request) holdSeconds() float64 {
-	step, count := 0.0, 0
-	for _, e := range r.pool.endpoints {
+	step, _ := r.pool.meanSpeed()
+	return r.remainingTokens() * step.Seconds()
+}
+
+// meanSpeed returns the mean time between tokens, and the mean time per prompt token, of the endpoints that take work.
+func (p *pool) meanSpeed() (step, promptToken time.Duration) {
+	count := time.Duration(0)
+	for _, e := range p.endpoints {
 		if e.leaving() {
 			continue
 		}
-		step += e.speed.Step(max(e.running(), 1)).Seconds()
+		step += e.speed.Step(max(e.running(), 1))
+		promptToken += p.tokenTime(e)
 		count++
 	}
 	if count == 0 {
-		return r.remainingTokens() * defaultTokenSeconds
+		return defaultTokenTime, priorTokenTime
 	}
-	return r.remainingTokens() * step / float64(count)
+	return step / count, promptToken / count
 }
 
+// isPlain reports whether the endpoints are plain services.
+func (p *pool) isPlain() bool { return p.entry.Kind == catalogue.KindService }
+
 // modelledStartRate returns the starts per second that the instance's shares allow if all requests are like this one.
 func (c *Core) modelledStartRate(r *Request, now time.Time) float64 {
 	remaining := r.remainingTokens()
@@ -48,7 +58,7 @@
 
 // expectedWait returns how long a new request is expected to wait for its start.
 func (c *Core) expectedWait(r *Request, now time.Time) time.Duration {
-	if r.pool.entry.Kind == catalogue.KindService {
+	if r.pool.isPlain() {
 		return 0 // plain services have no slots to wait for
 	}
 	ahead := r.decision.Ahead
--- a/coordination/routing/queue.go
+++ b/coordination/routing/queue.go
@@ -107,6 +107,15 @@
 	}
 }
 
+// all returns the queued requests.
+func (q *queue) all() []*Request {
+	requests := make([]*Request, 0, q.size)
+	for _, f := range q.flows {
+		requests = append(requests, f.requests...)
+	}
+	return requests
+}
+
 // countAhead returns the number of queued requests that are expected to be served before a new one. Flows that are delayed by limits
 // don't count, and other flows of the same priority take turns with the request's own flow.
 func (q *queue) countAhead(r *Request, limited func(f *flow) bool) int {
--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -66,6 +66,11 @@
 	r.update(now, func(c *Core) { c.SetDraining(draining) })
 }
 
+// SetClosing sets the time until which answers must have ended; requests that are not likely to end by then are refused.
+func (r *Router) SetClosing(at, now time.Time) {
+	r.update(now, func(c *Core) { c.SetClosing(at) })
+}
+
 // UpdateLoad applies a load report of an engine.
 func (r *Router) UpdateLoad(address netip.AddrPort, load endpoint.Load, now time.Time) {
 	r.update(now, func(c *Core) { c.UpdateLoad(address, load, now) })
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -7,6 +7,9 @@
 	idleTimeout        = 90 * time.Second
 	maximumHeaderBytes = 64 << 10
 
+	firstRequestTime       = 5 * time.Second       // for which an instance that is stopped waits for the first request on a connection
+	connectionPollInterval = 20 * time.Millisecond // between checks whether requests are in progress, of an instance that is stopped
+
 	queueTickInterval      = 50 * time.Millisecond   // between two ticks while requests wait for a place
 	idleTickInterval       = 200 * time.Millisecond  // between two ticks otherwise
 	missingGrace           = 2500 * time.Millisecond // time for endpoints to reappear in the endpoint list after an outage of the log
@@ -24,20 +27,18 @@
 	nonProberInterval      = 2 * time.Second         // between calls to a lost log while other instances probe it more often
 	probeInterval          = 250 * time.Millisecond  // time after a read's maximum wait at which a call to the log is overdue and another one starts in parallel
 	maximumBackoff         = 600 * time.Millisecond
-	drainNotice            = 2500 * time.Millisecond // time after SIGTERM in which connections are still accepted
-	exitMargin             = 400 * time.Millisecond  // between the end of draining and the time at which the platform ends the process
-	memoryLimitFraction    = 0.7                     // fraction of the process's memory that is the Go runtime's soft limit
-	heldMemoryFraction     = 0.3                     // fraction of the process's memory for bodies of requests and answers that callers have not read
-	usableMemoryFraction   = 0.92                    // fraction of an engine's KV memory that requests may use
-	maximumReportedLeaving = 32                      // endpoints that a report lists as leaving
-	reportBatchPause       = 5 * time.Millisecond    // in which the starts of several runs are collected for one report
-	bundleInterval         = 300 * time.Millisecond  // longest time that a forwarder collects reports before it sends them
-	noticeSettleTime       = 40 * time.Millisecond   // after an endpoint's notice, in which the instances of a large fleet report their runs there
-	sharersLifetime        = time.Second             // after which the instances that share engines are computed again
-	shareLifetime          = 2 * time.Second         // time for which this instance's share of an engine is valid
-	registerRetryPause     = 500 * time.Millisecond  // between attempts to register in the log
-	registerSpread         = 2 * time.Second         // within which the instances register again after a restore of the log
-	listSpread             = 300 * time.Millisecond  // within which the instances list a topic again after a restore of the log
+	memoryLimitFraction    = 0.7                    // fraction of the process's memory that is the Go runtime's soft limit
+	heldMemoryFraction     = 0.3                    // fraction of the process's memory for bodies of requests and answers that callers have not read
+	usableMemoryFraction   = 0.92                   // fraction of an engine's KV memory that requests may use
+	maximumReportedLeaving = 32                     // endpoints that a report lists as leaving
+	reportBatchPause       = 5 * time.Millisecond   // in which the starts of several runs are collected for one report
+	bundleInterval         = 300 * time.Millisecond // longest time that a forwarder collects reports before it sends them
+	noticeSettleTime       = 40 * time.Millisecond  // after an endpoint's notice, in which the instances of a large fleet report their runs there
+	sharersLifetime        = time.Second            // after which the instances that share engines are computed again
+	shareLifetime          = 2 * time.Second        // time for which this instance's share of an engine is valid
+	registerRetryPause     = 500 * time.Millisecond // between attempts to register in the log
+	registerSpread         = 2 * time.Second        // within which the instances register again after a restore of the log
+	listSpread             = 300 * time.Millisecond // within which the instances list a topic again after a restore of the log
 	topicInstances         = "keyed.instances"
 	remoteCopySlowdown     = 2.0                    // factor by which a copy to another data centre takes longer
 	promptWeight           = 3.0                    // of the wait behind other prompts: engines here process prompts between the tokens of all other runs
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -20,6 +20,7 @@
 	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/coordination/shutdown"
 	"dogwooddyke/coordination/standing"
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/platform"
@@ -68,6 +69,8 @@
 	sharers          *sharers
 	scheduler        *moveScheduler
 	callerServer     *http.Server
+	callerListener   net.Listener
+	connections      *connections // of callers
 	readinessServer  *http.Server
 	metricsServer    *http.Server
 	node             *peer.Node                        // RPC calls between instances
@@ -91,6 +94,8 @@
 	renewSharesAt    time.Time     // time at which the shares are updated without a report; used by tick only
 	news             chan struct{} // receives a value when a report shows a change that this instance does not know
 	draining         atomic.Bool
+	closing          context.Context // done when requests without an answer must get one, since the instance closes
+	close            context.CancelFunc
 	group            conc.WaitGroup
 	stop             context.CancelFunc
 
@@ -114,6 +119,7 @@
 		restored:         make(chan struct{}, 1),
 		news:             make(chan struct{}, 1),
 	}
+	i.closing, i.close = context.WithCancel(context.Background())
 	i.router = routing.New(routing.Config{
 		Self:            peerAddress(settings),
 		DataCentre:      settings.DataCentre,
@@ -149,9 +155,12 @@
 		Quarantine:    i.quarantine,
 		Memory:        i.memory,
 		Observer:      i.observer,
+		Closing:       i.closing,
 	}
-	i.front = &platform.Front{Catalogue: i.table.Load, Known: i.initialized, Runner: i, Memory: i.memory, Observer: i.observer}
+	i.front = &platform.Front{Catalogue: i.table.Load, Known: i.initialized, Runner: i, Memory: i.memory, Observer: i.observer, Closing: i.closing}
+	i.connections = newConnections()
 	i.callerServer = &http.Server{
+		ConnState:         i.connections.changed,
 		Handler:           i.front,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -178,6 +187,9 @@
 		if err != nil {
 			return oops.In("hosted").With("address", s.address).Wrap(err)
 		}
+		if s.server == i.callerServer {
+			i.callerListener = listener
+		}
 		i.group.Go(func() { i.serve(s.server, listener) })
 	}
 	if err := i.gossiper.open(); err != nil {
@@ -204,7 +216,7 @@
 }
 
 func (i *Instance) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		i.logger.Error("listener failed", "address", listener.Addr().String(), "error", err.Error())
 	}
 }
@@ -228,24 +240,32 @@
 	return result
 }
 
-// Drain stops accepting requests and returns when those in progress have ended, or shortly before the platform ends the process.
+// Drain ends the requests in progress as the plan of the shutdown says, and returns when they have ended, or shortly before the platform ends the
+// process. Requests that can't be served whole in the time left are refused, whenever they come.
 func (i *Instance) Drain() {
-	deadline := time.Now().Add(i.settings.Grace - exitMargin)
+	now := time.Now()
+	plan := shutdown.NewPlan(now, i.settings.Grace)
 	i.draining.Store(true)
-	i.logger.Info("draining", "inFlight", i.front.InFlight())
+	i.logger.Info("draining", "inFlight", i.front.InFlight(), "queued", i.router.QueueSize(), "answersMs", plan.Answers.Sub(now).Milliseconds(), "endMs", plan.End.Sub(now).Milliseconds())
+	i.router.SetClosing(plan.Answers, now)
+	answers := time.AfterFunc(plan.Answers.Sub(now), func() {
+		i.logger.Info("requests without an answer are ended", "inFlight", i.front.InFlight(), "queued", i.router.QueueSize())
+		i.close()
+	})
+	defer answers.Stop()
 	i.callerServer.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
-	if err := wait.For(ctx, drainNotice); err != nil {
-		return
-	}
-	if err := i.callerServer.Shutdown(ctx); err != nil {
-		i.logger.Warn("requests still in progress when draining timed out", "inFlight", i.front.InFlight())
+	_ = wait.For(ctx, plan.Listen.Sub(now)) // it ends before the context
+	_ = i.callerListener.Close()            // fails only if it is closed already
+	if err := i.connections.awaitEnd(ctx); err != nil {
+		i.logger.Warn("answers are cut off, since draining timed out", "inFlight", i.front.InFlight())
 	}
 }
 
 // Close stops the instance without draining it, and returns when its goroutines have ended.
 func (i *Instance) Close() {
+	i.close()
 	i.stop()
 	_ = i.callerServer.Close()
 	_ = i.readinessServer.Close()
--- a/instance/hosted/fleet_test.go
+++ b/instance/hosted/fleet_test.go
@@ -26,10 +26,11 @@
 	instances []*Instance
 	settings  []*platform.Settings
 	drain     time.Duration // of instances that are started from now on
+	grace     time.Duration // likewise
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, log: standin.NewLog(), engines: standin.NewEngines(), drain: 2 * time.Second}
+	f := &fleet{t: t, log: standin.NewLog(), engines: standin.NewEngines(), drain: 2 * time.Second, grace: 8 * time.Second}
 	t.Cleanup(f.log.Close)
 	return f
 }
@@ -61,7 +62,7 @@
 	return &platform.Settings{
 		Name: fmt.Sprint("instance-", len(f.instances)), Address: netip.MustParseAddr("127.0.0.1"), DataCentre: "a",
 		Callers: address(), Readiness: address(), FirstPeerPort: firstPeerPort, LastPeerPort: firstPeerPort + 4, MemoryBytes: 256 << 20, Log: f.log.Address(),
-		Drain: f.drain, Grace: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, ExtraRetries: 50,
+		Drain: f.drain, Grace: f.grace, RetryRatio: 0.2, RetryWindow: 10 * time.Second, ExtraRetries: 50,
 		Heartbeat: 1200 * time.Millisecond,
 	}
 }
--- a/protocol/relay/ending.go
+++ b/protocol/relay/ending.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -21,12 +22,18 @@
 	if refusal, ok := errors.AsType[*routing.RefusalError](err); ok {
 		x.result.RetryAt = refusal.RetryAt
 	}
+	if x.isClosing() {
+		x.result.Reason = ReasonClosing
+	}
 	if refusal, ok := errors.AsType[*quarantine.RefusalError](err); ok {
 		x.result.Reason, x.result.RetryAt = ReasonQuarantined, refusal.RetryAt
 	}
 	x.setUnansweredOutcome()
 }
 
+// isClosing reports whether the request was ended because the instance closes.
+func (x *execution) isClosing() bool { return errors.Is(context.Cause(x.ctx), errClosing) }
+
 // endFailed sets the result of a request whose latest dispatch failed.
 func (x *execution) endFailed(err error) {
 	x.result.Err = err
@@ -35,6 +42,8 @@
 	case x.caller.Err() != nil:
 		x.result.Outcome, x.result.Reason = OutcomeCallerLeft, ReasonCallerLeft
 		return
+	case x.isClosing():
+		x.result.Reason = ReasonClosing
 	case x.ctx.Err() != nil:
 		x.result.Reason = ReasonDeadline
 	case x.mayHaveRun == 0 && x.notRun > 0:
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -59,6 +59,7 @@
 	framing framing
 	events  int64
 	notices map[netip.AddrPort]*fakeNotice
+	closing context.Context // done when the instance closes; nil: never
 
 	// move answers a call that copies a run; stop ends the run and its stream. By default the run is stopped by the last copy, which succeeds.
 	move func(ctx context.Context, from, to netip.AddrPort, last bool, stop func()) (Copy, error)
@@ -116,28 +117,48 @@
 		entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: address})
 	}
 	router.SetEntry(entry, time.Now())
+	if f.closing == nil {
+		f.closing = context.Background()
+	}
 	return &Runner{
-		Endpoints: f, Router: router, Roster: f, Budgets: &Budgets{}, MoveScheduler: f, Observer: f, Drain: 2 * time.Second,
+		Closing: f.closing, Endpoints: f, Router: router, Roster: f, Budgets: &Budgets{}, MoveScheduler: f, Observer: f, Drain: 2 * time.Second,
 		RetryLimits: func() RetryLimits { return RetryLimits{Ratio: 1, Extra: 50, Window: 10 * time.Second, Instances: 1} },
 	}
 }
 
-// serve runs a stream to its end, and returns its result and what the caller has.
-func (f *fakeFleet) serve(t *testing.T, resumable bool) (Result, string) {
-	sink := &recordingSink{}
+// request returns a request for a stream.
+func (f *fakeFleet) request(resumable bool) *Request {
 	attempts := 1
 	if resumable {
 		attempts = 3
 	}
 	now := time.Now()
-	result := f.runner().Run(t.Context(), &Request{
+	return &Request{
 		ID: "r-1", Method: http.MethodPost, Target: "/x", Service: "s", Arrived: now, Deadline: now.Add(40 * time.Second), PromptTokens: 100, MaximumTokens: 4000,
 		Route:  &route.Route{Name: "long", Kind: route.KindStream, Attempts: attempts, Resumable: resumable},
 		Engine: &route.Engine{Stride: 4, Moves: true, Backups: true},
-	}, sink)
+	}
+}
+
+// serve runs a stream to its end, and returns its result and what the caller has.
+func (f *fakeFleet) serve(t *testing.T, resumable bool) (Result, string) {
+	sink := &recordingSink{}
+	result := f.runner().Run(t.Context(), f.request(resumable), sink)
 	return result, sink.text.String()
 }
 
+// waitingRouter grants no slot.
+type waitingRouter struct{}
+
+func (waitingRouter) Acquire(ctx context.Context, _ *routing.RequestSpec) (*routing.Slot, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (waitingRouter) Place(*routing.RequestSpec) (*routing.Slot, error) {
+	return nil, &routing.RefusalError{Reason: routing.ReasonNoEndpoint}
+}
+
 // firstRun waits for the run of the request and returns its endpoint.
 func (f *fakeFleet) firstRun() netip.AddrPort {
 	for {
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -32,6 +32,7 @@
 	ReasonInvalidAnswer  Reason = "spoiled"     // the answer was not signed by the endpoint, or was content-encoded
 	ReasonGap            Reason = "gap"         // the events of the stream are not numbered consecutively
 	ReasonStopped        Reason = "stopped"     // the run was stopped at its endpoint and could not continue
+	ReasonClosing        Reason = "closing"     // the instance was stopped
 	ReasonCallerLeft     Reason = "caller"      // the caller disconnected
 	ReasonRetryBudget    Reason = "budget"      // the service's retry budget is exhausted
 	ReasonNoSlot         Reason = "place"       // the router granted no slot
@@ -75,6 +76,7 @@
 	errGap            = errors.New("stream lacks an event")
 	errUnnumbered     = errors.New("stream of numbered events has one without a number")
 	errBodySize       = errors.New("body of the answer exceeds the size limit")
+	errClosing        = errors.New("instance closes")
 	errSilent         = errors.New("endpoint is silent")
 	errEnded          = errors.New("run has ended")
 	errStopped        = errors.New("run was stopped, so the end of its stream may be missing")
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -69,6 +69,7 @@
 	Drain         time.Duration  // from an endpoint's notice until no request may reach it, not even one that continues a run there; zero: no limit
 	Memory        *memory.Budget // of answers that callers have not read yet; nil: no limit
 	Observer      Observer
+	Closing       context.Context // done when requests without an answer must get one, since the instance closes
 
 	background conc.WaitGroup // cleanup that continues after an answer, for at most dropTimeout each
 }
@@ -79,7 +80,7 @@
 	request        *Request
 	outbox         *outbox
 	caller         context.Context // done when the caller disconnects
-	ctx            context.Context // done when the caller disconnects or at the request's deadline
+	ctx            context.Context // done when the caller disconnects, at the request's deadline or, with the cause errClosing, when the instance closes
 	spec           routing.RequestSpec
 	slot           *routing.Slot
 	result         Result
@@ -89,6 +90,7 @@
 	lastEvent      int64        // id of the last event that was put into the outbox, or that the caller had before; zero if there is none
 	lastEventAt    time.Time    // when the latest event was forwarded
 	passedTokens   atomic.Int32 // tokens forwarded to the caller
+	begun          atomic.Bool  // the head of the answer was forwarded
 	dispatchEvents int          // events that the latest dispatch has received
 	screening      *quarantine.Screening
 	held           int         // bytes of buffered answers that the memory budget counts
@@ -99,11 +101,15 @@
 func (r *Runner) Run(ctx context.Context, request *Request, sink Sink) Result {
 	caller, leave := context.WithCancel(ctx)
 	defer leave()
-	bounded, cancel := context.WithDeadline(caller, request.Deadline)
+	closable, end := context.WithCancelCause(caller)
+	defer end(nil)
+	bounded, cancel := context.WithDeadline(closable, request.Deadline)
 	defer cancel()
 	request.Whole = prompt.PartOfRequest(request.Service, request.Method, request.Target, request.Workspace, request.Body)
 	x := &execution{runner: r, request: request, caller: caller, ctx: bounded, lastEvent: request.After, outbox: newOutbox(sink, r.Memory, leave)}
 	x.result.LastEvent = request.After
+	withdraw := context.AfterFunc(r.Closing, func() { x.endUnbegun(end) })
+	defer withdraw()
 	x.screening = r.Quarantine.Screen(promptOf(request), request.Whole)
 	x.spec = routing.RequestSpec{
 		ID:            request.ID,
@@ -127,6 +133,13 @@
 	return x.result
 }
 
+// endUnbegun ends the request unless its answer has begun, so that its caller gets an answer while that can still be sent.
+func (x *execution) endUnbegun(end context.CancelCauseFunc) {
+	if !x.begun.Load() {
+		end(errClosing)
+	}
+}
+
 // finish waits until the caller has the answer, and returns the bytes that were held for it.
 func (x *execution) finish() {
 	ctx, cancel := context.WithDeadline(x.caller, x.request.Deadline.Add(lateDelivery))
@@ -262,7 +275,7 @@
 
 // mayRetry reports whether another dispatch is allowed, apart from the retry budget.
 func (x *execution) mayRetry(err error) bool {
-	if x.caller.Err() != nil || !time.Now().Before(x.request.Deadline) {
+	if x.ctx.Err() != nil || !time.Now().Before(x.request.Deadline) {
 		return false
 	}
 	if x.notRun >= maximumNotRun || x.unreached >= maximumUnreached {
@@ -290,6 +303,7 @@
 		return
 	}
 	x.result.Begun = true
+	x.begun.Store(true)
 	x.result.BegunAt = time.Now()
 	x.outbox.begin(status, header)
 }
