A read of the log that is not answered no longer hides a change

Cause: a wait on one connection was the only way by which an instance learnt of the catalogue, and only the end of its wait of 28 s showed that nothing came. Repeated calls used idle connections that were silent too, and so did the fetch of another instance's state.

Change: three of the readers look every 0.3 to 0.9 s whether the log has records that their waiting read has not returned, and start it again then; an instance that is told of a catalogue by another one does so too. Overdue calls are repeated on new connections.

--- a/coordination/gossip/readers.go
+++ b/coordination/gossip/readers.go
@@ -13,7 +13,14 @@
 // of a large fleet polled the log, the calls to it would grow with the fleet. The readers are the first instances, ordered by a hash
 // of their address, among those with a recent read; a reader whose reads the log refuses is replaced as soon as its reports show it.
 // Instances that the log has just listed count as well, so that the instances of a fleet that starts as a whole do not all read.
-func (p *Peers) IsReader(now time.Time) bool {
+func (p *Peers) IsReader(now time.Time) bool { return p.readersBefore(now) < maximumReaders }
+
+// IsChecker reports whether this instance is one of the readers that also look for changes of the catalogue which the waiting reads of all
+// instances may miss.
+func (p *Peers) IsChecker(now time.Time) bool { return p.readersBefore(now) < maximumCheckers }
+
+// readersBefore returns the number of instances that are readers rather than this one.
+func (p *Peers) readersBefore(now time.Time) int {
 	before := 0
 	own := rank(p.self)
 	for _, k := range p.known {
@@ -22,7 +29,7 @@
 			before++
 		}
 	}
-	return before < maximumReaders
+	return before
 }
 
 // ShouldProbe reports whether this instance, which has lost the log, should retry it often. During an outage of the log no instance of
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -18,6 +18,9 @@
 	minimumListPause       = 200 * time.Millisecond  // shortest pause between two reads of the endpoint list
 	registrationGrace      = 500 * time.Millisecond  // for which reads of the endpoint list wait for the registration
 	maximumUnreadTime      = 60 * time.Second        // between reads of the endpoint list by an instance that is not a reader
+	checkInterval          = 600 * time.Millisecond  // mean time between a checker's looks for records that its waiting read does not return
+	checkGrace             = 50 * time.Millisecond   // for the waiting read to return what a look has found
+	checkTimeout           = time.Second             // of a look
 	missedUpdateGrace      = 200 * time.Millisecond  // time for updates in transit to arrive before the log is read for them
 	readCheckInterval      = 200 * time.Millisecond  // between checks whether this instance has become a reader
 	heartbeatMargin        = 500 * time.Millisecond  // added to the heartbeat interval to get the age at which the endpoint list is stale
--- a/instance/hosted/consumer.go
+++ b/instance/hosted/consumer.go
@@ -135,7 +135,7 @@
 	return readResult{records, next}, err
 }
 
-// call calls the log, which may wait for records. When the response is overdue, further calls are started in parallel and the first
+// call calls the log, which may wait for records. When the response is overdue, further calls are started in parallel, on new connections, and the first
 // success is used. So a log that is available only for a moment between two outages is noticed, a slow response is still awaited,
 // and a call that the log accepted and lost blocks nothing.
 func (c *consumer) call(ctx context.Context, maximumWait time.Duration, call func(ctx context.Context) (readResult, error)) (readResult, error) {
@@ -144,7 +144,7 @@
 	if c.failures > 0 && !c.shouldProbe() {
 		interval = maximumWait + nonProberInterval
 	}
-	result, err := wait.First(ctx, interval, call)
+	result, err := wait.First(ctx, interval, onNewConnections(c.instance.log, call))
 	now := time.Now()
 	if err == nil && now.After(due) {
 		c.recordFailure(now)
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -80,7 +80,8 @@
 	latestOwnRead    atomic.Pointer[time.Time]         // time of this instance's latest read of the endpoint list; nil: none
 	readPosition     atomic.Pointer[position.Position] // log position up to which this instance has read the endpoint list; nil: not read
 	fetched          atomic.Pointer[position.Position] // log position up to which the latest fetched state knew the endpoints; nil: none
-	operatorPosition atomic.Pointer[position.Position] // log position up to which this instance has read what the operators wrote; nil: not read
+	catalogueRead    atomic.Pointer[position.Position] // log position up to which this instance itself has read the catalogue's topic; nil: not read
+	operatorPosition atomic.Pointer[position.Position] // log position up to which this instance has read or fetched what the operators wrote; nil: neither
 	listLost         atomic.Bool                       // whether reads of the endpoint list fail
 	restored         chan struct{}                     // receives requests to register in the log again after it was restored
 	restoredAt       atomic.Pointer[time.Time]         // time of the latest restore of the log whose lists do not agree yet; nil: none
@@ -206,6 +207,7 @@
 	i.group.Go(func() { i.gossiper.sendBundles(ctx) })
 	i.group.Go(func() { i.register(ctx) })
 	i.group.Go(func() { i.consumeCatalogue(ctx) })
+	i.group.Go(func() { i.checkCatalogue(ctx) })
 	i.group.Go(func() { i.consumeEndpoints(ctx) })
 	i.group.Go(func() { i.quotas.Run(ctx) })
 	i.group.Go(func() { i.standings.Run(ctx) })
--- a/instance/hosted/metrics.go
+++ b/instance/hosted/metrics.go
@@ -18,6 +18,7 @@
 	retries           *prometheus.CounterVec
 	moves             *prometheus.CounterVec
 	restores          prometheus.Counter
+	unansweredReads   prometheus.Counter
 	crashes           prometheus.Counter
 	suspicions        prometheus.Counter
 	trials            *prometheus.CounterVec
@@ -51,6 +52,7 @@
 		retries:           counter("repeats_total", "Dispatches that failed, by whether another one followed.", "again"),
 		moves:             counter("moves_total", "Copies of runs, by whether the run stopped with it and whether it failed.", "last", "failed"),
 		restores:          prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "log_restores_total", Help: "Restores of the platform's log from an older copy."}),
+		unansweredReads:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "log_unanswered_reads_total", Help: "Waiting reads of the platform's log that were restarted, since the log had records which they did not return."}),
 		crashes:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "crashed_requests_total", Help: "Requests that were at an endpoint when that crashed and that it had produced no output for, on all routes."}),
 		suspicions:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "suspected_parts_total", Help: "Suspicions that a part of prompts crashes endpoints; each further crash counts again."}),
 		trials:            counter("trials_total", "Decisions about requests with a part that is blamed for crashes, by verdict.", "verdict"),
@@ -65,7 +67,7 @@
 		totalTime:         histogram("whole_seconds", "Time to the end of the answer."),
 		longestPause:      histogram("pause_seconds", "Longest time between two events of a stream."),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.crashes, m.suspicions, m.trials, m.limitedDispatches, m.permitAsks, m.permits, m.rests, m.doubts, m.questions, m.lateFirstTokens, m.timeToAnswer, m.totalTime, m.longestPause)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.unansweredReads, m.crashes, m.suspicions, m.trials, m.limitedDispatches, m.permitAsks, m.permits, m.rests, m.doubts, m.questions, m.lateFirstTokens, m.timeToAnswer, m.totalTime, m.longestPause)
 	return m
 }
 
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -216,6 +216,12 @@
 	o.logger.Debug("could not send report", "to", to, "error", err.Error())
 }
 
+// readUnanswered logs and counts a waiting read of the log that is restarted, since the log has records which it did not return.
+func (o *observer) readUnanswered(topic string) {
+	o.metrics.unansweredReads.Inc()
+	o.logger.Warn("waiting read of the log is not answered", "topic", topic)
+}
+
 // recordUnreadable logs a record of the log, or a peer's report, that could not be decoded.
 func (o *observer) recordUnreadable(key string, err error) {
 	o.logger.Warn("could not decode record", "endpoint", key, "error", err.Error())
--- a/instance/hosted/peers.go
+++ b/instance/hosted/peers.go
@@ -42,6 +42,13 @@
 	return g.peers.IsReader(now), g.peers.ReaderCount(now)
 }
 
+// isChecker reports whether this instance looks for changes of the catalogue that waiting reads of the log miss.
+func (g *gossiper) isChecker(now time.Time) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.peers.IsChecker(now)
+}
+
 // shouldProbe reports whether this instance is one of those that retry a lost log often.
 func (g *gossiper) shouldProbe(now time.Time) bool {
 	g.mutex.Lock()
--- a/instance/hosted/stop_test.go
+++ b/instance/hosted/stop_test.go
@@ -125,7 +125,7 @@
 			f.grace = grace
 			f.publishCatalogue(1, "desk")
 			desk := f.startEngine("d-1", "desk")
-			desk.Fail(func(w http.ResponseWriter, r *http.Request) bool {
+			desk.Fail(func(_ http.ResponseWriter, r *http.Request) bool {
 				if !strings.HasSuffix(r.URL.Path, "/silent") {
 					return false
 				}
--- a/instance/hosted/sync.go
+++ b/instance/hosted/sync.go
@@ -120,7 +120,7 @@
 }
 
 // fetchState fetches the state of other instances, first of the one given, and applies what is newer than this instance's. If the first one
-// does not answer soon, others are asked as well: any of them may have died or be cut off.
+// does not answer soon, others are asked as well, on new connections: any of them may have died or be cut off, or connections have gone silent.
 func (i *Instance) fetchState(ctx context.Context, first netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
@@ -129,6 +129,7 @@
 		from := first
 		if calls.Add(1) > 1 {
 			from, _ = i.gossiper.newestCatalogue(time.Now())
+			i.node.Renew(from)
 		}
 		state := fetchedState{from: from}
 		request := peerState{Version: i.catalogueVersion(), Packs: true, Known: i.fetchedPosition()}
@@ -219,5 +220,7 @@
 		i.logger.Error("could not decompress catalogue from peer", "source", from, "error", err.Error())
 		return
 	}
-	i.applyCatalogue(data, -1, from.String())
+	if i.applyCatalogue(data, -1, from.String()) {
+		i.restartCatalogueRead() // the waiting read should have returned it first
+	}
 }
--- a/instance/hosted/topics.go
+++ b/instance/hosted/topics.go
@@ -25,17 +25,23 @@
 	c := &consumer{instance: i, topic: platform.TopicOperator, maximumWait: logReadWait, restart: i.restartCatalogue}
 	c.onList = func(records []platform.Record, end position.Position) {
 		i.replaceEvacuations(evacuationsOf(records), end, "log")
-		i.operatorPosition.Store(&end)
+		i.operatorRead(end)
 		i.applyCatalogueRecords(records)
 	}
 	c.onRecords = func(records []platform.Record) {
 		i.applyEvacuations(records)
 		i.applyCatalogueRecords(records)
 	}
-	c.onRead = func(next position.Position) { i.operatorPosition.Store(&next) }
+	c.onRead = i.operatorRead
 	c.run(ctx)
 }
 
+// operatorRead records that this instance has read what the operators wrote up to the position.
+func (i *Instance) operatorRead(next position.Position) {
+	i.operatorPosition.Store(&next)
+	i.catalogueRead.Store(&next)
+}
+
 // applyCatalogueRecords applies the catalogues among the records; older versions than the current one have no effect.
 func (i *Instance) applyCatalogueRecords(records []platform.Record) {
 	for _, r := range records {
@@ -52,18 +58,18 @@
 	compressed func() ([]byte, error) // returns the compressed catalogue, computed on the first call
 }
 
-// applyCatalogue decodes a catalogue and makes it the current one if its version is newer. The offset, -1 for a catalogue from a peer,
-// and the source are for log lines.
-func (i *Instance) applyCatalogue(data []byte, offset int64, source string) {
+// applyCatalogue decodes a catalogue and makes it the current one if its version is newer; it reports whether it did. The offset, -1 for a
+// catalogue from a peer, and the source are for log lines.
+func (i *Instance) applyCatalogue(data []byte, offset int64, source string) bool {
 	table, err := platform.DecodeCatalogue(data)
 	if err != nil {
 		i.logger.Error("could not decode catalogue", "offset", offset, "source", source, "error", err.Error())
-		return
+		return false
 	}
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if current := i.table.Load(); current != nil && current.Version >= table.Version {
-		return
+		return false
 	}
 	i.table.Store(table)
 	copied := slices.Clone(data)
@@ -72,6 +78,7 @@
 	i.logger.Info("catalogue in force", "version", table.Version, "routes", table.Routes(), "source", source)
 	i.updateRouter()
 	i.gossiper.reportSoon()
+	return true
 }
 
 func (i *Instance) consumeEndpoints(ctx context.Context) {
--- a/transport/peer/connection.go
+++ b/transport/peer/connection.go
@@ -43,6 +43,9 @@
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	err = remote.Call(ctx, method, params, result)
+	if c.failed.Load() {
+		c.node.retire(remote) // no further call uses it
+	}
 	if err == nil {
 		return nil
 	}
--- a/transport/peer/node.go
+++ b/transport/peer/node.go
@@ -144,6 +144,17 @@
 	return c, nil
 }
 
+// Renew has the next call to the instance make a new connection, since an answer is late and the connection in use may have gone silent. Calls
+// in progress go on.
+func (n *Node) Renew(to netip.AddrPort) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if c, ok := n.connections[to]; ok {
+		c.failed.Store(true)
+		delete(n.connections, to)
+	}
+}
+
 func (n *Node) forgetBroken() {
 	for to, c := range n.connections {
 		if c.broken() {
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -139,6 +139,31 @@
 	})
 }
 
+// After a late answer the next call must not use the same connection again, which may have gone silent, and must not end the calls that use it.
+func TestRenew(t *testing.T) {
+	is := is.New(t)
+	a, b := startNode(t, "k"), startNode(t, "k")
+	assertEcho(t, a, b)
+	accepted := func() int {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		return len(b.accepted)
+	}
+	held := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	go func() { held <- a.Call(ctx, b.Address(), "test.hold", nil, nil) }()
+	assertEcho(t, a, b)
+	is.Equal(accepted(), 1)
+	a.Renew(b.Address())
+	assertEcho(t, a, b)
+	is.Equal(accepted(), 2)
+	is.True(errors.Is(<-held, context.DeadlineExceeded)) // not closed before
+	a.Renew(b.Address())
+	a.Renew(b.Address()) // of an instance without a connection
+	assertEcho(t, a, b)
+}
+
 // TestSilentConnection has the first connection go silent for good while new ones work.
 func TestSilentConnection(t *testing.T) {
 	is := is.New(t)
