A broken stream goes on elsewhere only once its endpoint has ended the run

Cause: a run was taken for ended because its connection had ended; nobody asked its endpoint, although it had just been found to listen.

Change: the former endpoint is asked to stop the run and to copy it, which is one call. The run goes on from that copy, from the backup if the endpoint does not know the run or its process has ended, and not at all while it says nothing. Resumable streams ask once before they run elsewhere. A log line and a counter say what was known of the former run.

A read of the test's variable in TestOutbox was a data race (seen once in a run with -race; the goroutine's last write and the read had no order): synctest.Wait orders them now, the assertions are unchanged. TestOverdueCall's instance has a client of the log now, which repeated calls use.

--- a/instance/hosted/consumer_test.go
+++ b/instance/hosted/consumer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"dogwooddyke/internal/wait"
+	"dogwooddyke/platform"
 	"dogwooddyke/state/position"
 )
 
@@ -16,7 +18,7 @@
 // only have expired while the endpoints are alive.
 func TestOverdueCall(t *testing.T) {
 	overdueAfter := func(t *testing.T, duration time.Duration) *consumer {
-		c := &consumer{instance: &Instance{}, next: position.Position{Era: 1, Offset: 7}}
+		c := &consumer{instance: &Instance{log: platform.NewLog(netip.AddrPort{}, nil)}, next: position.Position{Era: 1, Offset: 7}}
 		_, err := c.call(t.Context(), time.Second, func(ctx context.Context) (readResult, error) { return readResult{}, wait.For(ctx, duration) })
 		is.New(t).NoErr(err)
 		return c
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -153,6 +153,16 @@
 	o.logger.Info("run moved", "id", r.ID, "from", from, "to", to, "last", last, "handle", c.Handle, "created", c.Created, "tookMs", time.Since(began).Milliseconds(), "error", text)
 }
 
+// FormerRunAsked logs and counts what is known of a run at its endpoint after its stream has broken off.
+func (o *observer) FormerRunAsked(d *relay.Dispatch, state relay.FormerRun, began time.Time, err error) {
+	o.metrics.formerRuns.WithLabelValues(string(state)).Inc()
+	line := []any{"id", d.Request.ID, "endpoint", d.Endpoint.ID, "address", d.Endpoint.Address, "state", state, "tookMs", time.Since(began).Milliseconds()}
+	if err != nil {
+		line = append(line, "error", err.Error())
+	}
+	o.logger.Info("stream broke off, run asked to stop", line...)
+}
+
 // Declined logs and counts a request that was refused before it was sent to an endpoint.
 func (o *observer) Declined(id, workspace string, status int, reason string, catalogue int64) {
 	o.metrics.declined.WithLabelValues(strconv.Itoa(status)).Inc()
--- a/protocol/relay/constants.go
+++ b/protocol/relay/constants.go
@@ -27,6 +27,10 @@
 	maximumRestores       = 4                      // times that one request continues from a backup
 	permitWait            = 250 * time.Millisecond // for which a run that is to continue from a backup waits for a permit of the endpoint
 	permitPollInterval    = 10 * time.Millisecond  // between two checks for such a permit
+	stopTimeout           = 2 * time.Second        // of a call that has a former endpoint stop a run and copy it
+	stopAttempts          = 3                      // such calls for one break of a stream
+	stopPause             = 100 * time.Millisecond // between two of them
+	resumableStopTimeout  = 500 * time.Millisecond // of the only such call for a resumable run
 	dropTimeout           = time.Second            // timeout for freeing a copy that is not used
 	remoteCopyFactor      = 1.3                    // usual duration of a copy, as a multiple of that of a copy within a data centre
 	outputDivisor         = 4                      // ratio of a request's output limit to the output that its run usually has when it is moved
--- a/protocol/relay/ending.go
+++ b/protocol/relay/ending.go
@@ -71,8 +71,8 @@
 	return nil
 }
 
-// checkUnframedEnd returns an error if the end of an unframed answer may be the stop of its run.
-func (x *execution) checkUnframedEnd(reply *Reply, stop stopState) error {
+// checkStop returns an error if the end of an unframed stream may be the stop of its run.
+func (x *execution) checkStop(reply *Reply, stop stopState) error {
 	if !reply.Unframed || stop == stopNotAsked {
 		return nil
 	}
--- a/protocol/relay/ending_test.go
+++ b/protocol/relay/ending_test.go
@@ -14,14 +14,14 @@
 	const events = 150
 	refuse := func(status func() (Copy, error)) func(f *fakeFleet) {
 		return func(f *fakeFleet) {
-			f.move = func(_ context.Context, from, _ netip.AddrPort, last bool, stop func()) (Copy, error) {
+			f.answerMoves(func(_ context.Context, from, _ netip.AddrPort, last bool, stop func()) (Copy, error) {
 				if !last {
 					time.Sleep(400 * time.Millisecond) // copies take long, so that the run is stopped late
 					return Copy{Source: from, Handle: "part"}, nil
 				}
 				stop()
 				return status()
-			}
+			})
 		}
 	}
 	for _, c := range []struct {
@@ -39,16 +39,17 @@
 		})},
 		{"the stop is refused since another call is in progress", refuse(func() (Copy, error) { return Copy{}, ErrMoveInProgress })},
 		{"the stop is repeated once the run is gone", func(f *fakeFleet) {
-			f.move = func(_ context.Context, from, _ netip.AddrPort, last bool, stop func()) (Copy, error) {
-				if f.stops > 1 {
-					return Copy{}, ErrNoRun
-				}
+			stops := 0
+			f.answerMoves(func(_ context.Context, from, _ netip.AddrPort, last bool, stop func()) (Copy, error) {
 				if !last {
 					return Copy{Source: from, Handle: "part"}, nil
 				}
+				if stops++; stops > 1 {
+					return Copy{}, ErrNoRun
+				}
 				stop()
 				return Copy{}, errFakeNoAnswer
-			}
+			})
 		}},
 	} {
 		for _, framing := range []framing{unframed, framedByChunks, framedByLength} {
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -17,6 +17,7 @@
 	"dogwooddyke/coordination/handover"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/state/catalogue"
+	"dogwooddyke/state/endpoint"
 	"dogwooddyke/state/route"
 )
 
@@ -49,29 +50,33 @@
 	at       time.Time
 	endpoint netip.AddrPort
 	after    int64
-	copied   bool
+	copy     *Copy
 	working  bool // another endpoint worked on the request then
 }
 
 // fakeFleet is the endpoints of one service. Each runs the request of the test, whose events have the numbers from 1 to events.
 type fakeFleet struct {
-	is      *is.I
-	framing framing
-	events  int64
-	notices map[netip.AddrPort]*fakeNotice
-	closing context.Context // done when the instance closes; nil: never
+	is        *is.I
+	framing   framing
+	events    int64
+	notices   map[netip.AddrPort]*fakeNotice
+	noBackups bool            // endpoints take none
+	closing   context.Context // done when the instance closes; nil: never
 
 	// move answers a call that copies a run; stop ends the run and its stream. By default the run is stopped by the last copy, which succeeds.
 	move func(ctx context.Context, from, to netip.AddrPort, last bool, stop func()) (Copy, error)
 	// breaks says after which event the connection of a stream closes, and whether its endpoint goes on working; zero: never.
-	breaks  func(address netip.AddrPort) (after int64, worksOn bool)
+	breaks func(address netip.AddrPort) (after int64, worksOn bool)
+	// silences says after which event the connection of a stream carries nothing any more; zero: never.
+	silences func(address netip.AddrPort) int64
+	// pauses says after which event an endpoint makes none for a while; zero: never.
+	pauses  func(address netip.AddrPort) (after int64, pause time.Duration)
 	crashed func(address netip.AddrPort) bool
 
 	mutex sync.Mutex
+	first netip.AddrPort // see onlyFirst
 	runs  map[netip.AddrPort]*fakeRun
 	sends []fakeSend
-	moves int // calls that copy a run
-	stops int // those that stop it first
 }
 
 // fakeNotice is a notice that an endpoint leaves.
@@ -117,6 +122,9 @@
 		entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: address})
 	}
 	router.SetEntry(entry, time.Now())
+	for address := range f.notices {
+		router.SetShare(address, endpoint.Share{Slots: 64, Memory: 1 << 20, Spread: 1, Until: time.Now().Add(time.Hour)}, time.Now())
+	}
 	if f.closing == nil {
 		f.closing = context.Background()
 	}
@@ -136,7 +144,7 @@
 	return &Request{
 		ID: "r-1", Method: http.MethodPost, Target: "/x", Service: "s", Arrived: now, Deadline: now.Add(40 * time.Second), PromptTokens: 100, MaximumTokens: 4000,
 		Route:  &route.Route{Name: "long", Kind: route.KindStream, Attempts: attempts, Resumable: resumable},
-		Engine: &route.Engine{Stride: 4, Moves: true, Backups: true},
+		Engine: &route.Engine{Stride: 4, Moves: true, Backups: !f.noBackups},
 	}
 }
 
@@ -144,6 +152,11 @@
 func (f *fakeFleet) serve(t *testing.T, resumable bool) (Result, string) {
 	sink := &recordingSink{}
 	result := f.runner().Run(t.Context(), f.request(resumable), sink)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, r := range f.runs {
+		r.stop()
+	}
 	return result, sink.text.String()
 }
 
@@ -190,7 +203,7 @@
 func (f *fakeFleet) Send(ctx context.Context, d *Dispatch) (*Reply, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.sends = append(f.sends, fakeSend{time.Now(), d.Endpoint.Address, d.After, d.Copy != nil, f.working(d.Endpoint.Address)})
+	f.sends = append(f.sends, fakeSend{time.Now(), d.Endpoint.Address, d.After, d.Copy, f.working(d.Endpoint.Address)})
 	r := &fakeRun{stopped: make(chan struct{}), made: d.After}
 	f.runs[d.Endpoint.Address] = r
 	reader, writer := io.Pipe()
@@ -204,9 +217,20 @@
 	if f.breaks != nil {
 		breakAfter, worksOn = f.breaks(d.Endpoint.Address)
 	}
+	silentAfter := int64(0)
+	if f.silences != nil {
+		silentAfter = f.silences(d.Endpoint.Address)
+	}
+	pauseAfter, pause := int64(0), time.Duration(0)
+	if f.pauses != nil {
+		pauseAfter, pause = f.pauses(d.Endpoint.Address)
+	}
 	for n := d.After + 1; n <= f.events; n++ {
 		select {
 		case <-r.stopped:
+			if silentAfter != 0 {
+				<-ctx.Done()
+			}
 			f.cut(w)
 			return
 		case <-ctx.Done():
@@ -217,9 +241,15 @@
 			return
 		case <-time.After(fakeEventPause):
 		}
+		if pauseAfter > 0 && n == pauseAfter+1 {
+			time.Sleep(pause)
+		}
 		f.mutex.Lock()
 		r.made = n
 		f.mutex.Unlock()
+		if silentAfter != 0 && n > silentAfter {
+			continue
+		}
 		if breakAfter > 0 && n > breakAfter {
 			if !worksOn {
 				r.stop()
@@ -232,6 +262,11 @@
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\n\n", n) // the reader may have left
 	}
+	if silentAfter != 0 {
+		<-ctx.Done()
+		_ = w.CloseWithError(ctx.Err())
+		return
+	}
 	_ = w.Close()
 }
 
@@ -258,27 +293,45 @@
 	_ = w.CloseWithError(io.ErrUnexpectedEOF)
 }
 
+// origin returns from what a dispatch continued the run.
+func (f *fakeFleet) origin(n int) string {
+	switch c := f.sends[n].copy; {
+	case c == nil:
+		return "new run"
+	case c.Handle == "r-1":
+		return "backup"
+	default:
+		return "copy"
+	}
+}
+
+// answerMoves has calls that copy a run answered by the function from now on.
+func (f *fakeFleet) answerMoves(answer func(ctx context.Context, from, to netip.AddrPort, last bool, stop func()) (Copy, error)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.move = answer
+}
+
 // Move copies a run.
 func (f *fakeFleet) Move(ctx context.Context, _ string, from Endpoint, to netip.AddrPort, last bool) (Copy, error) {
 	f.mutex.Lock()
 	r := f.runs[from.Address]
-	f.moves++
-	if last {
-		f.stops++
-	}
+	answer := f.move
 	f.mutex.Unlock()
 	stop := func() {
 		if r != nil {
 			r.stop()
 		}
 	}
-	if f.move != nil {
-		return f.move(ctx, from.Address, to, last, stop)
+	if answer != nil {
+		return answer(ctx, from.Address, to, last, stop)
 	}
 	if last {
 		stop()
 	}
-	return Copy{Source: from.Address, Handle: "h"}, nil
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return Copy{Source: from.Address, Handle: "h", Created: int(f.runs[from.Address].made)}, nil
 }
 
 // Drop does nothing.
@@ -318,6 +371,12 @@
 // CrashNoticed does nothing.
 func (f *fakeFleet) CrashNoticed(*Dispatch, int) {}
 
+// FormerRunAsked does nothing.
+func (f *fakeFleet) FormerRunAsked(*Dispatch, FormerRun, time.Time, error) {}
+
+// StreamSilent does nothing.
+func (f *fakeFleet) StreamSilent(*Dispatch, int, int64) {}
+
 // Moved does nothing.
 func (f *fakeFleet) Moved(*Request, netip.AddrPort, netip.AddrPort, Copy, bool, time.Time, error) {}
 
@@ -356,3 +415,16 @@
 	}
 	return address
 }
+
+// onlyFirst returns the value for the first endpoint that it is called with, and 0 for the others.
+func (f *fakeFleet) onlyFirst(address netip.AddrPort, value int64) int64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !f.first.IsValid() {
+		f.first = address
+	}
+	if address != f.first {
+		return 0
+	}
+	return value
+}
--- /dev/null
+++ b/protocol/relay/former.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"dogwooddyke/coordination/routing"
+	"dogwooddyke/internal/wait"
+)
+
+// FormerRun is what is known of a run at its endpoint after its stream has broken off. Another endpoint may go on with it only if the former one
+// works on it no more, or can't be reached.
+type FormerRun string
+
+// The states of a former run; they are values of log lines.
+const (
+	FormerUnknown     FormerRun = "unknown"     // the endpoint may still work on the run
+	FormerStopped     FormerRun = "stopped"     // the endpoint has stopped the run for this instance
+	FormerEnded       FormerRun = "ended"       // the endpoint does not know the run, or its process has ended
+	FormerUnreachable FormerRun = "unreachable" // no connection to the endpoint is established
+)
+
+// formerRunAfter returns the state of a former run after a call that was to stop it. Whether an endpoint that does not know a run has ended it or has
+// not begun it is told apart by begun.
+func formerRunAfter(copied Copy, err error, begun bool) FormerRun {
+	switch {
+	case err == nil || copied.Handle != "":
+		return FormerStopped
+	case errors.Is(err, ErrNoRun) && begun, errors.Is(err, syscall.ECONNREFUSED):
+		return FormerEnded
+	case errors.Is(err, ErrUnreached):
+		return FormerUnreachable
+	default:
+		return FormerUnknown
+	}
+}
+
+// continueElsewhere returns a dispatch that continues the run at another endpoint after its stream has broken off; nil if that is not possible, or
+// if its former endpoint may still work on it.
+func (x *execution) continueElsewhere(d *Dispatch, stop stopState) *Dispatch {
+	if x.request.Engine == nil || x.ctx.Err() != nil || x.result.Restores >= maximumRestores {
+		return nil
+	}
+	if x.screening.Admit(x.ctx, x.spec.Deadline) != nil {
+		return nil
+	}
+	if stop == stopped || !x.request.Engine.Moves {
+		return x.restore(d)
+	}
+	slot, target, found := x.targetAfter(d)
+	if !found {
+		return nil
+	}
+	copied, state := x.stopFormer(d, target)
+	if state == FormerStopped && copied.Target == target.Address {
+		x.result.Restores++
+		return x.continueAt(d, &move{copy: copied, slot: slot, endpoint: target})
+	}
+	slot.Release(routing.OutcomeCancelled, time.Now())
+	if state == FormerUnknown {
+		return nil
+	}
+	if next := x.restore(d); next != nil {
+		return next
+	}
+	if state == FormerStopped && x.mayReturn(d.Endpoint, time.Now()) {
+		x.result.Restores++
+		return x.continueAt(d, &move{copy: copied, endpoint: d.Endpoint})
+	}
+	return nil
+}
+
+// targetAfter returns a slot for a run that is to leave its endpoint: at its backup if it has one and that takes it, else at the best endpoint.
+func (x *execution) targetAfter(d *Dispatch) (*routing.Slot, Endpoint, bool) {
+	spec := x.specAfter(d)
+	slot, err := x.placeSoon(&spec)
+	if err != nil {
+		return nil, Endpoint{}, false
+	}
+	target, found := x.runner.Roster.At(x.request.Service, slot.Endpoint())
+	if !found {
+		slot.Release(routing.OutcomeCancelled, time.Now())
+	}
+	return slot, target, found
+}
+
+// stopFormer has the former endpoint stop the run and copy its memory to the target. It asks again while the endpoint does not say what has become
+// of the run, on a new connection each time. A resumable run may run again, so it does not wait for long.
+func (x *execution) stopFormer(d *Dispatch, target Endpoint) (Copy, FormerRun) {
+	began := time.Now()
+	timeout, attempts := stopTimeout, stopAttempts
+	if x.request.Route.Resumable {
+		timeout, attempts = resumableStopTimeout, 1
+	}
+	var copied Copy
+	var err error
+	state := FormerUnknown
+	for n := range attempts {
+		if n > 0 && wait.For(x.ctx, stopPause) != nil {
+			break
+		}
+		copied, err = x.askToStop(d, target, timeout)
+		if state = formerRunAfter(copied, err, x.dispatchEvents > 0 || d.Copy != nil); state == FormerStopped || state == FormerEnded {
+			break
+		}
+	}
+	x.runner.Observer.FormerRunAsked(d, state, began, err)
+	if err == nil {
+		copied.Target = target.Address
+	}
+	return copied, state
+}
+
+// askToStop makes one call that is to stop the run at its former endpoint.
+func (x *execution) askToStop(d *Dispatch, target Endpoint, timeout time.Duration) (Copy, error) {
+	ctx, cancel := context.WithTimeout(x.ctx, timeout)
+	defer cancel()
+	return x.runner.Endpoints.Move(ctx, x.request.ID, d.Endpoint, target.Address, true)
+}
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -213,7 +213,7 @@
 	if err != nil {
 		// The run was stopped but its memory was not transferred, so the run continues at its former endpoint.
 		slot.Release(routing.OutcomeCancelled, time.Now())
-		if m.mayReturn(time.Now()) {
+		if m.execution.mayReturn(m.from, time.Now()) {
 			m.moved = &move{copy: copied, endpoint: m.from}
 		}
 		return false, true
@@ -222,13 +222,13 @@
 	return false, true
 }
 
-// mayReturn reports whether a request that continues the run may still be sent to the run's former endpoint.
-func (m *mover) mayReturn(now time.Time) bool {
-	drain := m.execution.runner.Drain
-	if drain > 0 && !now.Before(m.stop.Noticed.Add(drain-returnMargin)) {
+// mayReturn reports whether a request that continues the run may be sent to the run's former endpoint again.
+func (x *execution) mayReturn(former Endpoint, now time.Time) bool {
+	drain := x.runner.Drain
+	if drain > 0 && former.Leaving() && !now.Before(former.Notice.At().Add(drain-returnMargin)) {
 		return false
 	}
-	current, found := m.execution.runner.Roster.At(m.execution.request.Service, m.from.Address)
+	current, found := x.runner.Roster.At(x.request.Service, former.Address)
 	return !found || !current.Evacuated
 }
 
--- a/protocol/relay/outbox_test.go
+++ b/protocol/relay/outbox_test.go
@@ -77,6 +77,7 @@
 			}
 		}()
 		time.Sleep(time.Minute)
+		synctest.Wait() // orders the reader's writes before the next line
 		is.True(put < 15)
 		is.True(budget.Used() <= 1000)
 		close(sink.resume)
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -71,6 +71,7 @@
 	Source  netip.AddrPort // endpoint at which the handle is valid
 	Handle  string         // identifier of the copy at its source
 	Created int            // number of events that the run had produced
+	Target  netip.AddrPort // endpoint to which the memory was copied completely; invalid if unknown
 }
 
 // Dispatch is one attempt to run a request at one endpoint.
--- a/protocol/relay/restore.go
+++ b/protocol/relay/restore.go
@@ -23,18 +23,21 @@
 	return backup
 }
 
-// restore returns a dispatch that continues a run from its backup after its endpoint failed; nil if that is not possible.
-func (x *execution) restore(d *Dispatch) *Dispatch {
-	if !d.Backup.IsValid() || x.ctx.Err() != nil || x.result.Restores >= maximumRestores {
-		return nil
-	}
-	if x.screening.Admit(x.ctx, x.spec.Deadline) != nil {
-		return nil
-	}
+// specAfter describes the request for its continuation at another endpoint, at the backup if there is one.
+func (x *execution) specAfter(d *Dispatch) routing.RequestSpec {
 	spec := x.spec
 	spec.PreferredEndpoint = d.Backup
 	spec.GeneratedTokens = int(x.passedTokens.Load())
 	spec.Exclude = append(spec.Exclude[:len(spec.Exclude):len(spec.Exclude)], d.Endpoint.Address)
+	return spec
+}
+
+// restore returns a dispatch that continues a run from its backup after its endpoint has ended it; nil if that is not possible.
+func (x *execution) restore(d *Dispatch) *Dispatch {
+	if !d.Backup.IsValid() {
+		return nil
+	}
+	spec := x.specAfter(d)
 	slot, err := x.placeSoon(&spec)
 	if err != nil {
 		return nil
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -53,6 +53,9 @@
 	RetryDecided(r *Request, endpoint Endpoint, cause error, allowed bool)
 	// CrashNoticed is called when an endpoint has crashed under a dispatch, with the events of its answer until then.
 	CrashNoticed(d *Dispatch, events int)
+	// FormerRunAsked is called after the endpoint of a stream that broke off was asked to stop the run, with what is known of the run then and the
+	// error of the latest call.
+	FormerRunAsked(d *Dispatch, state FormerRun, began time.Time, err error)
 	// Moved is called after each attempt to copy a run's memory to another endpoint.
 	Moved(r *Request, from, to netip.AddrPort, c Copy, last bool, began time.Time, err error)
 }
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -46,7 +46,7 @@
 	err = x.relayEvents(reply, silence)
 	move, stop := m.finish(err == nil && !reply.Unframed)
 	if err == nil && move == nil {
-		err = x.checkUnframedEnd(reply, stop)
+		err = x.checkStop(reply, stop)
 	}
 	switch {
 	case err == nil && move == nil:
@@ -63,7 +63,7 @@
 	}
 	err = silence.cause(err)
 	x.noteCrash(d, err, x.dispatchEvents)
-	if next := x.restore(d); next != nil {
+	if next := x.continueElsewhere(d, stop); next != nil {
 		return next, nil
 	}
 	return nil, x.handleStreamFailure(d, err)
