--- a/protocol/relay/ending.go
+++ b/protocol/relay/ending.go
@@ -71,6 +71,14 @@
 	return nil
 }
 
+// checkStreamEnd is checkEnd for a stream. An unframed one that ends before its first event has been broken off, since each run makes an event.
+func (x *execution) checkStreamEnd(reply *Reply) error {
+	if reply.Unframed && x.result.Events == 0 && x.lastEvent == 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return x.checkEnd(reply)
+}
+
 // checkStop returns an error if the end of an unframed stream may be the stop of its run.
 func (x *execution) checkStop(reply *Reply, stop stopState) error {
 	if !reply.Unframed || stop == stopNotAsked {
--- a/protocol/relay/ending_test.go
+++ b/protocol/relay/ending_test.go
@@ -98,6 +98,11 @@
 		f.is.Equal(result.Outcome, OutcomeServed)
 		f.assertAnswer(result, text)
 	})
+	run("ended before its first event, of which each run makes one", func(t *testing.T, f *fakeFleet) {
+		f.events = 0
+		result, _ := f.serve(t, false)
+		f.is.Equal(result.Outcome, OutcomeUnknown)
+	})
 	run("complete before the stop", func(t *testing.T, f *fakeFleet) {
 		f.move = func(_ context.Context, from, _ netip.AddrPort, last bool, _ func()) (Copy, error) {
 			if last {
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -77,7 +77,7 @@
 		found, err := e.next()
 		silence.stop()
 		if errors.Is(err, io.EOF) {
-			err = x.checkEnd(reply)
+			err = x.checkStreamEnd(reply)
 		}
 		if err == nil && found.data == nil {
 			// Even a caller that resumes after the last event needs the head of the answer to see the stream end.
