A stream that runs once continues elsewhere when its connection goes silent

Cause: the connection was the only source of what the endpoint has made, and the silence of an endpoint alone is no reason to end a run.

Change: after 2 s without an event the run is copied once on a new connection. If the answer counts more events than have arrived, the connection is given up and the run goes on like one whose stream broke off. A slow endpoint is not disturbed.

--- a/instance/hosted/metrics.go
+++ b/instance/hosted/metrics.go
@@ -19,6 +19,7 @@
 	moves             *prometheus.CounterVec
 	restores          prometheus.Counter
 	unansweredReads   prometheus.Counter
+	silentStreams     prometheus.Counter
 	formerRuns        *prometheus.CounterVec
 	crashes           prometheus.Counter
 	suspicions        prometheus.Counter
@@ -56,6 +57,7 @@
 		unansweredReads:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "log_unanswered_reads_total", Help: "Waiting reads of the platform's log that were restarted, since the log had records which they did not return."}),
 		crashes:           prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "crashed_requests_total", Help: "Requests that were at an endpoint when that crashed and that it had produced no output for, on all routes."}),
 		suspicions:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "suspected_parts_total", Help: "Suspicions that a part of prompts crashes endpoints; each further crash counts again."}),
+		silentStreams:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "silent_streams_total", Help: "Streams whose endpoint made events that did not arrive."}),
 		formerRuns:        counter("former_runs_total", "Runs whose stream broke off, by what their endpoint said when it was asked to stop them.", "state"),
 		trials:            counter("trials_total", "Decisions about requests with a part that is blamed for crashes, by verdict.", "verdict"),
 		limitedDispatches: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "limited_dispatches_total", Help: "Dispatches to endpoints whose rate limit was known."}),
@@ -69,7 +71,7 @@
 		totalTime:         histogram("whole_seconds", "Time to the end of the answer."),
 		longestPause:      histogram("pause_seconds", "Longest time between two events of a stream."),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.unansweredReads, m.formerRuns, m.crashes, m.suspicions, m.trials, m.limitedDispatches, m.permitAsks, m.permits, m.rests, m.doubts, m.questions, m.lateFirstTokens, m.timeToAnswer, m.totalTime, m.longestPause)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.unansweredReads, m.formerRuns, m.silentStreams, m.crashes, m.suspicions, m.trials, m.limitedDispatches, m.permitAsks, m.permits, m.rests, m.doubts, m.questions, m.lateFirstTokens, m.timeToAnswer, m.totalTime, m.longestPause)
 	return m
 }
 
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -163,6 +163,12 @@
 	o.logger.Info("stream broke off, run asked to stop", line...)
 }
 
+// StreamSilent logs and counts a stream whose connection has gone silent.
+func (o *observer) StreamSilent(d *relay.Dispatch, made int, received int64) {
+	o.metrics.silentStreams.Inc()
+	o.logger.Warn("connection of a stream has gone silent", "id", d.Request.ID, "endpoint", d.Endpoint.ID, "address", d.Endpoint.Address, "made", made, "received", received)
+}
+
 // Declined logs and counts a request that was refused before it was sent to an endpoint.
 func (o *observer) Declined(id, workspace string, status int, reason string, catalogue int64) {
 	o.metrics.declined.WithLabelValues(strconv.Itoa(status)).Inc()
--- a/protocol/relay/constants.go
+++ b/protocol/relay/constants.go
@@ -41,7 +41,8 @@
 	movePollInterval      = 60 * time.Millisecond  // pause before a run that was not found, or an endpoint for it, is looked for again
 	finalCopyTimeout      = 6 * time.Second        // longest wait for a copy in progress after the stream of the run has broken off
 	minimumBackupTokens   = 40                     // predicted output tokens below which a run gets no backup, since it ends before it would be moved
-	minimumSilenceTimeout = 2 * time.Second        // shortest time without an event after which a resumable stream continues at another endpoint
+	minimumSilenceTimeout = 2 * time.Second        // shortest time without an event after which a stream may continue at another endpoint
+	silenceConfirmation   = 300 * time.Millisecond // for events that an endpoint has made to arrive
 
 	minimumRetryDelay  = 300 * time.Millisecond // shortest time after which a caller is told to retry
 	priorityRetryDelay = 100 * time.Millisecond // added to the retry delay for each step of priority
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -56,6 +56,8 @@
 	// FormerRunAsked is called after the endpoint of a stream that broke off was asked to stop the run, with what is known of the run then and the
 	// error of the latest call.
 	FormerRunAsked(d *Dispatch, state FormerRun, began time.Time, err error)
+	// StreamSilent is called when an endpoint has made more events of a run than arrive, so that its connection is given up.
+	StreamSilent(d *Dispatch, made int, received int64)
 	// Moved is called after each attempt to copy a run's memory to another endpoint.
 	Moved(r *Request, from, to netip.AddrPort, c Copy, last bool, began time.Time, err error)
 }
@@ -77,7 +79,7 @@
 	background conc.WaitGroup // cleanup that continues after an answer, for at most dropTimeout each
 }
 
-// execution is the state of one request while it runs. Only one goroutine uses it, apart from the mover of its current run.
+// execution is the state of one request while it runs. Only one goroutine uses it, apart from the mover and the silence timer of its current run.
 type execution struct {
 	runner         *Runner
 	request        *Request
@@ -93,6 +95,7 @@
 	lastEvent      int64        // id of the last event that was put into the outbox, or that the caller had before; zero if there is none
 	lastEventAt    time.Time    // when the latest event was forwarded
 	passedTokens   atomic.Int32 // tokens forwarded to the caller
+	receivedEvent  atomic.Int64 // lastEvent, for the silence timer
 	begun          atomic.Bool  // the head of the answer was forwarded
 	dispatchEvents int          // events that the latest dispatch has received
 	screening      *quarantine.Screening
@@ -111,6 +114,7 @@
 	request.Whole = prompt.PartOfRequest(request.Service, request.Method, request.Target, request.Workspace, request.Body)
 	x := &execution{runner: r, request: request, caller: caller, ctx: bounded, lastEvent: request.After, outbox: newOutbox(sink, r.Memory, leave)}
 	x.result.LastEvent = request.After
+	x.receivedEvent.Store(request.After)
 	withdraw := context.AfterFunc(r.Closing, func() { x.endUnbegun(end) })
 	defer withdraw()
 	x.screening = r.Quarantine.Screen(promptOf(request), request.Whole)
--- a/protocol/relay/silence.go
+++ b/protocol/relay/silence.go
@@ -1,49 +1,99 @@
 package relay
 
 import (
+	"context"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"dogwooddyke/coordination/routing"
+	"dogwooddyke/internal/wait"
 )
 
-// silenceTimer cancels the reading of a resumable stream when its endpoint sends no event for the timeout. Time in which the caller is slow
-// to read does not count. Without a timer it does nothing.
+// silenceTimer cancels the reading of a stream when no event has come for the timeout and the stream is found to be silent. Time in which the caller
+// is slow to read does not count. Without a timer it does nothing.
 type silenceTimer struct {
-	timer   *time.Timer // nil if the silence of the endpoint is not limited
-	timeout time.Duration
-	expired atomic.Bool // whether the timer has cancelled the read
+	timer    *time.Timer // nil if the silence of the endpoint is not limited
+	timeout  time.Duration
+	cancel   func()
+	isSilent func() bool // looks whether the stream is silent, rather than its endpoint slow; nil: every silence counts
+
+	reads   atomic.Int64 // events that were waited for
+	expired atomic.Bool  // whether the timer has cancelled the read
+	mutex   sync.Mutex   // held while it is looked whether the stream is silent
 }
 
-// startSilenceTimer starts a timer that calls cancel, if the request is resumable and has another attempt left.
-func (x *execution) startSilenceTimer(cancel func()) *silenceTimer {
-	if !x.request.Route.Resumable || x.mayHaveRun+1 >= x.request.Route.Attempts {
+// startSilenceTimer starts a timer that calls cancel. A resumable stream is continued elsewhere after any silence, if the request has another attempt
+// left; any other run that can be moved only if its endpoint has made events which do not arrive.
+func (x *execution) startSilenceTimer(ctx context.Context, d *Dispatch, cancel func()) *silenceTimer {
+	timeout := max(x.request.Route.Target, minimumSilenceTimeout)
+	switch {
+	case x.request.Route.Resumable && x.mayHaveRun+1 < x.request.Route.Attempts:
+		return newSilenceTimer(timeout, cancel, nil)
+	case !x.request.Route.Resumable && x.request.Engine != nil && x.request.Engine.Moves:
+		s := newSilenceTimer(minimumSilenceTimeout, cancel, nil)
+		s.isSilent = func() bool { return x.missesEvents(ctx, d, s) }
+		return s
+	default:
 		return &silenceTimer{}
 	}
-	return newSilenceTimer(max(x.request.Route.Target, minimumSilenceTimeout), cancel)
 }
 
-func newSilenceTimer(timeout time.Duration, cancel func()) *silenceTimer {
-	s := &silenceTimer{timeout: timeout}
-	s.timer = time.AfterFunc(timeout, func() {
-		s.expired.Store(true)
-		cancel()
-	})
+func newSilenceTimer(timeout time.Duration, cancel func(), isSilent func() bool) *silenceTimer {
+	s := &silenceTimer{timeout: timeout, cancel: cancel, isSilent: isSilent}
+	s.timer = time.AfterFunc(timeout, s.expire)
 	return s
 }
 
+// expire cancels the read if the stream is silent, and else starts the timeout again.
+func (s *silenceTimer) expire() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	read := s.reads.Load()
+	if s.isSilent != nil && !s.isSilent() {
+		if s.reads.Load() == read {
+			s.timer.Reset(s.timeout)
+		}
+		return
+	}
+	if s.reads.Load() != read {
+		return
+	}
+	s.expired.Store(true)
+	s.cancel()
+}
+
 // reset restarts the timeout before the next event is read.
 func (s *silenceTimer) reset() {
 	if s.timer != nil {
+		s.reads.Add(1)
 		s.timer.Reset(s.timeout)
 	}
 }
 
-// stop stops the timer while an event is written to the caller, or for good.
+// stop stops the timer while an event is written to the caller.
 func (s *silenceTimer) stop() {
 	if s.timer != nil {
+		s.reads.Add(1)
 		s.timer.Stop()
 	}
 }
 
+// close stops the timer for good and waits until it is not looked any more whether the stream is silent.
+func (s *silenceTimer) close() {
+	s.cancelRead()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stop()
+}
+
+// cancelRead ends the look in progress, if there is one.
+func (s *silenceTimer) cancelRead() {
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
 // cause returns errSilent if the timer cancelled the read, else err.
 func (s *silenceTimer) cause(err error) error {
 	if s.expired.Load() {
@@ -51,3 +101,32 @@
 	}
 	return err
 }
+
+// missesEvents reports whether the endpoint has made events of the run that do not arrive, since the connection has gone silent. An endpoint that is
+// slow, or has not begun the run, has made none; one that is leaving is left anyway.
+func (x *execution) missesEvents(ctx context.Context, d *Dispatch, s *silenceTimer) bool {
+	if d.Endpoint.Leaving() || !x.screening.AllowsMove(time.Now()) {
+		return false
+	}
+	slot, target, found := x.targetAfter(d)
+	if !found {
+		return false
+	}
+	defer slot.Release(routing.OutcomeCancelled, time.Now())
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	began := time.Now()
+	copied, err := x.runner.Endpoints.Move(ctx, x.request.ID, d.Endpoint, target.Address, false)
+	x.runner.Observer.Moved(x.request, d.Endpoint.Address, target.Address, copied, false, began, err)
+	if err != nil {
+		return false
+	}
+	read := s.reads.Load()
+	missing := int64(copied.Created) > x.receivedEvent.Load() && wait.For(ctx, silenceConfirmation) == nil && s.reads.Load() == read
+	if !missing {
+		x.dropCopy(copied)
+		return false
+	}
+	x.runner.Observer.StreamSilent(d, copied.Created, x.receivedEvent.Load())
+	return true
+}
--- a/protocol/relay/silence_test.go
+++ b/protocol/relay/silence_test.go
@@ -55,7 +55,7 @@
 			sink := &slowSink{delay: 5 * timeout}
 			x := streamExecution(t, sink)
 			ctx, cancel := context.WithCancel(t.Context())
-			silence := newSilenceTimer(timeout, cancel)
+			silence := newSilenceTimer(timeout, cancel, nil)
 			err := x.relayEvents(&Reply{Body: io.NopCloser(strings.NewReader("id: 1\n\nid: 2\n\nid: 3\n\n"))}, silence)
 			is.NoErr(err)
 			is.NoErr(ctx.Err())
@@ -69,7 +69,7 @@
 			is := is.New(t)
 			x := streamExecution(t, &slowSink{})
 			body, endpoint := io.Pipe()
-			silence := newSilenceTimer(timeout, func() { _ = endpoint.CloseWithError(context.Canceled) })
+			silence := newSilenceTimer(timeout, func() { _ = endpoint.CloseWithError(context.Canceled) }, nil)
 			go func() {
 				_, _ = endpoint.Write([]byte("id: 1\n\n")) // the reader checks what it reads
 			}()
@@ -80,3 +80,55 @@
 		})
 	})
 }
+
+// The connection of a run that can't run again may go silent for good while its endpoint works on. The run must continue elsewhere then, but not when its
+// endpoint is only slow.
+func TestSilentConnectionOfRun(t *testing.T) {
+	const events, silent = 600, 100
+	for _, c := range []struct {
+		name  string
+		set   func(f *fakeFleet)
+		sends int
+		whole bool
+	}{
+		{"goes silent", func(f *fakeFleet) {
+			f.silences = func(address netip.AddrPort) int64 { return f.onlyFirst(address, silent) }
+		}, 2, true},
+		{"goes silent before the first event", func(f *fakeFleet) {
+			f.events = 1000
+			f.silences = func(address netip.AddrPort) int64 { return f.onlyFirst(address, -1) }
+		}, 2, true},
+		{"goes silent and the endpoint can't be asked", func(f *fakeFleet) {
+			f.silences = func(address netip.AddrPort) int64 { return f.onlyFirst(address, silent) }
+			f.answerMoves(func(context.Context, netip.AddrPort, netip.AddrPort, bool, func()) (Copy, error) {
+				return Copy{}, ErrUnreached
+			})
+		}, 1, false},
+		{"of a slow endpoint", func(f *fakeFleet) {
+			f.pauses = func(netip.AddrPort) (int64, time.Duration) { return silent, 9 * time.Second }
+		}, 1, true},
+		{"of an endpoint that begins late", func(f *fakeFleet) {
+			f.pauses = func(netip.AddrPort) (int64, time.Duration) { return 1, 9 * time.Second }
+			f.answerMoves(func(context.Context, netip.AddrPort, netip.AddrPort, bool, func()) (Copy, error) {
+				return Copy{}, ErrNoRun
+			})
+		}, 1, true},
+		{"of an endpoint that makes events in bursts", func(f *fakeFleet) {
+			f.pauses = func(netip.AddrPort) (int64, time.Duration) { return silent, 2010 * time.Millisecond }
+		}, 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, 3, events)
+				c.set(f)
+				result, text := f.serve(t, false)
+				f.assertAnswer(result, text)
+				f.is.Equal(result.Outcome == OutcomeServed, c.whole)
+				f.is.Equal(len(f.sends), c.sends)
+				for _, s := range f.sends {
+					f.is.True(!s.working)
+				}
+			})
+		})
+	}
+}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -29,8 +29,8 @@
 func (x *execution) streamFrom(d *Dispatch) (*Dispatch, error) {
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	silence := x.startSilenceTimer(cancel)
-	defer silence.stop()
+	silence := x.startSilenceTimer(ctx, d, cancel)
+	defer silence.close()
 	x.dispatchEvents = 0
 	reply, err := x.send(ctx, d)
 	if err != nil {
@@ -44,6 +44,7 @@
 	}
 	m := x.startMover(d)
 	err = x.relayEvents(reply, silence)
+	silence.close()
 	move, stop := m.finish(err == nil && !reply.Unframed)
 	if err == nil && move == nil {
 		err = x.checkStop(reply, stop)
@@ -103,6 +104,7 @@
 		if found.hasID {
 			x.lastEvent = found.id
 			x.result.LastEvent = found.id
+			x.receivedEvent.Store(found.id)
 		}
 		x.countEvent()
 	}
