--- a/coordination/gossip/constants.go
+++ b/coordination/gossip/constants.go
@@ -21,7 +21,7 @@
 	maximumBundledReports   = 4096                    // that a forwarder collects for its next bundles, of each kind
 	maximumBundleBytes      = 16 << 10                // of encoded reports in one bundle
 	maximumReaders          = 8                       // instances that read the endpoint list from the log for all others
-	maximumCheckers         = 3                       // readers that look for changes of the catalogue which waiting reads miss
+	maximumCheckers         = 2                       // readers that look for changes of the catalogue which waiting reads miss
 	maximumReadAge          = 2500 * time.Millisecond // time since a reader's latest read after which it is replaced; a read may wait for a heartbeat
 	maximumPromptLifetime   = time.Second             // for which prompts of another instance count unless it reports them again
 	promptMargin            = 2                       // multiple of the time that an engine needs for the prompts of a use alone, for which they count
