A generation is ended before it is repeated elsewhere; late answers are judged by their limit

Cause: as with broken streams, the run of a generation whose answer was lost, or that the instance did not wait for any longer, was taken for ended with its connection. A request that came after the notice to stop was judged by the length that 95% of answers stay below; one that came late and was longer was cut with nothing to excuse it.

Change: the endpoint is asked once, for 0.5 s at most, to end the run before the request is repeated. An instance that stops judges by the limit of the output where the request names one, with a margin for slow endpoints.

Evidence: TestRepeatWhileRunGoesOn failed in both cases before (the first endpoint still worked on it).

--- a/coordination/routing/closing.go
+++ b/coordination/routing/closing.go
@@ -26,15 +26,17 @@
 	}
 }
 
-// longestAnswer returns the time from the start of a request in which all but few answers like it end.
+// longestAnswer returns the time from the start of a request in which its answer ends: by the limit of its output if that is known, else the time in
+// which all but few answers like it end.
 func (r *Request) longestAnswer() time.Duration {
 	if r.pool.isPlain() {
 		return max(plainAnswerFactor*r.spec.FirstTokenDeadline.Sub(r.submitted), minimumPlainAnswer)
 	}
-	tokens := r.lengthHistogram.Quantile(int(r.emittedTokens.Load()), longAnswerProbability)
-	if r.spec.MaximumTokens > 0 {
-		tokens = min(tokens, max(r.spec.MaximumTokens-int(r.emittedTokens.Load()), 0))
+	emitted := int(r.emittedTokens.Load())
+	tokens := max(r.spec.MaximumTokens-emitted, 0)
+	if r.spec.MaximumTokens <= 0 {
+		tokens = r.lengthHistogram.Quantile(emitted, longAnswerProbability)
 	}
 	step, tokenTime := r.pool.meanSpeed()
-	return time.Duration(tokens)*step + time.Duration(r.promptTokens())*tokenTime
+	return time.Duration(slowAnswerFactor * float64(time.Duration(tokens)*step+time.Duration(r.promptTokens())*tokenTime))
 }
--- a/coordination/routing/constants.go
+++ b/coordination/routing/constants.go
@@ -55,6 +55,7 @@
 	maximumLimiters         = 8192
 	defaultTokenTime        = 30 * time.Millisecond  // time between tokens when no endpoint is known
 	longAnswerProbability   = 0.95                   // of answers that end in the time which is taken to be the longest
+	slowAnswerFactor        = 1.5                    // ratio of that time to the one at the mean speed of the endpoints
 	plainAnswerFactor       = 2                      // ratio of that time of a plain service's answers to their target
 	minimumPlainAnswer      = 600 * time.Millisecond // the least that it is taken to be
 )
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -92,6 +92,7 @@
 	othersListed     atomic.Bool   // whether the log has listed the registered instances
 	initialized      chan struct{} // closed once the catalogue and the endpoint list are known
 	initializedOnce  sync.Once
+	latestFetch      time.Time     // time of the latest fetch of another instance's state; used by syncWithPeers only
 	renewSharesAt    time.Time     // time at which the shares are updated without a report; used by tick only
 	news             chan struct{} // receives a value when a report shows a change that this instance does not know
 	draining         atomic.Bool
--- a/instance/hosted/sync.go
+++ b/instance/hosted/sync.go
@@ -124,6 +124,10 @@
 func (i *Instance) fetchState(ctx context.Context, first netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	if now := time.Now(); now.Sub(i.latestFetch) > fetchConnectionLifetime {
+		i.node.Renew(first) // it may have gone silent since it was used
+	}
+	i.latestFetch = time.Now()
 	var calls atomic.Int32
 	fetched, err := wait.First(ctx, fetchHedgeInterval, func(ctx context.Context) (fetchedState, error) {
 		from := first
--- a/protocol/relay/buffered.go
+++ b/protocol/relay/buffered.go
@@ -113,6 +113,7 @@
 		err = errSilent
 	}
 	x.noteCrash(d, err, 0)
+	x.endBeforeRepeat(d, err)
 	x.release(slotOutcome(err))
 	return err
 }
--- a/protocol/relay/constants.go
+++ b/protocol/relay/constants.go
@@ -30,7 +30,7 @@
 	stopTimeout           = 2 * time.Second        // of a call that has a former endpoint stop a run and copy it
 	stopAttempts          = 3                      // such calls for one break of a stream
 	stopPause             = 100 * time.Millisecond // between two of them
-	resumableStopTimeout  = 500 * time.Millisecond // of the only such call for a resumable run
+	repeatableStopTimeout = 500 * time.Millisecond // of the only such call for a run that may be repeated
 	dropTimeout           = time.Second            // timeout for freeing a copy that is not used
 	remoteCopyFactor      = 1.3                    // usual duration of a copy, as a multiple of that of a copy within a data centre
 	outputDivisor         = 4                      // ratio of a request's output limit to the output that its run usually has when it is moved
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -69,6 +69,8 @@
 	breaks func(address netip.AddrPort) (after int64, worksOn bool)
 	// silences says after which event the connection of a stream carries nothing any more; zero: never.
 	silences func(address netip.AddrPort) int64
+	// loses says whether an endpoint runs a request and its answer is lost.
+	loses func(address netip.AddrPort) bool
 	// pauses says after which event an endpoint makes none for a while; zero: never.
 	pauses  func(address netip.AddrPort) (after int64, pause time.Duration)
 	crashed func(address netip.AddrPort) bool
@@ -150,8 +152,12 @@
 
 // serve runs a stream to its end, and returns its result and what the caller has.
 func (f *fakeFleet) serve(t *testing.T, resumable bool) (Result, string) {
+	return f.serveRequest(t, f.request(resumable))
+}
+
+func (f *fakeFleet) serveRequest(t *testing.T, request *Request) (Result, string) {
 	sink := &recordingSink{}
-	result := f.runner().Run(t.Context(), f.request(resumable), sink)
+	result := f.runner().Run(t.Context(), request, sink)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, r := range f.runs {
@@ -206,9 +212,13 @@
 	f.sends = append(f.sends, fakeSend{time.Now(), d.Endpoint.Address, d.After, d.Copy, f.working(d.Endpoint.Address)})
 	r := &fakeRun{stopped: make(chan struct{}), made: d.After}
 	f.runs[d.Endpoint.Address] = r
+	if f.loses != nil && f.loses(d.Endpoint.Address) {
+		go f.workOn(r)
+		return nil, errFakeNoAnswer
+	}
 	reader, writer := io.Pipe()
 	go f.stream(ctx, d, r, writer)
-	return &Reply{Status: http.StatusOK, Signed: true, Unframed: f.framing == unframed, Body: reader}, nil
+	return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Unframed: f.framing == unframed, Body: reader}, nil
 }
 
 // stream makes the events of a run until it is stopped, its connection breaks or its context ends.
--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -72,6 +72,21 @@
 	return nil
 }
 
+// endBeforeRepeat has the endpoint of a generation whose answer did not come end its run before the request runs again, as far as it can be asked.
+func (x *execution) endBeforeRepeat(d *Dispatch, err error) {
+	if x.request.Engine == nil || !x.request.Engine.Moves || isNotRun(err) || !x.mayRetry(err) {
+		return
+	}
+	slot, target, found := x.targetAfter(d)
+	if !found {
+		return
+	}
+	slot.Release(routing.OutcomeCancelled, time.Now())
+	if copied, state := x.stopFormer(d, target); state == FormerStopped {
+		x.runner.background.Go(func() { x.dropCopy(copied) })
+	}
+}
+
 // targetAfter returns a slot for a run that is to leave its endpoint: at its backup if it has one and that takes it, else at the best endpoint.
 func (x *execution) targetAfter(d *Dispatch) (*routing.Slot, Endpoint, bool) {
 	spec := x.specAfter(d)
@@ -87,12 +102,12 @@
 }
 
 // stopFormer has the former endpoint stop the run and copy its memory to the target. It asks again while the endpoint does not say what has become
-// of the run, on a new connection each time. A resumable run may run again, so it does not wait for long.
+// of the run, on a new connection each time. A run that may be repeated is not waited for long.
 func (x *execution) stopFormer(d *Dispatch, target Endpoint) (Copy, FormerRun) {
 	began := time.Now()
 	timeout, attempts := stopTimeout, stopAttempts
-	if x.request.Route.Resumable {
-		timeout, attempts = resumableStopTimeout, 1
+	if x.request.Route.Repeatable() {
+		timeout, attempts = repeatableStopTimeout, 1
 	}
 	var copied Copy
 	var err error
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		err = silence.cause(err)
 		x.noteCrash(d, err, 0)
+		x.endBeforeRepeat(d, err)
 		return nil, x.handleStreamFailure(d, err)
 	}
 	defer func() { _ = reply.Body.Close() }()
--- a/protocol/relay/twice_test.go
+++ b/protocol/relay/twice_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"dogwooddyke/state/route"
 )
 
 // A run whose connection has broken may go on at its endpoint. It must not go on at another one before that endpoint has ended it.
@@ -85,3 +87,27 @@
 		})
 	}
 }
+
+// A generation whose answer is lost goes on at its endpoint. It must be ended there before the request runs again elsewhere.
+func TestRepeatWhileRunGoesOn(t *testing.T) {
+	for name, kind := range map[string]route.Kind{"stream that may be resumed": route.KindStream, "whole answer that may be repeated": route.KindRepeat} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, 3, 100)
+				var first netip.AddrPort
+				f.loses = func(address netip.AddrPort) bool {
+					if !first.IsValid() {
+						first = address
+					}
+					return address == first
+				}
+				request := f.request(true)
+				request.Route.Kind = kind
+				result, _ := f.serveRequest(t, request)
+				f.is.Equal(result.Outcome, OutcomeServed)
+				f.is.Equal(len(f.sends), 2)
+				f.is.True(!f.sends[1].working) // the first endpoint still worked on it
+			})
+		})
+	}
+}
