--- a/instance/core.go
+++ b/instance/core.go
@@ -6,12 +6,10 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/samber/oops"
 	"github.com/sourcegraph/conc"
 
 	"dogwooddyke/coordination/claim"
@@ -55,13 +53,6 @@
 //
 // Lock order: Instance.mutex is taken before nothing else.
 
-// Listeners are the open sockets of one instance.
-type Listeners struct {
-	Callers   net.Listener
-	Operators net.Listener
-	Peers     net.Listener
-}
-
 // Instance is one running instance of the system.
 type Instance struct {
 	settings *Settings
@@ -275,28 +266,3 @@
 	v := i.table.View()
 	return member.Position{Offset: v.Offset, Digest: v.Digest}
 }
-
-// Listen opens the sockets that the settings name.
-func Listen(settings *Settings) (Listeners, error) {
-	var l Listeners
-	for _, s := range []struct {
-		address  netip.AddrPort
-		listener *net.Listener
-	}{{settings.Callers, &l.Callers}, {settings.Operators, &l.Operators}, {settings.Peers, &l.Peers}} {
-		opened, err := net.Listen("tcp", s.address.String())
-		if err != nil {
-			l.close()
-			return Listeners{}, oops.In("instance").With("address", s.address).Wrap(err)
-		}
-		*s.listener = opened
-	}
-	return l, nil
-}
-
-func (l Listeners) close() {
-	for _, c := range []net.Listener{l.Callers, l.Operators, l.Peers} {
-		if c != nil {
-			_ = c.Close()
-		}
-	}
-}
