A renewed connection between instances is closed in the end; checks pause while the log is lost

Reading the diff: Renew left an idle connection open for good; a check made calls while the log was lost, which the list's reads notice anyway; a position was made up to say that the waiting read's records are gone. Names and comments are plainer.

--- a/coordination/routing/admission.go
+++ b/coordination/routing/admission.go
@@ -36,7 +36,7 @@
 
 // refusalReason returns why a new request must be refused and when it may be retried; the reason is empty if the request can be queued.
 func (c *Core) refusalReason(r *Request, now time.Time) (Reason, time.Time) {
-	if c.draining || !c.mayEnd(r, now) {
+	if c.draining || !c.mayFinish(r, now) {
 		return ReasonDraining, now.Add(minimumRetryDelay)
 	}
 	if !r.pool.hasEndpointFor(r) {
@@ -91,7 +91,7 @@
 func (c *Core) Admit(now time.Time) []*Request {
 	c.decidedRequests = c.decidedRequests[:0]
 	c.round++
-	c.refuseUnendable(now)
+	c.refuseUnfinishable(now)
 	c.refuseLate(now)
 	for c.queue.size > 0 {
 		f := c.nextFlow(now)
--- a/coordination/routing/closing.go
+++ b/coordination/routing/closing.go
@@ -6,18 +6,18 @@
 // are refused, also those that wait already: another instance can serve them whole. The zero time means that there is no limit.
 func (c *Core) SetClosing(at time.Time) { c.closing = at }
 
-// mayEnd reports whether the answer to a request that starts now is likely to end before the instance closes.
-func (c *Core) mayEnd(r *Request, now time.Time) bool {
+// mayFinish reports whether the answer to a request that starts now is likely to end before the instance closes.
+func (c *Core) mayFinish(r *Request, now time.Time) bool {
 	return c.closing.IsZero() || !now.Add(r.longestAnswer()).After(c.closing)
 }
 
-// refuseUnendable refuses the queued requests that are not likely to end before the instance closes.
-func (c *Core) refuseUnendable(now time.Time) {
+// refuseUnfinishable refuses the queued requests that are not likely to end before the instance closes.
+func (c *Core) refuseUnfinishable(now time.Time) {
 	if c.closing.IsZero() {
 		return
 	}
 	for _, r := range c.queue.all() {
-		if c.mayEnd(r, now) {
+		if c.mayFinish(r, now) {
 			continue
 		}
 		c.Withdraw(r, ReasonDraining, now)
--- a/instance/hosted/check.go
+++ b/instance/hosted/check.go
@@ -13,10 +13,10 @@
 
 // checkCatalogue looks for records that the waiting read of the catalogue's topic should have returned, until the context ends. That read may never be
 // answered: its connection may have gone silent for good, or the log may have lost the call. A few instances look for all; the others learn of a
-// newer catalogue from their reports.
+// newer catalogue from their reports. While the log is lost, its return is noticed by the reads of the endpoint list.
 func (i *Instance) checkCatalogue(ctx context.Context) {
 	for wait.For(ctx, wait.Jitter(checkInterval)) == nil {
-		if i.gossiper.isChecker(time.Now()) && i.missesRecord(ctx) {
+		if i.gossiper.isChecker(time.Now()) && !i.listLost.Load() && i.missesRecord(ctx) {
 			i.observer.readUnanswered(platform.TopicOperator)
 			i.restartCatalogueRead()
 		}
@@ -30,16 +30,14 @@
 		return false
 	}
 	end, err := i.endOfCatalogue(ctx, *read)
-	if errors.Is(err, platform.ErrExpired) || errors.Is(err, platform.ErrRestored) {
-		end, err = position.Position{Era: read.Era, Offset: read.Offset + 1}, nil // the waiting read should have returned this error
-	}
-	if err != nil || !read.Before(end) {
+	gone := errors.Is(err, platform.ErrExpired) || errors.Is(err, platform.ErrRestored) // the waiting read should have returned this error
+	if !gone && (err != nil || !read.Before(end)) {
 		return false // any other error shows at the reads of the topics too
 	}
 	if wait.For(ctx, checkGrace) != nil {
 		return false
 	}
-	return i.catalogueRead.Load().Before(end)
+	return *i.catalogueRead.Load() == *read
 }
 
 // endOfCatalogue returns the position after the last record of the catalogue's topic, without waiting for more.
--- a/instance/hosted/sync.go
+++ b/instance/hosted/sync.go
@@ -124,7 +124,7 @@
 func (i *Instance) fetchState(ctx context.Context, first netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	if now := time.Now(); now.Sub(i.latestFetch) > fetchConnectionLifetime {
+	if now := time.Now(); now.Sub(i.latestFetch) > fetchReuseTime {
 		i.node.Renew(first) // it may have gone silent since it was used
 	}
 	i.latestFetch = time.Now()
--- a/protocol/relay/constants.go
+++ b/protocol/relay/constants.go
@@ -11,14 +11,13 @@
 	lateDelivery       = time.Second           // after a request's deadline, for which its caller may still read what is held
 	firstHeldBytes     = 4 << 10               // that are held at least for an answer that is buffered
 
-	maximumNotRun        = 3                     // dispatches of one request that reached endpoints, which certainly did not run them
-	maximumUnreached     = 12                    // dispatches of one request that did not reach an endpoint
-	deadlineMargin       = 20 * time.Millisecond // before a request's deadline, from which the end of an unframed answer may be its endpoint's deadline
-	streamStartFraction  = 0.6                   // part of a request's time within which a generation must have started
-	plainStartFraction   = 0.9                   // part of a request's time within which a plain request must have been sent
-	answeredEvents       = 2                     // events of a stream after which its endpoint counts as having survived the begin of the answer
-	hedgeTargetFactor    = 1.6                   // multiple of the route's target after which a repeatable request is sent to another endpoint
-	usableBudgetFraction = 0.7                   // part of the retry budget that an instance uses, since it counts only its own requests and retries
+	maximumNotRun        = 3   // dispatches of one request that reached endpoints, which certainly did not run them
+	maximumUnreached     = 12  // dispatches of one request that did not reach an endpoint
+	streamStartFraction  = 0.6 // part of a request's time within which a generation must have started
+	plainStartFraction   = 0.9 // part of a request's time within which a plain request must have been sent
+	answeredEvents       = 2   // events of a stream after which its endpoint counts as having survived the begin of the answer
+	hedgeTargetFactor    = 1.6 // multiple of the route's target after which a repeatable request is sent to another endpoint
+	usableBudgetFraction = 0.7 // part of the retry budget that an instance uses, since it counts only its own requests and retries
 
 	moveAttempts          = 6                      // attempts to move a run before it stays where it is; each is to another endpoint, unless the run had not started
 	remoteCopyCost        = 1.0                    // seconds that a copy to another data centre takes longer than one within a data centre
@@ -31,6 +30,8 @@
 	stopAttempts          = 3                      // such calls for one break of a stream
 	stopPause             = 100 * time.Millisecond // between two of them
 	repeatableStopTimeout = 500 * time.Millisecond // of the only such call for a run that may be repeated
+	deadlineMargin        = 20 * time.Millisecond  // before a request's deadline, from which the end of an unframed answer may be its endpoint's deadline
+	closingRetrySpread    = 200 * time.Millisecond // within which the callers of an instance that closes retry
 	dropTimeout           = time.Second            // timeout for freeing a copy that is not used
 	remoteCopyFactor      = 1.3                    // usual duration of a copy, as a multiple of that of a copy within a data centre
 	outputDivisor         = 4                      // ratio of a request's output limit to the output that its run usually has when it is moved
@@ -46,7 +47,6 @@
 
 	minimumRetryDelay  = 300 * time.Millisecond // shortest time after which a caller is told to retry
 	priorityRetryDelay = 100 * time.Millisecond // added to the retry delay for each step of priority
-	closingRetrySpread = 200 * time.Millisecond // within which the callers of an instance that closes retry
 	lowestPriority     = 5                      // largest priority number; requests with it are served last, those with 0 first
 	bucketCount        = 20                     // buckets of the retry budget's window
 )
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -59,7 +59,7 @@
 	Endpoint     Endpoint      // endpoint of the latest dispatch
 	Dispatches   int           // number of dispatches
 	Moves        int           // times that the run continued after it was moved or restored
-	Restores     int           // times that the run continued from a backup after its endpoint failed
+	Restores     int           // times that the run continued after its stream had broken off
 	Events       int           // number of events that were read for the caller
 	LastEvent    int64         // id of the last event that was read for the caller, or that it had before; zero if there is none
 	AdmittedAt   time.Time     // when the router first granted a slot; zero if it never did
--- a/protocol/relay/silence.go
+++ b/protocol/relay/silence.go
@@ -17,13 +17,13 @@
 	timer    *time.Timer // nil if the silence of the endpoint is not limited
 	timeout  time.Duration
 	cancel   func()
-	endLook  context.CancelFunc // ends a look in progress; nil if every silence counts
-	isSilent func() bool        // looks whether the stream is silent, rather than its endpoint slow; nil: every silence counts
+	endCheck context.CancelFunc // ends a check in progress; nil if every silence counts
+	isSilent func() bool        // checks whether the stream is silent, rather than its endpoint slow; nil: every silence counts
 
 	reads   atomic.Int64 // events that were waited for
 	paused  atomic.Bool  // no event is waited for, since the caller is slow
 	expired atomic.Bool  // whether the timer has cancelled the read
-	mutex   sync.Mutex   // held while it is looked whether the stream is silent
+	mutex   sync.Mutex   // held during a check
 	closed  bool
 }
 
@@ -35,8 +35,8 @@
 	case x.request.Route.Resumable && x.mayHaveRun+1 < x.request.Route.Attempts:
 		s.start(max(x.request.Route.Target, minimumSilenceTimeout), cancel)
 	case !x.request.Route.Resumable && x.request.Engine != nil && x.request.Engine.Moves:
-		ctx, endLook := context.WithCancel(x.ctx)
-		s.endLook = endLook
+		ctx, endCheck := context.WithCancel(x.ctx)
+		s.endCheck = endCheck
 		s.isSilent = func() bool { return x.missesEvents(ctx, d, s) }
 		s.start(minimumSilenceTimeout, cancel)
 	}
@@ -88,13 +88,13 @@
 	}
 }
 
-// close stops the timer for good and waits until it is not looked any more whether the stream is silent.
+// close stops the timer for good and waits for a check in progress.
 func (s *silenceTimer) close() {
 	if s.timer == nil {
 		return
 	}
-	if s.endLook != nil {
-		s.endLook()
+	if s.endCheck != nil {
+		s.endCheck()
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/transport/peer/connection.go
+++ b/transport/peer/connection.go
@@ -36,6 +36,19 @@
 	}
 }
 
+// giveUp has no further call use the connection. One that is being dialled is retired by the call that dials it.
+func (c *connection) giveUp() {
+	c.failed.Store(true)
+	if !c.mutex.TryLock() {
+		return
+	}
+	remote := c.remote
+	c.mutex.Unlock()
+	if remote != nil {
+		c.node.retire(remote)
+	}
+}
+
 func (c *connection) call(ctx context.Context, method string, params, result any) error {
 	remote, err := c.open(ctx)
 	if err != nil {
--- a/transport/peer/node.go
+++ b/transport/peer/node.go
@@ -148,10 +148,11 @@
 // in progress go on.
 func (n *Node) Renew(to netip.AddrPort) {
 	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if c, ok := n.connections[to]; ok {
-		c.failed.Store(true)
-		delete(n.connections, to)
+	c := n.connections[to]
+	delete(n.connections, to)
+	n.mutex.Unlock()
+	if c != nil {
+		c.giveUp()
 	}
 }
 
