--- a/protocol/relay/ending_test.go
+++ b/protocol/relay/ending_test.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// A run that the instance had stopped must not count as complete because its connection ended: only the framing, or an end that nobody asked
-// for, says that an answer is whole.
+// A run that the instance had stopped must not count as complete because its connection ended. Without framing, an answer is complete only if its
+// endpoint ended it by itself.
 func TestStoppedStreamEndsAsComplete(t *testing.T) {
 	const events = 150
 	refuse := func(status func() (Copy, error)) func(f *fakeFleet) {
--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -22,8 +22,8 @@
 	FormerUnreachable FormerRun = "unreachable" // no connection to the endpoint is established
 )
 
-// formerRunAfter returns the state of a former run after a call that was to stop it. Whether an endpoint that does not know a run has ended it or has
-// not begun it is told apart by begun.
+// formerRunAfter returns the state of a former run after a call that was to stop it. An endpoint that does not know a run has ended it if the run has
+// begun there; else the run may still wait in its queue.
 func formerRunAfter(copied Copy, err error, begun bool) FormerRun {
 	switch {
 	case err == nil || copied.Handle != "":
--- a/transport/peer/node.go
+++ b/transport/peer/node.go
@@ -79,7 +79,7 @@
 	n.methods[name] = &method{handler: handler}
 }
 
-// Traffic gives the node's counters.
+// Traffic returns the node's counters.
 func (n *Node) Traffic() *Traffic {
 	return &n.traffic
 }
