The relay's fake fleet is the same in each run, and stops the run where it is

The router of the tests had a random source without a seed and endpoints in the order of a map; the cases at the second endpoint gave the notice to any other endpoint, not to the one with the run. Assertions are unchanged.

--- a/protocol/relay/ending_test.go
+++ b/protocol/relay/ending_test.go
@@ -68,7 +68,7 @@
 							if moved {
 								f.notice(first)
 								time.Sleep(10 * fakeEventPause)
-								first = f.other(first)
+								first = f.latest()
 							}
 							c.set(f)
 							f.notice(first)
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -120,14 +121,14 @@
 
 // runner returns a runner before the endpoints.
 func (f *fakeFleet) runner() *Runner {
-	router := routing.New(routing.Config{})
+	router := routing.New(routing.Config{Random: rand.New(rand.NewPCG(1, 2))})
 	entry := &catalogue.Entry{Name: "s", Kind: catalogue.KindEngine}
-	for address := range f.notices {
-		entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: address})
+	for n := range len(f.notices) {
+		entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: fakeAddress(byte(n + 1))})
 	}
 	router.SetEntry(entry, time.Now())
-	for address := range f.notices {
-		router.SetShare(address, endpoint.Share{Slots: 64, Memory: 1 << 20, Spread: 1, Until: time.Now().Add(time.Hour)}, time.Now())
+	for _, e := range entry.Endpoints {
+		router.SetShare(e.Address, endpoint.Share{Slots: 64, Memory: 1 << 20, Spread: 1, Until: time.Now().Add(time.Hour)}, time.Now())
 	}
 	if f.closing == nil {
 		f.closing = context.Background()
@@ -425,14 +426,11 @@
 
 var errFakeNoAnswer = errors.New("no answer")
 
-// other returns an endpoint other than the given one.
-func (f *fakeFleet) other(address netip.AddrPort) netip.AddrPort {
-	for a := range f.notices {
-		if a != address {
-			return a
-		}
-	}
-	return address
+// latest returns the endpoint that the request was sent to last.
+func (f *fakeFleet) latest() netip.AddrPort {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.sends[len(f.sends)-1].endpoint
 }
 
 // onlyFirst returns the value for the first endpoint that it is called with, and 0 for the others.
