A connection on which a request is being read is not closed as idle

Callers on kept connections saw a closed connection without an answer at a planned stop, also for requests that had been passed on to an endpoint.

Cause: http.Server.SetKeepAlivesEnabled(false) closes each connection that the server counts as idle. It does so from the end of an answer until the whole head of the next request has been read, so a request whose head was just being read could be closed, and still be handled; the same held for the last look for connections in progress and the close of all.

Change: an instance tracks by itself what has been read on each caller's connection. A connection is either read or closed as idle, decided by one compare-and-swap; a handler does not pass on a request whose connection has been closed; the last look accepts no connection after it. Answers say Connection: close by the instance's own word, since the server's switch would close connections.

The new case of TestStopCutsRequestWithoutAnswer before: '{status:0 whole:false}'.

Cost per request: two atomic operations and one value in the context per connection.

--- /dev/null
+++ b/instance/hosted/connection.go
@@ -0,0 +1,60 @@
+package hosted
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// connectionState is what has been read on a caller's connection.
+type connectionState = int32
+
+const (
+	connectionSilent   connectionState = iota // nothing yet
+	connectionBusy                            // a part of a request, or a request that has no whole answer yet
+	connectionAnswered                        // nothing since the latest answer
+	connectionClosed                          // nothing will be read any more
+)
+
+// callerConnection is a caller's connection, which is either read or closed as idle, never both.
+type callerConnection struct {
+	*net.TCPConn
+	accepted time.Time
+	state    atomic.Int32
+}
+
+// Read reads from the connection. What has come on a connection that has been closed as idle meanwhile is not returned, so that it is not acted on.
+func (c *callerConnection) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.begin() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// begin notes that a request is being read or served, and reports whether the connection is open for that.
+func (c *callerConnection) begin() bool {
+	for {
+		state := c.state.Load()
+		if state == connectionBusy || state == connectionClosed {
+			return state == connectionBusy
+		}
+		if c.state.CompareAndSwap(state, connectionBusy) {
+			return true
+		}
+	}
+}
+
+// answered notes that the latest request has its whole answer.
+func (c *callerConnection) answered() { c.state.CompareAndSwap(connectionBusy, connectionAnswered) }
+
+// closeIdle closes the connection unless a request is in progress, or may be expected since the connection was accepted lately.
+func (c *callerConnection) closeIdle(now time.Time) {
+	state := c.state.Load()
+	if state == connectionSilent && now.Sub(c.accepted) < firstRequestTime {
+		return
+	}
+	if state != connectionBusy && c.state.CompareAndSwap(state, connectionClosed) {
+		_ = c.Close() // its caller may have closed it
+	}
+}
--- a/instance/hosted/connections.go
+++ b/instance/hosted/connections.go
@@ -5,59 +5,119 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dogwooddyke/internal/wait"
 )
 
-// connections tracks the callers' connections on which a request is in progress or may still come: http.Server.Shutdown would close them as soon
-// as a request has been read, without an answer.
+// connections holds the callers' connections. An instance that is stopped closes each of them only while nothing has been read on it since its latest
+// answer: the server itself would also close connections on which a request is being read.
 type connections struct {
-	mutex    sync.Mutex
-	active   map[net.Conn]bool
-	accepted map[net.Conn]time.Time // times of connections on which no request has been read yet
+	stopping atomic.Bool // connections are closed after their answers
+
+	mutex sync.Mutex
+	open  map[*callerConnection]bool
+	ended bool // no connection is accepted any more
 }
 
 func newConnections() *connections {
-	return &connections{active: make(map[net.Conn]bool), accepted: make(map[net.Conn]time.Time)}
+	return &connections{open: make(map[*callerConnection]bool)}
 }
 
-// changed is the server's hook for a connection's change of state.
-func (c *connections) changed(connection net.Conn, state http.ConnState) {
+// trackingListener accepts callers' connections.
+type trackingListener struct {
+	net.Listener
+	connections *connections
+}
+
+// Accept returns the next connection.
+func (l trackingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConnection{TCPConn: accepted.(*net.TCPConn), accepted: time.Now()}
+	l.connections.add(c)
+	return c, nil
+}
+
+func (c *connections) add(connection *callerConnection) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	delete(c.accepted, connection)
-	delete(c.active, connection)
+	if c.ended {
+		_ = connection.Close() // nothing has been read on it
+		return
+	}
+	c.open[connection] = true
+}
+
+// changed is the server's hook for a connection's change of state.
+func (c *connections) changed(changed net.Conn, state http.ConnState) {
+	connection := changed.(*callerConnection)
 	switch state {
-	case http.StateNew:
-		c.accepted[connection] = time.Now()
-	case http.StateActive:
-		c.active[connection] = true
-	case http.StateIdle, http.StateHijacked, http.StateClosed:
+	case http.StateIdle:
+		connection.answered()
+		if c.stopping.Load() {
+			connection.closeIdle(time.Now())
+		}
+	case http.StateClosed:
+		c.mutex.Lock()
+		delete(c.open, connection)
+		c.mutex.Unlock()
+	case http.StateNew, http.StateActive, http.StateHijacked:
 	}
 }
 
-// busy reports whether a request is in progress, or may be expected on a connection that was accepted lately.
-func (c *connections) busy(now time.Time) bool {
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+// context is the server's hook for the context of a connection's requests.
+func (c *connections) context(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, connection)
+}
+
+// guard returns a handler that passes on no request whose connection has been closed, since its caller would get no answer.
+func (c *connections) guard(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if connection, ok := r.Context().Value(connectionKey{}).(*callerConnection); ok && !connection.begin() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// stop closes the connections that wait for another request. All others are closed once they have been answered, or if their first request does not come.
+func (c *connections) stop() {
+	c.stopping.Store(true)
+	c.closeIdle(time.Now())
+}
+
+// closeIdle closes the connections on which no request is in progress or expected, and reports whether none is left.
+func (c *connections) closeIdle(now time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.active) > 0 {
-		return true
+	for connection := range c.open {
+		connection.closeIdle(now)
 	}
-	for _, at := range c.accepted {
-		if now.Sub(at) < firstRequestTime {
-			return true
-		}
-	}
-	return false
+	return len(c.open) == 0
 }
 
-// awaitEnd waits until no connection is busy. It returns the context's error if that ends first.
+// awaitEnd waits until no connection is left and has none accepted after that. It returns the context's error if that ends first.
 func (c *connections) awaitEnd(ctx context.Context) error {
-	for c.busy(time.Now()) {
+	for !c.end() {
 		if err := wait.For(ctx, connectionPollInterval); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+// end accepts no further connection if none is left, which it reports.
+func (c *connections) end() bool {
+	none := c.closeIdle(time.Now())
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.ended = none && len(c.open) == 0
+	return c.ended
+}
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -158,11 +158,12 @@
 		Observer:      i.observer,
 		Closing:       i.closing,
 	}
-	i.front = &platform.Front{Catalogue: i.table.Load, Known: i.initialized, Runner: i, Memory: i.memory, Observer: i.observer, Closing: i.closing}
 	i.connections = newConnections()
+	i.front = &platform.Front{Catalogue: i.table.Load, Known: i.initialized, Runner: i, Memory: i.memory, Observer: i.observer, Closing: i.closing, Stopping: i.connections.stopping.Load}
 	i.callerServer = &http.Server{
+		ConnContext:       i.connections.context,
 		ConnState:         i.connections.changed,
-		Handler:           i.front,
+		Handler:           i.connections.guard(i.front),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maximumHeaderBytes,
@@ -189,6 +190,7 @@
 			return oops.In("hosted").With("address", s.address).Wrap(err)
 		}
 		if s.server == i.callerServer {
+			listener = trackingListener{listener, i.connections}
 			i.callerListener = listener
 		}
 		i.group.Go(func() { i.serve(s.server, listener) })
--- a/instance/hosted/drain.go
+++ b/instance/hosted/drain.go
@@ -21,7 +21,7 @@
 		i.close()
 	})
 	defer answers.Stop()
-	i.callerServer.SetKeepAlivesEnabled(false)
+	i.connections.stop()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
 	_ = wait.For(ctx, plan.Listen.Sub(now)) // it ends before the context
--- a/instance/hosted/stop_test.go
+++ b/instance/hosted/stop_test.go
@@ -94,6 +94,17 @@
 			time.Sleep(grace - 900*time.Millisecond)
 			c.write(head[len(head)/2:])
 		}, []int{503}, true},
+		{"comes late after the half of its head on a connection that was used before", func(c *connection, noticed <-chan struct{}) {
+			c.write(headOf("POST", "/write/", "first", "Content-Length: 0\r\n"))
+			if got := c.read(); got.status != http.StatusOK {
+				c.t.Errorf("first answer: %+v", got)
+			}
+			head := headOf("POST", "/write/silent", "k", "Content-Length: 0\r\n")
+			c.write(head[:len(head)/2])
+			<-noticed
+			time.Sleep(grace - 900*time.Millisecond)
+			c.write(head[len(head)/2:])
+		}, []int{503}, true},
 		{"has a body that comes late", func(c *connection, noticed <-chan struct{}) {
 			c.write(headOf("POST", "/write/silent", "b", body))
 			<-noticed
