A stop no longer cuts a made answer that its caller reads slowly

Callers who read slowly got the first 72 KB of an answer of 150 KB whose endpoint had made all of it seconds before the end of the stop.

Cause: what the caller did not read stood in the outbox, behind a socket whose send buffer the kernel keeps small on a link with small segments. The close of all connections dropped it; what lies in the socket is sent on after the process has ended.

Change: once endpoints may answer no more, the send buffers of connections with an answer in progress are enlarged. The writer that waits goes on at once, the answer ends in order, and the kernel sends the rest. Before that nothing changes.

--- a/instance/hosted/connection.go
+++ b/instance/hosted/connection.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -58,3 +59,26 @@
 		_ = c.Close() // its caller may have closed it
 	}
 }
+
+// widen has the kernel take more of an answer that the caller reads slowly. It goes on sending that once the process has ended.
+func (c *callerConnection) widen() {
+	if c.state.Load() != connectionBusy {
+		return
+	}
+	if size, err := c.sendBuffer(); err != nil || size < enoughSendBytes {
+		_ = c.SetWriteBuffer(lastSendBytes) // fails only on a closed connection
+	}
+}
+
+// sendBuffer returns how many bytes the kernel takes of what the caller has not read.
+func (c *callerConnection) sendBuffer() (size int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { size, failed = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF) }); err != nil {
+		return 0, err
+	}
+	return size, failed
+}
--- a/instance/hosted/connections.go
+++ b/instance/hosted/connections.go
@@ -103,6 +103,15 @@
 	return len(c.open) == 0
 }
 
+// widen has the kernel take what it can of the answers that callers have not read.
+func (c *connections) widen() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for connection := range c.open {
+		connection.widen()
+	}
+}
+
 // awaitEnd waits until no connection is left and has none accepted after that. It returns the context's error if that ends first.
 func (c *connections) awaitEnd(ctx context.Context) error {
 	for !c.end() {
--- a/instance/hosted/drain.go
+++ b/instance/hosted/drain.go
@@ -19,6 +19,7 @@
 	answers := time.AfterFunc(plan.Answers.Sub(now), func() {
 		i.logger.Info("requests without an answer are ended", "inFlight", i.front.InFlight(), "queued", i.router.QueueSize())
 		i.close()
+		i.connections.widen()
 	})
 	defer answers.Stop()
 	i.connections.stop()
--- /dev/null
+++ b/instance/hosted/unread_test.go
@@ -0,0 +1,97 @@
+package hosted
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dogwooddyke/platform/standin"
+)
+
+// connectNarrow is connect over a link with small segments, of which the caller holds little: what it does not read remains at the instance.
+func (f *fleet) connectNarrow(i *Instance) *connection {
+	f.t.Helper()
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = errors.Join(
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096),
+				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 1400),
+			)
+		})
+		return errors.Join(err, failed)
+	}}
+	c, err := dialer.Dial("tcp", i.settings.Callers.String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = c.Close() })
+	return &connection{f.t, c}
+}
+
+// signed begins the answer of a test's own endpoint.
+func signed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(standin.HeaderRequest, r.Header.Get(standin.HeaderRequest))
+	w.Header().Set(standin.HeaderSignature, "signed")
+}
+
+// An answer that its endpoint has made whole must reach a caller that reads slowly, also if the instance has ended by the time it is read.
+func TestStopCutsAnswerThatIsReadSlowly(t *testing.T) {
+	const size = 150 << 10
+	for _, c := range []struct {
+		name, method, path, further string
+		events                      bool
+	}{
+		{"whole answer", "GET", "/read/", "", false},
+		{"stream", "POST", "/long/", standin.HeaderTokens + ": 100,600\r\nContent-Length: 0\r\n", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(t)
+			f.grace = 2 * time.Second
+			f.publishCatalogue(1, "desk")
+			made := make(chan struct{})
+			serve := func(w http.ResponseWriter, r *http.Request) bool {
+				defer close(made)
+				signed(w, r)
+				if !c.events {
+					_, _ = io.WriteString(w, strings.Repeat("x", size))
+					return true
+				}
+				w.Header().Set("Content-Type", "text/event-stream")
+				for n := range 150 {
+					_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, strings.Repeat("x", size/150))
+				}
+				return true
+			}
+			for _, e := range []*standin.Engine{f.startEngine("d-1", "desk"), f.startEngine("m-1", "model")} {
+				e.Fail(serve)
+			}
+			i := f.startInstance()
+			f.awaitReady(i)
+			f.eventually("endpoints", func() bool { return len(i.roster.List()) == 2 })
+			caller := f.connectNarrow(i)
+			caller.write(headOf(c.method, c.path, "slow", c.further))
+			<-made
+			i.Drain()
+			i.Close()
+			_ = caller.SetReadDeadline(time.Now().Add(20 * time.Second))
+			response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			is.NoErr(err)
+			body, err := io.ReadAll(response.Body)
+			t.Log(len(body), err)
+			is.NoErr(err)
+			is.Equal(strings.Count(string(body), "x"), size/150*150)
+		})
+	}
+}
