--- a/instance/hosted/drain.go
+++ b/instance/hosted/drain.go
@@ -19,9 +19,10 @@
 	answers := time.AfterFunc(plan.Answers.Sub(now), func() {
 		i.logger.Info("requests without an answer are ended", "inFlight", i.front.InFlight(), "queued", i.router.QueueSize())
 		i.close()
+		i.connections.widen()
 	})
 	defer answers.Stop()
-	i.callerServer.SetKeepAlivesEnabled(false)
+	i.connections.stop()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
 	_ = wait.For(ctx, plan.Listen.Sub(now)) // it ends before the context
