The head of an answer and the end of a request without one are decided as one

What callers saw: at a planned stop, when requests without an answer are ended (plan.Answers), a stream whose head was passed at that very time could be cut at once, though answers that have begun go on until connections close (plan.End).

Cause: endUnbegun read `begun` and then cancelled, passHead set it in between.

Change: both decide by one compare-and-swap (beginning.go). A stream whose request has been withdrawn does not begin, and its caller gets the instance's own answer. An answer that is whole here is delivered all the same.

Shown: TestHeadPassedWhileRequestEnds has the head come between the two steps of endUnbegun.

--- a/protocol/relay/buffered.go
+++ b/protocol/relay/buffered.go
@@ -150,7 +150,7 @@
 	if x.request.Method != http.MethodHead {
 		reply.Header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	x.passHead(reply.Status, reply.Header)
+	x.begin(reply.Status, reply.Header)
 	x.outbox.give(body)
 }
 
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -91,6 +91,8 @@
 		return ReasonNone
 	case errors.Is(err, errCallerLeft):
 		return ReasonCallerLeft
+	case errors.Is(err, errClosing):
+		return ReasonClosing
 	case errors.Is(err, errInvalidAnswer):
 		return ReasonInvalidAnswer
 	case errors.Is(err, errGap), errors.Is(err, errUnnumbered):
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -79,7 +78,7 @@
 	lastEventAt    time.Time    // when the latest event was forwarded
 	passedTokens   atomic.Int32 // tokens forwarded to the caller
 	receivedEvent  atomic.Int64 // lastEvent, for the silence timer
-	begun          atomic.Bool  // the head of the answer was forwarded
+	beginning      atomic.Int32 // whether the answer has begun, or may not begin any more
 	dispatchEvents int          // events that the latest dispatch has received
 	screening      *quarantine.Screening
 	held           int         // bytes of buffered answers that the memory budget counts
@@ -123,13 +122,6 @@
 	return x.result
 }
 
-// endUnbegun ends the request unless its answer has begun, so that its caller gets an answer while that can still be sent.
-func (x *execution) endUnbegun(end context.CancelCauseFunc) {
-	if !x.begun.Load() {
-		end(errClosing)
-	}
-}
-
 // finish waits until the caller has the answer, and returns the bytes that were held for it.
 func (x *execution) finish() {
 	ctx, cancel := context.WithDeadline(x.caller, x.request.Deadline.Add(lateDelivery))
@@ -286,14 +278,3 @@
 		x.slot = nil
 	}
 }
-
-// passHead has the head of the answer sent to the caller unless that has been done.
-func (x *execution) passHead(status int, header http.Header) {
-	if x.result.Begun {
-		return
-	}
-	x.result.Begun = true
-	x.begun.Store(true)
-	x.result.BegunAt = time.Now()
-	x.outbox.begin(status, header)
-}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -88,8 +88,7 @@
 		}
 		if err == nil && found.data == nil {
 			// Even a caller that resumes after the last event needs the head of the answer to see the stream end.
-			x.passHead(reply.Status, reply.Header)
-			return nil
+			return x.passHead(reply.Status, reply.Header)
 		}
 		if err != nil {
 			return err
@@ -103,7 +102,9 @@
 		if found.hasID && x.lastEvent > 0 && found.id != x.lastEvent+1 {
 			return errGap
 		}
-		x.passHead(reply.Status, reply.Header)
+		if err := x.passHead(reply.Status, reply.Header); err != nil {
+			return err
+		}
 		if err := x.outbox.put(x.ctx, found.data); err != nil {
 			return err
 		}
