Requests that a planned stop ends are logged with this cause, and how far they were

Cause: the callers' connections were closed while the requests were in progress. That cancels each request's context, the sign of a caller who leaves, and nobody waited for the handlers.

Change: the relay has two more stages of a stop. With Ending, endpoints' answers that come in end with errClosing; with Closed, callers who have not taken an answer that is whole here are given up. `ended` tells the phase, the time since the last event and the bytes that were not sent, behind its former keys; dykectl explain shows them.

Why it works: the context of a request keeps its first cause; a caller who left before has ended it already, and connections are closed only after the requests have ended.

--- a/instance/hosted/connections.go
+++ b/instance/hosted/connections.go
@@ -52,6 +52,23 @@
 	return false
 }
 
+// answering reports whether a request is in progress on a connection.
+func (c *connections) answering() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.active) > 0
+}
+
+// awaitAnswers waits until no request is in progress. It returns the context's error if that ends first.
+func (c *connections) awaitAnswers(ctx context.Context) error {
+	for c.answering() {
+		if err := wait.For(ctx, answerPollInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // awaitEnd waits until no connection is busy. It returns the context's error if that ends first.
 func (c *connections) awaitEnd(ctx context.Context) error {
 	for c.busy(time.Now()) {
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -9,6 +9,7 @@
 
 	firstRequestTime       = 5 * time.Second       // for which an instance that is stopped waits for the first request on a connection
 	connectionPollInterval = 20 * time.Millisecond // between checks whether requests are in progress, of an instance that is stopped
+	answerPollInterval     = 5 * time.Millisecond  // the same, while requests are being ended
 
 	queueTickInterval      = 50 * time.Millisecond   // between two ticks while requests wait for a place
 	idleTickInterval       = 200 * time.Millisecond  // between two ticks otherwise
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -20,6 +20,7 @@
 	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/coordination/shutdown"
 	"dogwooddyke/coordination/standing"
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/platform"
@@ -95,8 +96,13 @@
 	renewSharesAt    time.Time     // time at which the shares are updated without a report; used by tick only
 	news             chan struct{} // receives a value when a report shows a change that this instance does not know
 	draining         atomic.Bool
-	closing          context.Context // done when requests without an answer must get one, since the instance closes
+	plan             atomic.Pointer[shutdown.Plan] // of the stop in progress; nil: none
+	closing          context.Context               // done when requests without an answer must get one, since the instance closes
 	close            context.CancelFunc
+	ending           context.Context // done when answers that have begun are ended
+	end              context.CancelFunc
+	closed           context.Context // done when callers' connections are closed
+	cut              context.CancelFunc
 	group            conc.WaitGroup
 	stop             context.CancelFunc
 
@@ -121,6 +127,8 @@
 		news:             make(chan struct{}, 1),
 	}
 	i.closing, i.close = context.WithCancel(context.Background())
+	i.ending, i.end = context.WithCancel(context.Background())
+	i.closed, i.cut = context.WithCancel(context.Background())
 	i.router = routing.New(routing.Config{
 		Self:            peerAddress(settings),
 		DataCentre:      settings.DataCentre,
@@ -157,6 +165,8 @@
 		Memory:        i.memory,
 		Observer:      i.observer,
 		Closing:       i.closing,
+		Ending:        i.ending,
+		Closed:        i.closed,
 	}
 	i.front = &platform.Front{Catalogue: i.table.Load, Known: i.initialized, Runner: i, Memory: i.memory, Observer: i.observer, Closing: i.closing}
 	i.connections = newConnections()
@@ -242,20 +252,6 @@
 	return result
 }
 
-// Close stops the instance without draining it, and returns when its goroutines have ended.
-func (i *Instance) Close() {
-	i.close()
-	i.stop()
-	_ = i.callerServer.Close()
-	_ = i.readinessServer.Close()
-	_ = i.metricsServer.Close()
-	_ = i.gossiper.socket.Close()
-	i.node.Close()
-	i.runner.Wait()
-	i.group.Wait()
-	i.logger.Info("stopped")
-}
-
 // tick does the periodic work until the context ends.
 func (i *Instance) tick(ctx context.Context) {
 	for wait.For(ctx, i.tickInterval()) == nil {
--- a/instance/hosted/drain.go
+++ b/instance/hosted/drain.go
@@ -9,10 +9,11 @@
 )
 
 // Drain ends the requests in progress as the plan of the shutdown says, and returns when they have ended, or shortly before the platform ends the
-// process. Requests that can't be served whole in the time left are refused, whenever they come.
+// process; Close ends those that are left then. Requests that can't be served whole in the time left are refused, whenever they come.
 func (i *Instance) Drain() {
 	now := time.Now()
 	plan := shutdown.NewPlan(now, i.settings.Grace)
+	i.plan.Store(&plan)
 	i.draining.Store(true)
 	i.logger.Info("draining", "inFlight", i.front.InFlight(), "queued", i.router.QueueSize(), "answersMs", plan.Answers.Sub(now).Milliseconds(), "endMs", plan.End.Sub(now).Milliseconds())
 	i.router.SetClosing(plan.Answers, now)
--- a/instance/hosted/fleet_test.go
+++ b/instance/hosted/fleet_test.go
@@ -27,10 +27,11 @@
 	settings  []*platform.Settings
 	drain     time.Duration // of instances that are started from now on
 	grace     time.Duration // likewise
+	output    io.Writer     // of the lines of instances that are started from now on
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, log: standin.NewLog(), engines: standin.NewEngines(), drain: 2 * time.Second, grace: 8 * time.Second}
+	f := &fleet{t: t, log: standin.NewLog(), engines: standin.NewEngines(), drain: 2 * time.Second, grace: 8 * time.Second, output: io.Discard}
 	t.Cleanup(f.log.Close)
 	return f
 }
@@ -86,7 +87,7 @@
 func (f *fleet) startInstanceWithLog(log *standin.Log) *Instance {
 	s := f.newSettings()
 	s.Log = log.Address()
-	i := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	i := New(s, slog.New(slog.NewJSONHandler(f.output, nil)))
 	if err := i.Start(context.Background()); err != nil {
 		f.t.Fatal(err)
 	}
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dogwooddyke/coordination/quarantine"
@@ -25,6 +26,10 @@
 	logger                 *slog.Logger
 	metrics                *metrics
 
+	cut     atomic.Int64 // answers that had begun and were ended since the instance closes
+	unknown atomic.Int64 // dispatched requests that were ended without an answer for this reason
+	notRun  atomic.Int64 // requests that were refused for this reason
+
 	mutex              sync.Mutex
 	labelledWorkspaces map[string]bool // workspaces that have a label value of their own
 }
@@ -175,14 +180,31 @@
 	o.logger.Info("declined", "id", id, "workspace", workspace, "status", status, "reason", reason, "catalogue", catalogue)
 }
 
+// countClosing counts a request that ended since the instance closes.
+func (o *observer) countClosing(outcome relay.Outcome) {
+	switch outcome {
+	case relay.OutcomeInterrupted:
+		o.cut.Add(1)
+	case relay.OutcomeUnknown:
+		o.unknown.Add(1)
+	case relay.OutcomeNotRun:
+		o.notRun.Add(1)
+	case relay.OutcomeServed, relay.OutcomeFailed, relay.OutcomeCallerLeft: // their ends have another cause
+	}
+}
+
 // ended logs and counts an ended request.
 func (o *observer) ended(r *relay.Request, result *relay.Result) {
 	now := time.Now()
 	o.metrics.observe(r, result, o.workspaceLabel(r.Workspace), now)
+	if result.Reason == relay.ReasonClosing {
+		o.countClosing(result.Outcome)
+	}
 	line := []any{
 		"id", r.ID, "workspace", r.Workspace, "route", r.Route.Name, "outcome", result.Outcome, "reason", result.Reason, "status", result.Status,
 		"endpoint", result.Endpoint.ID, "sent", result.Dispatches, "moved", result.Moves, "restored", result.Restores, "end", result.End, "events", result.Events, "lastEvent", result.LastEvent,
 		"waitedMs", millisecondsBetween(r.Arrived, result.AdmittedAt), "firstMs", millisecondsBetween(r.Arrived, result.BegunAt), "pauseMs", result.LongestPause.Milliseconds(), "tookMs", now.Sub(r.Arrived).Milliseconds(),
+		"phase", result.Phase, "lastEventMs", millisecondsBetween(result.LastEventAt, now), "unsentBytes", result.UnsentBytes,
 	}
 	if result.Err != nil {
 		line = append(line, "error", result.Err.Error())
@@ -190,9 +212,9 @@
 	o.logger.Info("ended", line...)
 }
 
-// millisecondsBetween returns the milliseconds between two times; -1 if the later one is zero, as for a stage that was not reached.
+// millisecondsBetween returns the milliseconds between two times; -1 if one is zero, as for a stage that was not reached.
 func millisecondsBetween(from, to time.Time) int64 {
-	if to.IsZero() {
+	if from.IsZero() || to.IsZero() {
 		return -1
 	}
 	return to.Sub(from).Milliseconds()
--- a/instance/hosted/observer_test.go
+++ b/instance/hosted/observer_test.go
@@ -1,12 +1,16 @@
 package hosted
 
 import (
+	"bytes"
 	"io"
 	"log/slog"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"dogwooddyke/internal/lines"
 	"dogwooddyke/protocol/relay"
 	"dogwooddyke/state/route"
@@ -30,3 +34,26 @@
 	}
 	b.ReportMetric(float64(output.Dropped())/float64(b.N), "dropped/op")
 }
+
+// The line of an ended request names how far it was, and the ends that a stop is the cause of are counted by outcome.
+func TestEndedLine(t *testing.T) {
+	is := is.New(t)
+	output := &bytes.Buffer{}
+	o := newObserver(slog.New(slog.NewJSONHandler(output, nil)))
+	now := time.Now()
+	r := &relay.Request{ID: "r", Route: &route.Route{Name: "long"}, Arrived: now}
+	o.ended(r, &relay.Result{Outcome: relay.OutcomeInterrupted, Reason: relay.ReasonClosing, Phase: relay.PhaseDelivering, LastEventAt: now.Add(-time.Hour), UnsentBytes: 17})
+	line := output.String()
+	is.True(strings.Contains(line, `"phase":"delivering","lastEventMs":3600`))
+	is.True(strings.HasSuffix(line, `,"unsentBytes":17}`+"\n"))
+	is.True(strings.Index(line, `"tookMs"`) < strings.Index(line, `"phase"`))
+	output.Reset()
+	for _, outcome := range []relay.Outcome{relay.OutcomeInterrupted, relay.OutcomeUnknown, relay.OutcomeNotRun, relay.OutcomeNotRun, relay.OutcomeCallerLeft, relay.OutcomeServed} {
+		o.ended(r, &relay.Result{Outcome: outcome, Reason: relay.ReasonClosing})
+	}
+	o.ended(r, &relay.Result{Outcome: relay.OutcomeInterrupted, Reason: relay.ReasonConnectionLost})
+	is.True(strings.Contains(output.String(), `"lastEventMs":-1`))
+	is.Equal(o.cut.Load(), int64(2))
+	is.Equal(o.unknown.Load(), int64(1))
+	is.Equal(o.notRun.Load(), int64(2))
+}
--- a/protocol/relay/buffered.go
+++ b/protocol/relay/buffered.go
@@ -50,6 +50,7 @@
 
 // noteAnswer notes that the endpoint has survived the request, if the whole answer is its own.
 func (x *execution) noteAnswer(reply *Reply) {
+	x.lastEventAt = time.Now()
 	if reply.Signed {
 		x.screening.Answered(time.Now())
 	}
@@ -109,6 +110,8 @@
 	case x.caller.Err() != nil:
 		x.release(routing.OutcomeCancelled)
 		return errCallerLeft
+	case x.isClosing():
+		err = x.causeOf(err)
 	case ctx.Err() != nil && !isNotRun(err):
 		err = errSilent
 	}
--- a/protocol/relay/ending.go
+++ b/protocol/relay/ending.go
@@ -13,8 +13,8 @@
 
 // endUnadmitted sets the result of a request that was granted no slot.
 func (x *execution) endUnadmitted(err error) {
-	x.result.Err = err
-	if x.caller.Err() != nil {
+	x.result.Err = x.causeOf(err)
+	if x.callerLeft() {
 		x.result.Outcome, x.result.Reason = OutcomeCallerLeft, ReasonCallerLeft
 		return
 	}
@@ -37,12 +37,57 @@
 // isClosing reports whether the request was ended because the instance closes.
 func (x *execution) isClosing() bool { return errors.Is(context.Cause(x.ctx), errClosing) }
 
+// callerLeft reports whether the caller has disconnected before the instance ended the request.
+func (x *execution) callerLeft() bool { return x.caller.Err() != nil && !x.isClosing() }
+
+// causeOf returns errClosing in place of an error that only follows from the end of the request by the instance.
+func (x *execution) causeOf(err error) error {
+	if x.isClosing() && (errors.Is(err, errClosing) || errors.Is(err, context.Canceled) || errors.Is(err, errCallerLeft)) {
+		return errClosing
+	}
+	return err
+}
+
+// finish waits until the caller has the answer, and returns the bytes that were held for it.
+func (x *execution) finish() {
+	x.result.LastEventAt = x.lastEventAt
+	answered := x.result.Outcome == OutcomeServed || x.result.Outcome == OutcomeFailed
+	if answered {
+		x.result.Phase = PhaseDelivering
+	}
+	cuttable, cut := context.WithCancelCause(x.caller)
+	defer cut(nil)
+	stop := context.AfterFunc(x.runner.Closed, func() { cut(errClosing) })
+	defer stop()
+	ctx, cancel := context.WithDeadline(cuttable, x.request.Deadline.Add(lateDelivery))
+	defer cancel()
+	if err := x.outbox.close(ctx); err != nil {
+		x.endUndelivered(err, errors.Is(context.Cause(ctx), errClosing))
+	} else if answered {
+		x.result.Phase = PhaseDelivered
+	}
+	x.result.UnsentBytes = x.outbox.unsent()
+	x.runner.Memory.Return(x.held)
+}
+
+// endUndelivered sets the result of a request whose caller has not taken all of the answer that is there: the caller has left or does not read, or
+// the callers' connections are closed.
+func (x *execution) endUndelivered(err error, closed bool) {
+	switch {
+	case x.result.Outcome == OutcomeInterrupted && (closed || x.result.Reason == ReasonClosing): // ended for another reason before
+	case closed:
+		x.result.Outcome, x.result.Reason, x.result.Err = OutcomeInterrupted, ReasonClosing, errClosing
+	default:
+		x.result.Outcome, x.result.Reason, x.result.Err = OutcomeCallerLeft, ReasonCallerLeft, err
+	}
+}
+
 // endFailed sets the result of a request whose latest dispatch failed.
 func (x *execution) endFailed(err error) {
 	x.result.Err = err
 	x.result.Reason = reasonOf(err)
 	switch {
-	case x.caller.Err() != nil:
+	case x.callerLeft():
 		x.result.Outcome, x.result.Reason = OutcomeCallerLeft, ReasonCallerLeft
 		return
 	case x.isClosing():
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -63,6 +63,8 @@
 	notices   map[netip.AddrPort]*fakeNotice
 	noBackups bool            // endpoints take none
 	closing   context.Context // done when the instance closes; nil: never
+	ending    context.Context // done when it ends answers that have begun; nil: never
+	closed    context.Context // done when it closes callers' connections; nil: never
 
 	// move answers a call that copies a run; stop ends the run and its stream. By default the run is stopped by the last copy, which succeeds.
 	move func(ctx context.Context, from, to netip.AddrPort, last bool, stop func()) (Copy, error)
@@ -82,6 +84,8 @@
 	first netip.AddrPort // see onlyFirst
 	runs  map[netip.AddrPort]*fakeRun
 	sends []fakeSend
+
+	failed []error // causes of failed dispatches, as observed
 }
 
 // fakeNotice is a notice that an endpoint leaves.
@@ -130,11 +134,13 @@
 	for _, e := range entry.Endpoints {
 		router.SetShare(e.Address, endpoint.Share{Slots: 64, Memory: 1 << 20, Spread: 1, Until: time.Now().Add(time.Hour)}, time.Now())
 	}
-	if f.closing == nil {
-		f.closing = context.Background()
+	for _, c := range []*context.Context{&f.closing, &f.ending, &f.closed} {
+		if *c == nil {
+			*c = context.Background()
+		}
 	}
 	return &Runner{
-		Closing: f.closing, Endpoints: f, Router: router, Roster: f, Budgets: &Budgets{}, MoveScheduler: f, Observer: f, Drain: 2 * time.Second,
+		Closing: f.closing, Ending: f.ending, Closed: f.closed, Endpoints: f, Router: router, Roster: f, Budgets: &Budgets{}, MoveScheduler: f, Observer: f, Drain: 2 * time.Second,
 		RetryLimits: func() RetryLimits { return RetryLimits{Ratio: 1, Extra: 50, Window: 10 * time.Second, Instances: 1} },
 	}
 }
@@ -385,8 +391,12 @@
 // Dispatched does nothing.
 func (f *fakeFleet) Dispatched(*Dispatch, int) {}
 
-// RetryDecided does nothing.
-func (f *fakeFleet) RetryDecided(*Request, Endpoint, error, bool) {}
+// RetryDecided keeps the cause.
+func (f *fakeFleet) RetryDecided(_ *Request, _ Endpoint, cause error, _ bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.failed = append(f.failed, cause)
+}
 
 // CrashNoticed does nothing.
 func (f *fakeFleet) CrashNoticed(*Dispatch, int) {}
--- a/protocol/relay/outbox.go
+++ b/protocol/relay/outbox.go
@@ -27,6 +27,7 @@
 	header http.Header
 	data   []byte // that is to be written
 	counts int    // bytes of data that the budget counts
+	taking int    // bytes that the sink has been given and has not taken yet
 	begun  bool
 	closed bool // nothing more will come
 	err    error
@@ -130,7 +131,7 @@
 func (o *outbox) writeHeld() (ended bool, err error) {
 	o.mutex.Lock()
 	status, header, data, counts := o.status, o.header, o.data, o.counts
-	o.status, o.data, o.counts, ended = 0, nil, 0, o.closed
+	o.status, o.data, o.counts, o.taking, ended = 0, nil, 0, len(data), o.closed
 	o.mutex.Unlock()
 	notify(o.taken)
 	defer o.budget.Return(counts)
@@ -140,9 +141,21 @@
 	if err == nil && len(data) > 0 {
 		err = o.sink.Write(data)
 	}
+	if err == nil {
+		o.mutex.Lock()
+		o.taking = 0
+		o.mutex.Unlock()
+	}
 	return ended, err
 }
 
+// unsent returns the bytes that are held, or that the sink has not taken whole.
+func (o *outbox) unsent() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return len(o.data) + o.taking
+}
+
 // fail notes that the caller has left.
 func (o *outbox) fail(err error) {
 	o.mutex.Lock()
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -67,6 +67,9 @@
 	LongestPause time.Duration // longest time between two events
 	Begun        bool          // the head of the answer was forwarded
 	End          End           // of the latest answer that ended without an error of its connection
+	Phase        Phase         // in which the request ended
+	LastEventAt  time.Time     // when the latest event was forwarded, or a buffered answer was whole; zero if neither has come
+	UnsentBytes  int           // bytes of the answer that were held, or being sent, when the request ended
 	Err          error         // error that ended the request; nil if there was none
 }
 
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -57,6 +57,8 @@
 	Memory        *memory.Budget // of answers that callers have not read yet; nil: no limit
 	Observer      Observer
 	Closing       context.Context // done when requests without an answer must get one, since the instance closes
+	Ending        context.Context // done when endpoints' answers that have begun are ended as well
+	Closed        context.Context // done when callers' connections are about to be closed, also of callers who have not taken the whole answer
 
 	background conc.WaitGroup // cleanup that continues after an answer, for at most dropTimeout each
 }
@@ -75,7 +77,7 @@
 	notRun         int          // dispatches that endpoints refused to run
 	mayHaveRun     int          // dispatches that may have run
 	lastEvent      int64        // id of the last event that was put into the outbox, or that the caller had before; zero if there is none
-	lastEventAt    time.Time    // when the latest event was forwarded
+	lastEventAt    time.Time    // when the latest event was forwarded, or a buffered answer was whole
 	passedTokens   atomic.Int32 // tokens forwarded to the caller
 	receivedEvent  atomic.Int64 // lastEvent, for the silence timer
 	beginning      atomic.Int32 // whether the answer has begun, or may not begin any more
@@ -99,6 +101,8 @@
 	x.receivedEvent.Store(request.After)
 	withdraw := context.AfterFunc(r.Closing, func() { x.endUnbegun(end) })
 	defer withdraw()
+	interrupt := context.AfterFunc(r.Ending, func() { end(errClosing) })
+	defer interrupt()
 	x.screening = r.Quarantine.Screen(promptOf(request), request.Whole)
 	x.spec = routing.RequestSpec{
 		ID:            request.ID,
@@ -122,16 +126,6 @@
 	return x.result
 }
 
-// finish waits until the caller has the answer, and returns the bytes that were held for it.
-func (x *execution) finish() {
-	ctx, cancel := context.WithDeadline(x.caller, x.request.Deadline.Add(lateDelivery))
-	defer cancel()
-	if err := x.outbox.close(ctx); err != nil {
-		x.result.Outcome, x.result.Reason, x.result.Err = OutcomeCallerLeft, ReasonCallerLeft, err
-	}
-	x.runner.Memory.Return(x.held)
-}
-
 // Wait waits for the cleanup that continues after answers.
 func (r *Runner) Wait() { r.background.Wait() }
 
@@ -160,6 +154,7 @@
 func (x *execution) run() {
 	defer x.screening.End()
 	for {
+		x.result.Phase = x.pendingPhase()
 		if err := x.screening.Admit(x.ctx, x.spec.Deadline); err != nil {
 			x.endUnadmitted(err)
 			return
@@ -176,6 +171,7 @@
 		if err == nil {
 			return
 		}
+		err = x.causeOf(err)
 		if !x.shouldRetry(err) {
 			x.endFailed(err)
 			return
@@ -229,11 +225,15 @@
 func (x *execution) send(ctx context.Context, d *Dispatch) (*Reply, error) {
 	x.result.Endpoint = d.Endpoint
 	x.result.Dispatches++
+	if x.result.Phase != PhaseBetween {
+		x.result.Phase = PhaseSent
+	}
 	x.runner.Observer.Dispatched(d, x.result.Dispatches)
 	reply, err := x.runner.Endpoints.Send(ctx, d)
 	if err == nil {
 		x.mayHaveRun++
 		x.result.Status = reply.Status
+		x.result.Phase = PhaseStreaming
 		return reply, nil
 	}
 	switch {
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -51,7 +51,11 @@
 	m := x.startMover(d)
 	err = x.relayEvents(reply, silence)
 	silence.close()
-	move, stop := m.finish(err == nil && !reply.Unframed)
+	complete := err == nil && !reply.Unframed
+	if !complete && x.ctx.Err() == nil {
+		x.result.Phase = PhaseBetween
+	}
+	move, stop := m.finish(complete)
 	if err == nil && move == nil {
 		err = x.checkStop(reply, stop)
 	}
@@ -164,7 +168,7 @@
 
 // handleStreamFailure releases the slot after a stream that broke off, and returns the cause.
 func (x *execution) handleStreamFailure(d *Dispatch, err error) error {
-	if x.caller.Err() != nil {
+	if x.callerLeft() {
 		x.release(routing.OutcomeCancelled)
 		return errCallerLeft
 	}
--- a/state/explanation/timeline.go
+++ b/state/explanation/timeline.go
@@ -140,6 +140,22 @@
 	if cause := l.Text("error"); cause != "" {
 		text += ": " + cause
 	}
+	return text + describePhase(l)
+}
+
+// describePhase says how far a request was that has no whole answer; lines of older instances do not tell.
+func describePhase(l *Line) string {
+	phase := l.Text("phase")
+	if phase == "" || phase == "delivered" {
+		return ""
+	}
+	text := "; " + phase
+	if ago := l.Text("lastEventMs"); ago != "" && ago != "-1" {
+		text += fmt.Sprintf(", last event %s ms before", ago)
+	}
+	if unsent := l.Text("unsentBytes"); unsent != "" && unsent != "0" {
+		text += fmt.Sprintf(", %s bytes unsent", unsent)
+	}
 	return text
 }
 
--- a/state/explanation/timeline_test.go
+++ b/state/explanation/timeline_test.go
@@ -17,6 +17,9 @@
 {"time":"2026-01-01T00:00:00Z","level":"INFO","msg":"dispatched","instance":"a","id":"r2","endpoint":"e2"}
 {"time":"2026-01-01T00:00:09Z","level":"WARN","msg":"log lost","instance":"a","topic":"y"}
 {"time":"2026-01-01T00:00:05Z","level":"INFO","msg":"declined","instance":"b","id":"r3","status":404,"reason":"no such route"}
+{"time":"2026-01-01T00:00:20Z","level":"INFO","msg":"ended","instance":"c","id":"r4","endpoint":"e1","outcome":"interrupted","reason":"closing","sent":1,"moved":0,"events":7,"phase":"streaming","lastEventMs":12,"unsentBytes":35,"error":"instance closes"}
+{"time":"2026-01-01T00:00:20Z","level":"INFO","msg":"ended","instance":"c","id":"r5","endpoint":"","outcome":"notRun","reason":"closing","sent":0,"phase":"waiting","lastEventMs":-1,"unsentBytes":0,"error":"instance closes"}
+{"time":"2026-01-01T00:00:20Z","level":"INFO","msg":"ended","instance":"c","id":"r6","endpoint":"e1","outcome":"served","reason":"","sent":1,"moved":0,"events":7,"phase":"delivered","lastEventMs":0,"unsentBytes":0}
 `
 
 func TestTimeline(t *testing.T) {
@@ -32,6 +35,9 @@
 	is.Equal(messages, []string{"dispatched", "endpoint changed", "log lost", "ended"})
 	is.Equal(Cause(timeline), "a: interrupted (broken) at endpoint e1 after 1 dispatches, 0 moves, 7 events: unexpected EOF")
 	is.Equal(Cause(l.Timeline("r3")), "b answered 404: no such route")
+	is.Equal(Cause(l.Timeline("r4")), "c: interrupted (closing) at endpoint e1 after 1 dispatches, 0 moves, 7 events: instance closes; streaming, last event 12 ms before, 35 bytes unsent")
+	is.Equal(Cause(l.Timeline("r5")), "c: notRun (closing): instance closes; waiting")
+	is.Equal(Cause(l.Timeline("r6")), "c: served at endpoint e1 after 1 dispatches, 0 moves, 7 events")
 	is.Equal(len(l.Timeline("unknown")), 0)
 	out := &strings.Builder{}
 	is.NoErr(Write(out, timeline))
