The last lines of an instance leave its process, also when its queue of lines is full

What operators saw: no instance ever had its line `stopped` out, and lines of cut requests were missing: what an instance wrote last did not leave the process.

Cause: lines are written in the background, and runHosted returned without closing their queue. Close of the queue waited for as long as the reader did, so it could not simply be called. A queue that was full at the stop dropped the lines of the stop like all others.

Change: lines.Writer.Close takes a context. runHosted closes the queue at last, until 0.3 s later, or until plan.Exit if that is earlier. Once requests without an answer are ended, the queue takes 4096 lines more. `stopped` counts the lines dropped until then.

The own interface writes its lines to standard error without a queue (LogHandler), so there is nothing to wait for; unchanged.

--- a/cmd/dogwooddyke/hosted.go
+++ b/cmd/dogwooddyke/hosted.go
@@ -33,6 +33,8 @@
 	output := lines.New(os.Stdout)
 	logger := slog.New(slog.NewJSONHandler(output, nil)).With("instance", settings.Name)
 	running := hosted.New(settings, logger)
+	running.SetLines(output)
+	defer writeLast(output, running)
 	if err := running.Start(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "dogwooddyke:", err)
 		return exitFailed
@@ -48,6 +50,13 @@
 	return exitDone
 }
 
+// writeLast has the lines that are still queued written, as far as the time until the platform ends the process allows: their reader may have stalled.
+func writeLast(output *lines.Writer, stopped *hosted.Instance) {
+	ctx, cancel := context.WithDeadline(context.Background(), stopped.ExitTime())
+	defer cancel()
+	_ = output.Close(ctx) // there is nowhere left to tell that lines were not read
+}
+
 // reloadHosted checks the settings again. All that they hold is fixed for a process's life: a change is told, and is in force from
 // the next start on.
 func reloadHosted(file string, present *platform.Settings, logger *slog.Logger) {
--- a/instance/hosted/close.go
+++ b/instance/hosted/close.go
@@ -9,6 +9,23 @@
 	"dogwooddyke/coordination/shutdown"
 )
 
+// LineQueue holds the lines of a logger until they are written.
+type LineQueue interface {
+	// Extend lets more lines be queued, since the last ones of the process follow.
+	Extend()
+	// Dropped returns how many lines were dropped.
+	Dropped() int64
+}
+
+// noQueue is that of a logger that writes its lines at once.
+type noQueue struct{}
+
+func (noQueue) Extend()        {}
+func (noQueue) Dropped() int64 { return 0 }
+
+// SetLines sets the queue of the logger's lines; it must be called before Start.
+func (i *Instance) SetLines(queue LineQueue) { i.lines = queue }
+
 // Close stops the instance: it ends the requests that are in progress, closes all connections, and returns when the instance's goroutines have ended.
 // After Drain it returns without them once the plan's time is over.
 func (i *Instance) Close() {
@@ -18,13 +35,14 @@
 		now := shutdown.Now(time.Now())
 		plan = &now
 	}
+	i.lines.Extend()
 	i.endRequests(plan)
 	i.stop()
 	_ = i.readinessServer.Close()
 	_ = i.metricsServer.Close()
 	_ = i.gossiper.socket.Close()
 	ended := i.awaitGoroutines(plan, drained)
-	i.logger.Info("stopped", "cut", i.observer.cut.Load(), "unknown", i.observer.unknown.Load(), "notRun", i.observer.notRun.Load(), "complete", ended)
+	i.logger.Info("stopped", "cut", i.observer.cut.Load(), "unknown", i.observer.unknown.Load(), "notRun", i.observer.notRun.Load(), "droppedLines", i.lines.Dropped(), "complete", ended)
 }
 
 // endRequests ends the requests in progress and then closes the callers' connections, so that each request ends with its cause and is logged before
@@ -70,10 +88,11 @@
 	}
 }
 
-// ExitTime returns when the process of an instance that was drained has to end.
+// ExitTime returns when the process of an instance that is closed now has to end: soon, and after Drain by the plan's time.
 func (i *Instance) ExitTime() time.Time {
-	if plan := i.plan.Load(); plan != nil {
+	soon := shutdown.Now(time.Now()).Exit
+	if plan := i.plan.Load(); plan != nil && plan.Exit.Before(soon) {
 		return plan.Exit
 	}
-	return shutdown.Now(time.Now()).Exit
+	return soon
 }
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -53,6 +53,7 @@
 type Instance struct {
 	settings         *platform.Settings
 	logger           *slog.Logger
+	lines            LineQueue     // of the logger
 	log              *platform.Log // the platform's append-only log
 	roster           *roster.Table
 	evacuations      *evacuation.Table
@@ -115,6 +116,7 @@
 	i := &Instance{
 		settings:         settings,
 		logger:           logger,
+		lines:            noQueue{},
 		roster:           roster.NewTable(),
 		evacuations:      evacuation.NewTable(),
 		memory:           memory.NewBudget(int64(heldMemoryFraction * float64(settings.MemoryBytes))),
--- a/instance/hosted/drain.go
+++ b/instance/hosted/drain.go
@@ -18,6 +18,7 @@
 	i.logger.Info("draining", "inFlight", i.front.InFlight(), "queued", i.router.QueueSize(), "answersMs", plan.Answers.Sub(now).Milliseconds(), "endMs", plan.End.Sub(now).Milliseconds())
 	i.router.SetClosing(plan.Answers, now)
 	answers := time.AfterFunc(plan.Answers.Sub(now), func() {
+		i.lines.Extend()
 		i.logger.Info("requests without an answer are ended", "inFlight", i.front.InFlight(), "queued", i.router.QueueSize())
 		i.close()
 	})
--- a/instance/hosted/observer_test.go
+++ b/instance/hosted/observer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"log/slog"
 	"net/netip"
@@ -19,7 +20,7 @@
 // BenchmarkObserver measures the cost of the log lines and counters of one served generation.
 func BenchmarkObserver(b *testing.B) {
 	output := lines.New(io.Discard)
-	defer output.Close()
+	defer func() { _ = output.Close(context.Background()) }() // the discarding writer does not stall
 	o := newObserver(slog.New(slog.NewJSONHandler(output, nil)).With("instance", "instance-1"))
 	o.onGenerationDispatched = func(netip.AddrPort) {}
 	now := time.Now()
--- a/internal/lines/writer.go
+++ b/internal/lines/writer.go
@@ -1,6 +1,7 @@
 package lines
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"sync"
@@ -9,50 +10,70 @@
 	"github.com/sourcegraph/conc"
 )
 
-// queueCapacity is the number of lines that may be queued.
-const queueCapacity = 2048
+const (
+	queueCapacity   = 2048 // lines that may be queued
+	reserveCapacity = 4096 // lines that may be queued besides once the process stops: several for each request in progress
+)
 
 // Writer queues lines for a slower writer, and drops and counts those that do not fit into the queue. It is safe for concurrent use.
 type Writer struct {
 	queue   chan []byte
 	dropped atomic.Int64
 	group   conc.WaitGroup
-	mutex   sync.RWMutex // guards closed
+	done    chan struct{} // closed when nothing more is written
+	mutex   sync.Mutex    // guards the fields below, and the sending side of queue
+	limit   int           // lines that may be queued now
 	closed  bool
 }
 
 // New returns a writer that writes to out in the background.
 func New(out io.Writer) *Writer {
-	w := &Writer{queue: make(chan []byte, queueCapacity)}
-	w.group.Go(func() { w.writeQueued(out) })
+	w := &Writer{queue: make(chan []byte, queueCapacity+reserveCapacity), done: make(chan struct{}), limit: queueCapacity}
+	w.group.Go(func() {
+		defer close(w.done)
+		w.writeQueued(out)
+	})
 	return w
 }
 
 // Write queues one line; it never blocks and never fails, and it discards the line if the writer is closed.
 func (w *Writer) Write(line []byte) (int, error) {
-	w.mutex.RLock()
-	defer w.mutex.RUnlock()
-	if w.closed {
-		return len(line), nil
-	}
-	select {
-	case w.queue <- append([]byte(nil), line...):
-	default:
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	switch {
+	case w.closed:
+	case len(w.queue) >= w.limit:
 		w.dropped.Add(1)
+	default:
+		w.queue <- append([]byte(nil), line...) // has room, since only Write sends
 	}
 	return len(line), nil
 }
 
+// Extend lets more lines be queued from now on: those of the end of a stop must not be dropped for ordinary ones that a slow reader left.
+func (w *Writer) Extend() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.limit = cap(w.queue)
+}
+
 // Dropped returns the number of dropped lines plus the number of failed writes.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Close returns once all queued lines are written; it blocks for as long as the underlying writer does.
-func (w *Writer) Close() {
+// Close returns once all queued lines are written. It returns the context's error if that ends first, as it does when nobody reads the lines.
+func (w *Writer) Close(ctx context.Context) error {
 	w.mutex.Lock()
-	w.closed = true
-	close(w.queue)
+	if !w.closed {
+		w.closed = true
+		close(w.queue)
+	}
 	w.mutex.Unlock()
-	w.group.Wait()
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // writeQueued writes queued lines until the queue is closed, several in one write if several are queued, and adds a line that reports how
