--- a/instance/hosted/connections.go
+++ b/instance/hosted/connections.go
@@ -112,6 +112,28 @@
 	}
 }
 
+// answering reports whether a request is in progress on a connection.
+func (c *connections) answering() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for connection := range c.open {
+		if connection.state.Load() == connectionBusy {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitAnswers waits until no request is in progress. It returns the context's error if that ends first.
+func (c *connections) awaitAnswers(ctx context.Context) error {
+	for c.answering() {
+		if err := wait.For(ctx, answerPollInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // awaitEnd waits until no connection is left and has none accepted after that. It returns the context's error if that ends first.
 func (c *connections) awaitEnd(ctx context.Context) error {
 	for !c.end() {
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -9,6 +9,7 @@
 
 	firstRequestTime       = 5 * time.Second       // for which an instance that is stopped waits for the first request on a connection
 	connectionPollInterval = 20 * time.Millisecond // between checks whether requests are in progress, of an instance that is stopped
+	answerPollInterval     = 5 * time.Millisecond  // the same, while requests are being ended
 
 	lastSendBytes   = 1 << 20   // of an answer that the kernel takes at least, at the end of a stop; the system may allow less
 	enoughSendBytes = 400 << 10 // that are left as they are: a system may allow no more to be set
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -20,6 +20,7 @@
 	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/coordination/shutdown"
 	"dogwooddyke/coordination/standing"
 	"dogwooddyke/internal/wait"
 	"dogwooddyke/platform"
@@ -52,6 +53,7 @@
 type Instance struct {
 	settings         *platform.Settings
 	logger           *slog.Logger
+	lines            LineQueue     // of the logger
 	log              *platform.Log // the platform's append-only log
 	roster           *roster.Table
 	evacuations      *evacuation.Table
@@ -95,8 +97,13 @@
 	renewSharesAt    time.Time     // time at which the shares are updated without a report; used by tick only
 	news             chan struct{} // receives a value when a report shows a change that this instance does not know
 	draining         atomic.Bool
-	closing          context.Context // done when requests without an answer must get one, since the instance closes
+	plan             atomic.Pointer[shutdown.Plan] // of the stop in progress; nil: none
+	closing          context.Context               // done when requests without an answer must get one, since the instance closes
 	close            context.CancelFunc
+	ending           context.Context // done when answers that have begun are ended
+	end              context.CancelFunc
+	closed           context.Context // done when callers' connections are closed
+	cut              context.CancelFunc
 	group            conc.WaitGroup
 	stop             context.CancelFunc
 
@@ -109,6 +116,7 @@
 	i := &Instance{
 		settings:         settings,
 		logger:           logger,
+		lines:            noQueue{},
 		roster:           roster.NewTable(),
 		evacuations:      evacuation.NewTable(),
 		memory:           memory.NewBudget(int64(heldMemoryFraction * float64(settings.MemoryBytes))),
@@ -121,6 +129,8 @@
 		news:             make(chan struct{}, 1),
 	}
 	i.closing, i.close = context.WithCancel(context.Background())
+	i.ending, i.end = context.WithCancel(context.Background())
+	i.closed, i.cut = context.WithCancel(context.Background())
 	i.router = routing.New(routing.Config{
 		Self:            peerAddress(settings),
 		DataCentre:      settings.DataCentre,
@@ -157,6 +167,8 @@
 		Memory:        i.memory,
 		Observer:      i.observer,
 		Closing:       i.closing,
+		Ending:        i.ending,
+		Closed:        i.closed,
 	}
 	i.connections = newConnections()
 	i.front = &platform.Front{Catalogue: i.table.Load, Known: i.initialized, Runner: i, Memory: i.memory, Observer: i.observer, Closing: i.closing, Stopping: i.connections.stopping.Load}
@@ -244,20 +256,6 @@
 	return result
 }
 
-// Close stops the instance without draining it, and returns when its goroutines have ended.
-func (i *Instance) Close() {
-	i.close()
-	i.stop()
-	_ = i.callerServer.Close()
-	_ = i.readinessServer.Close()
-	_ = i.metricsServer.Close()
-	_ = i.gossiper.socket.Close()
-	i.node.Close()
-	i.runner.Wait()
-	i.group.Wait()
-	i.logger.Info("stopped")
-}
-
 // tick does the periodic work until the context ends.
 func (i *Instance) tick(ctx context.Context) {
 	for wait.For(ctx, i.tickInterval()) == nil {
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -51,7 +51,11 @@
 	m := x.startMover(d)
 	err = x.relayEvents(reply, silence)
 	silence.close()
-	move, stop := m.finish(err == nil && !reply.Unframed)
+	complete := err == nil && !reply.Unframed
+	if !complete && x.ctx.Err() == nil {
+		x.result.Phase = PhaseBetween
+	}
+	move, stop := m.finish(complete)
 	if err == nil && move == nil {
 		err = x.checkStop(reply, stop)
 	}
@@ -88,8 +92,7 @@
 		}
 		if err == nil && found.data == nil {
 			// Even a caller that resumes after the last event needs the head of the answer to see the stream end.
-			x.passHead(reply.Status, reply.Header)
-			return nil
+			return x.passHead(reply.Status, reply.Header)
 		}
 		if err != nil {
 			return err
@@ -103,7 +106,9 @@
 		if found.hasID && x.lastEvent > 0 && found.id != x.lastEvent+1 {
 			return errGap
 		}
-		x.passHead(reply.Status, reply.Header)
+		if err := x.passHead(reply.Status, reply.Header); err != nil {
+			return err
+		}
 		if err := x.outbox.put(x.ctx, found.data); err != nil {
 			return err
 		}
@@ -163,7 +168,7 @@
 
 // handleStreamFailure releases the slot after a stream that broke off, and returns the cause.
 func (x *execution) handleStreamFailure(d *Dispatch, err error) error {
-	if x.caller.Err() != nil {
+	if x.callerLeft() {
 		x.release(routing.OutcomeCancelled)
 		return errCallerLeft
 	}
