A run that the instance has stopped goes on although the next endpoint does not take it

What callers saw: a stream was broken off in the middle although other endpoints could have gone on with it. The instance had stopped the run to move it, and the endpoint with the copy refused (503, 429, with or without a rest), was another process (421), could not be reached, had left the roster, was in a data centre that was evacuated meanwhile, or its connection broke before the head of the answer.

Cause: the instance let go of what serves a request before what replaces it was certain. continueAt released the source's slot and forgot the source's memory before the target had answered; a refusal then ended the stream, since a request that runs once may not be sent again. A restore from a backup that its endpoint refused ended the same way, and so did a run for which no endpoint had a slot at that moment.

An endpoint whose answer broke is asked to stop the run first, as former.go says. Nothing is sent after a drain time or to an evacuated data centre; nothing that runs once starts again from its beginning. Router.Place gets PreferredOnly, so that a slot is granted at the endpoint of a memory or not at all. `dispatched` has `from`; `dispatch failed` says again=true where the run goes on; `moved` counts endpoints that made an event.

The fake fleet's copies are now used once, by the endpoint that has them or a source that stopped; its endpoints notice the end of a silent connection no more, as those that it stands for. One state stays a cut although an endpoint may have memory: the last copy's answer is lost and there is no backup.

--- a/coordination/routing/place.go
+++ b/coordination/routing/place.go
@@ -23,6 +23,10 @@
 			return r
 		}
 	}
+	if e == nil && spec.PreferredOnly {
+		c.refuse(r, ReasonNoEndpoint, time.Time{}, now)
+		return r
+	}
 	if e == nil {
 		e = c.chooseEndpoint(r, now)
 	}
--- a/coordination/routing/spec.go
+++ b/coordination/routing/spec.go
@@ -18,6 +18,7 @@
 	Prefix              []uint64         // chained hashes of the prompt's blocks; see endpoint.Blocks
 	MovableRuns         int              // runs that can be moved off an endpoint at short notice; zero: any number
 	PreferredEndpoint   netip.AddrPort   // endpoint that Place chooses if it is eligible
+	PreferredOnly       bool             // Place refuses rather than choose another endpoint than the preferred one
 	PreferredDataCentre string           // empty: the instance's own
 	RemoteCost          float64          // seconds added to the score of an endpoint outside the preferred data centre; zero: the default
 	Deadline            time.Time        // latest start of the run; zero: none
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -55,7 +55,7 @@
 		o.metrics.limitedDispatches.Inc()
 	}
 	o.logger.Info("dispatched", "id", d.Request.ID, "service", d.Request.Service, "endpoint", d.Endpoint.ID, "address", d.Endpoint.Address, "limited", limited,
-		"sent", dispatches, "after", d.After, "copied", d.Copy != nil, "backup", d.Backup, "prompt", d.Request.PromptTokens, "request", d.Request.Whole.String(), "parts", prompt.Format(d.Request.Parts), "output", d.Request.MaximumTokens, "expected", int(d.ExpectedTokens), "batch", d.Choice.Batch, "filled", roundToThousandths(d.Choice.Memory), "score", roundToThousandths(d.Choice.Score), "expectedFirstMs", d.Choice.FirstToken.Milliseconds(), "leftMs", time.Until(d.Deadline).Milliseconds())
+		"sent", dispatches, "after", d.After, "copied", d.Copy != nil, "from", d.Origin, "backup", d.Backup, "prompt", d.Request.PromptTokens, "request", d.Request.Whole.String(), "parts", prompt.Format(d.Request.Parts), "output", d.Request.MaximumTokens, "expected", int(d.ExpectedTokens), "batch", d.Choice.Batch, "filled", roundToThousandths(d.Choice.Memory), "score", roundToThousandths(d.Choice.Score), "expectedFirstMs", d.Choice.FirstToken.Milliseconds(), "leftMs", time.Until(d.Deadline).Milliseconds())
 }
 
 // statementUnreadable logs a part of what an endpoint says of itself that can't be read.
--- /dev/null
+++ b/protocol/relay/continuation.go
@@ -0,0 +1,270 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"time"
+
+	"dogwooddyke/coordination/routing"
+	"dogwooddyke/internal/wait"
+)
+
+// continueMoved returns the dispatch with which a run continues that was stopped to be moved; nil if nothing takes it.
+func (x *execution) continueMoved(d *Dispatch, m *move) *Dispatch {
+	x.letGo(x.paused)
+	p := x.pause(d)
+	if m.slot != nil {
+		p.memories = append(p.memories, copyMemory(m))
+	}
+	p.memories = append(p.memories, x.takeSlot(sourceMemory(d.Endpoint, m.copy, routing.OutcomeCancelled)))
+	p.memories = append(p.memories, x.backupMemories(d)...)
+	p.source = &d.Endpoint
+	return x.resume(d)
+}
+
+// continueUntaken returns the dispatch with which a run continues that the endpoint of a dispatch did not take, or may not have taken; nil if there
+// is none.
+func (x *execution) continueUntaken(d *Dispatch, err error) *Dispatch {
+	var next *Dispatch
+	switch {
+	case x.caller.Err() != nil:
+		return nil
+	case isNotRun(err):
+		next = x.continueRefused(d, err)
+	case !x.request.Route.Repeatable() && (d.Copy != nil || errors.Is(err, errSilent)):
+		next = x.continueElsewhere(d, stopNotAsked)
+	}
+	if next != nil {
+		x.runner.Observer.RetryDecided(x.request, d.Endpoint, err, true)
+	}
+	return next
+}
+
+// continueRefused returns the next dispatch of a run that the endpoint of a dispatch refused to continue; nil if nothing is left of it. Such a refusal
+// does not count for the endpoint's health, since the endpoint may only lack the memory.
+func (x *execution) continueRefused(d *Dispatch, err error) *Dispatch {
+	if x.paused == nil {
+		return nil
+	}
+	outcome := slotOutcome(err)
+	if outcome == routing.OutcomeRefused {
+		outcome = routing.OutcomeCancelled
+	}
+	x.release(outcome)
+	if current := x.paused.current; x.paused.refuse(err, time.Now()) && current.origin == OriginBackup {
+		x.forgetBackup(current.address)
+	}
+	return x.resume(d)
+}
+
+// continueElsewhere returns a dispatch that continues a run whose stream has broken off; nil if that is not possible, or if its endpoint may still work
+// on it.
+func (x *execution) continueElsewhere(d *Dispatch, stop stopState) *Dispatch {
+	if x.request.Engine == nil || x.ctx.Err() != nil || x.result.Restores >= maximumRestores {
+		return nil
+	}
+	if x.screening.Admit(x.ctx, x.spec.Deadline) != nil {
+		return nil
+	}
+	copied, state := Copy{}, FormerEnded
+	var slot *routing.Slot
+	var target Endpoint
+	if stop != stopped && x.request.Engine.Moves {
+		if slot, target = x.targetForStop(d); !target.Address.IsValid() {
+			return nil
+		}
+		copied, state = x.stopFormer(d, target)
+	}
+	if state == FormerUnknown {
+		releaseSlot(slot, routing.OutcomeCancelled)
+		return nil
+	}
+	x.pauseBroken(d, copied, state, slot, target)
+	next := x.resume(d)
+	if next != nil {
+		x.result.Restores++
+	}
+	return next
+}
+
+// pauseBroken notes what is left of a run whose stream has broken off and that its endpoint works on no more. A slot at the target is released unless
+// the run was copied there.
+func (x *execution) pauseBroken(d *Dispatch, copied Copy, state FormerRun, slot *routing.Slot, target Endpoint) {
+	earlier := x.paused
+	p := x.pause(d)
+	if state != FormerStopped {
+		releaseSlot(slot, routing.OutcomeCancelled)
+		x.release(routing.OutcomeFailed)
+		if earlier != nil { // the endpoint may not have used the copy
+			earlier.useCurrent()
+			p.memories, p.source = slices.DeleteFunc(earlier.memories, func(m *runMemory) bool { return m.origin == OriginBackup }), earlier.source
+		}
+		p.memories = append(p.memories, x.backupMemories(d)...)
+		return
+	}
+	x.letGo(earlier)
+	outcome := routing.OutcomeFailed
+	if copied.Target == target.Address {
+		p.memories = append(p.memories, copyMemory(&move{copy: copied, slot: slot, endpoint: target}))
+		outcome = routing.OutcomeCancelled
+	} else {
+		releaseSlot(slot, routing.OutcomeCancelled)
+	}
+	p.memories = append(p.memories, x.backupMemories(d)...)
+	p.memories = append(p.memories, x.takeSlot(sourceMemory(d.Endpoint, copied, outcome)))
+	p.source = &d.Endpoint
+}
+
+// pause notes that no endpoint works on the run of a dispatch any more.
+func (x *execution) pause(d *Dispatch) *pausedRun {
+	p := &pausedRun{since: time.Now()}
+	if earlier := x.paused; earlier != nil {
+		p.since, p.sends, p.copies = earlier.since, earlier.sends, earlier.copies
+		if earlier.current != nil && earlier.current.origin == OriginBackup {
+			x.forgetBackup(earlier.current.address)
+		}
+	}
+	x.rememberBackup(d)
+	x.paused = p
+	return p
+}
+
+// settle ends the pause of a run: it continues from the current memory, or not at all. What is not used is let go.
+func (x *execution) settle(taken bool) {
+	p := x.paused
+	if p == nil {
+		return
+	}
+	x.paused = nil
+	x.letGo(p)
+	if !taken {
+		return
+	}
+	x.result.Moves++
+	if p.current.origin == OriginBackup {
+		x.forgetBackup(p.current.address)
+	}
+}
+
+// letGo releases the slots and frees the copies of a paused run that are not used.
+func (x *execution) letGo(p *pausedRun) {
+	if p == nil {
+		return
+	}
+	for _, m := range p.memories {
+		releaseSlot(m.slot, m.outcome)
+		m.slot = nil
+	}
+	for _, c := range p.unusedCopies() {
+		x.runner.background.Go(func() { x.dropCopy(c) })
+	}
+}
+
+// resume returns the dispatch with which the paused run continues; nil once nothing is left to continue from. It waits for an endpoint that can take
+// the run, since a pause is better for the caller than the end; a run that may run again does not wait.
+func (x *execution) resume(d *Dispatch) *Dispatch {
+	for p := x.paused; !p.isOver(time.Now()) && x.ctx.Err() == nil; {
+		for _, m := range p.ready(time.Now()) {
+			if next := x.continueFrom(d, m); next != nil {
+				return next
+			}
+		}
+		if m := x.copyAgain(d); m != nil {
+			return x.continueFrom(d, m)
+		}
+		if x.request.Route.Repeatable() || wait.For(x.ctx, continuationPollInterval) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// continueFrom returns the dispatch that continues the run from a memory; nil if its endpoint can't be sent the request now. The first dispatch to an
+// endpoint that has a memory does not count against the retry budget, one after its refusal does.
+func (x *execution) continueFrom(d *Dispatch, m *runMemory) *Dispatch {
+	p := x.paused
+	endpoint, found := m.endpoint, true
+	if m.origin == OriginBackup {
+		endpoint, found = x.runner.Roster.At(x.request.Service, m.address)
+	}
+	if !found || !x.mayReceive(endpoint, time.Now()) {
+		p.remove(m)
+		releaseSlot(m.slot, m.outcome)
+		m.slot = nil
+		return nil
+	}
+	switch {
+	case m.slot == nil:
+		spec := x.specAfter(d)
+		spec.PreferredEndpoint, spec.PreferredOnly, spec.Exclude = m.address, true, nil
+		slot, err := x.runner.Router.Place(&spec)
+		if err != nil {
+			return nil
+		}
+		if m.reached && !x.runner.Budgets.Of(x.request.Service).Take(x.runner.RetryLimits(), time.Now()) {
+			slot.Release(routing.OutcomeCancelled, time.Now())
+			return nil
+		}
+		x.slot = slot
+	case m.origin == OriginSource:
+		m.slot.Resend(time.Now())
+		x.slot = m.slot
+	default:
+		x.slot = m.slot
+	}
+	m.slot = nil
+	p.current = m
+	p.sends++
+	next := *d
+	next.Endpoint, next.After, next.Copy, next.Origin = endpoint, x.lastEvent, &m.copy, m.origin
+	return &next
+}
+
+// copyAgain has the endpoint that stopped the run copy its memory to a further endpoint, and returns the copy; nil if there is none.
+func (x *execution) copyAgain(d *Dispatch) *runMemory {
+	p := x.paused
+	if p.source == nil || p.copies >= maximumFurtherCopies {
+		p.source = nil
+		return nil
+	}
+	spec := x.specAfter(d)
+	spec.PreferredEndpoint = netip.AddrPort{}
+	spec.Exclude = append(spec.Exclude, p.addresses()...)
+	slot, err := x.runner.Router.Place(&spec)
+	if err != nil {
+		return nil
+	}
+	slot, target, found := x.lookUp(slot)
+	if !found {
+		return nil
+	}
+	p.copies++
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(x.ctx, stopTimeout)
+	defer cancel()
+	copied, err := x.runner.Endpoints.Move(ctx, x.request.ID, *p.source, target.Address, true)
+	x.runner.Observer.Moved(x.request, p.source.Address, target.Address, copied, true, began, err)
+	p.copiedAgain(copied)
+	if err != nil {
+		slot.Release(routing.OutcomeCancelled, time.Now())
+		if errors.Is(err, ErrNoRun) || errors.Is(err, ErrUnreached) {
+			p.source = nil
+		}
+		return nil
+	}
+	m := copyMemory(&move{copy: copied, slot: slot, endpoint: target})
+	p.memories = append(p.memories, m)
+	return m
+}
+
+// copyMemory returns the memory of a complete copy.
+func copyMemory(m *move) *runMemory {
+	return &runMemory{origin: OriginCopy, address: m.endpoint.Address, endpoint: m.endpoint, copy: m.copy, slot: m.slot, outcome: routing.OutcomeCancelled}
+}
+
+// sourceMemory returns the memory that an endpoint keeps which has stopped a run.
+func sourceMemory(source Endpoint, copied Copy, outcome routing.Outcome) *runMemory {
+	return &runMemory{origin: OriginSource, address: source.Address, endpoint: source, copy: copied, outcome: outcome}
+}
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -42,6 +42,7 @@
 	stopped chan struct{}
 	once    sync.Once
 	made    int64 // events until now
+	kept    bool  // it was stopped by a last copy, and its endpoint keeps its memory
 }
 
 func (f *fakeRun) stop() { f.once.Do(func() { close(f.stopped) }) }
@@ -77,11 +78,23 @@
 	// pauses says after which event an endpoint makes none for a while; zero: never.
 	pauses  func(address netip.AddrPort) (after int64, pause time.Duration)
 	crashed func(address netip.AddrPort) bool
-
-	mutex sync.Mutex
-	first netip.AddrPort // see onlyFirst
-	runs  map[netip.AddrPort]*fakeRun
-	sends []fakeSend
+	// refuses returns the error with which a dispatch ends that its endpoint does not run; nil if it takes the dispatch.
+	refuses func(d *Dispatch) error
+	// places says why no endpoint has a slot for a run that is to continue; nil if one may have.
+	places func(spec *routing.RequestSpec) error
+	// copiesAgain says that endpoints which have stopped a run copy its memory again.
+	copiesAgain bool
+	evacuated   map[netip.AddrPort]bool
+	gone        map[netip.AddrPort]bool // endpoints that are not in the roster any more
+
+	mutex    sync.Mutex
+	first    netip.AddrPort // see onlyFirst
+	runs     map[netip.AddrPort]*fakeRun
+	sends    []fakeSend
+	memories map[string]*fakeMemory  // by handle
+	backups  map[netip.AddrPort]bool // endpoints that have a backup
+	router   *fakeRouter
+	decided  []bool // whether each failed dispatch was followed by another one
 }
 
 // fakeNotice is a notice that an endpoint leaves.
@@ -106,7 +119,10 @@
 }
 
 func newFakeFleet(t *testing.T, endpoints byte, events int64) *fakeFleet {
-	f := &fakeFleet{is: is.New(t), events: events, notices: make(map[netip.AddrPort]*fakeNotice), runs: make(map[netip.AddrPort]*fakeRun)}
+	f := &fakeFleet{
+		is: is.New(t), events: events, notices: make(map[netip.AddrPort]*fakeNotice), runs: make(map[netip.AddrPort]*fakeRun),
+		memories: make(map[string]*fakeMemory), backups: make(map[netip.AddrPort]bool), evacuated: make(map[netip.AddrPort]bool), gone: make(map[netip.AddrPort]bool),
+	}
 	for n := range endpoints {
 		f.notices[fakeAddress(n+1)] = &fakeNotice{done: make(chan struct{})}
 	}
@@ -133,8 +149,9 @@
 	if f.closing == nil {
 		f.closing = context.Background()
 	}
+	f.router = &fakeRouter{router, f}
 	return &Runner{
-		Closing: f.closing, Endpoints: f, Router: router, Roster: f, Budgets: &Budgets{}, MoveScheduler: f, Observer: f, Drain: 2 * time.Second,
+		Closing: f.closing, Endpoints: f, Router: f.router, Roster: f, Budgets: &Budgets{}, MoveScheduler: f, Observer: f, Drain: 2 * time.Second,
 		RetryLimits: func() RetryLimits { return RetryLimits{Ratio: 1, Extra: 50, Window: 10 * time.Second, Instances: 1} },
 	}
 }
@@ -160,7 +177,9 @@
 
 func (f *fakeFleet) serveRequest(t *testing.T, request *Request) (Result, string) {
 	sink := &recordingSink{}
-	result := f.runner().Run(t.Context(), request, sink)
+	runner := f.runner()
+	result := runner.Run(t.Context(), request, sink)
+	runner.Wait()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, r := range f.runs {
@@ -213,6 +232,17 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.sends = append(f.sends, fakeSend{time.Now(), d.Endpoint.Address, d.After, d.Copy, f.working(d.Endpoint.Address)})
+	if f.refuses != nil {
+		if err := f.refuses(d); err != nil {
+			return nil, err
+		}
+	}
+	if !f.use(d) {
+		return nil, &NotRunError{Status: http.StatusServiceUnavailable}
+	}
+	if d.Backup.IsValid() {
+		f.backups[d.Backup] = true
+	}
 	r := &fakeRun{stopped: make(chan struct{}), made: d.After}
 	f.runs[d.Endpoint.Address] = r
 	if f.loses != nil && f.loses(d.Endpoint.Address) {
@@ -254,10 +284,12 @@
 			f.cut(w)
 			return
 		case <-ctx.Done():
-			if !worksOn {
+			_ = w.CloseWithError(ctx.Err())
+			if silentAfter != 0 { // the end of the connection does not arrive either
+				f.workOn(r)
+			} else if !worksOn {
 				r.stop()
 			}
-			_ = w.CloseWithError(ctx.Err())
 			return
 		case <-time.After(fakeEventPause):
 		}
@@ -346,17 +378,9 @@
 	if answer != nil {
 		return answer(ctx, from.Address, to, last, stop)
 	}
-	if last {
-		stop()
-	}
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return Copy{Source: from.Address, Handle: "h", Created: int(f.runs[from.Address].made)}, nil
+	return f.copyRun(from.Address, to, last)
 }
 
-// Drop does nothing.
-func (f *fakeFleet) Drop(context.Context, Copy) {}
-
 // Crashed reports what the test says.
 func (f *fakeFleet) Crashed(_ context.Context, address netip.AddrPort) bool {
 	return f.crashed != nil && f.crashed(address)
@@ -364,8 +388,10 @@
 
 // At returns an endpoint.
 func (f *fakeFleet) At(_ string, address netip.AddrPort) (Endpoint, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	n, found := f.notices[address]
-	return Endpoint{ID: address.String(), Address: address, Notice: n}, found
+	return Endpoint{ID: address.String(), Address: address, Notice: n, Evacuated: f.evacuated[address]}, found && !f.gone[address]
 }
 
 // Register does nothing.
@@ -385,8 +411,10 @@
 // Dispatched does nothing.
 func (f *fakeFleet) Dispatched(*Dispatch, int) {}
 
-// RetryDecided does nothing.
-func (f *fakeFleet) RetryDecided(*Request, Endpoint, error, bool) {}
+// RetryDecided notes whether the request is sent again.
+func (f *fakeFleet) RetryDecided(_ *Request, _ Endpoint, _ error, again bool) {
+	f.decided = append(f.decided, again)
+}
 
 // CrashNoticed does nothing.
 func (f *fakeFleet) CrashNoticed(*Dispatch, int) {}
--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -37,41 +39,6 @@
 	}
 }
 
-// continueElsewhere returns a dispatch that continues the run at another endpoint after its stream has broken off; nil if that is not possible, or
-// if its former endpoint may still work on it.
-func (x *execution) continueElsewhere(d *Dispatch, stop stopState) *Dispatch {
-	if x.request.Engine == nil || x.ctx.Err() != nil || x.result.Restores >= maximumRestores {
-		return nil
-	}
-	if x.screening.Admit(x.ctx, x.spec.Deadline) != nil {
-		return nil
-	}
-	if stop == stopped || !x.request.Engine.Moves {
-		return x.restore(d)
-	}
-	slot, target, found := x.targetAfter(d)
-	if !found {
-		return nil
-	}
-	copied, state := x.stopFormer(d, target)
-	if state == FormerStopped && copied.Target == target.Address {
-		x.result.Restores++
-		return x.continueAt(d, &move{copy: copied, slot: slot, endpoint: target})
-	}
-	slot.Release(routing.OutcomeCancelled, time.Now())
-	if state == FormerUnknown {
-		return nil
-	}
-	if next := x.restore(d); next != nil {
-		return next
-	}
-	if state == FormerStopped && x.mayReturn(d.Endpoint, time.Now()) {
-		x.result.Restores++
-		return x.continueAt(d, &move{copy: copied, endpoint: d.Endpoint})
-	}
-	return nil
-}
-
 // endBeforeRepeat has the endpoint of a generation whose answer did not come end its run before the request runs again, as far as it can be asked.
 func (x *execution) endBeforeRepeat(d *Dispatch, err error) {
 	if x.request.Engine == nil || !x.request.Engine.Moves || isNotRun(err) || !x.mayRetry(err) {
@@ -94,11 +61,38 @@
 	if err != nil {
 		return nil, Endpoint{}, false
 	}
-	target, found := x.runner.Roster.At(x.request.Service, slot.Endpoint())
-	if !found {
-		slot.Release(routing.OutcomeCancelled, time.Now())
+	return x.lookUp(slot)
+}
+
+// targetForStop returns where the endpoint of a run whose stream has broken off is to copy the run's memory when it stops the run: an endpoint with
+// a slot, else one that is known to the run, since the call needs a target even if the run then continues at the endpoint itself. It waits for a
+// target if there is none; the run must not continue before it is stopped.
+func (x *execution) targetForStop(d *Dispatch) (*routing.Slot, Endpoint) {
+	latest := time.Now().Add(continuationWait)
+	for {
+		if slot, target, found := x.targetAfter(d); found {
+			return slot, target
+		}
+		if known := x.knownEndpoint(d); known.IsValid() {
+			return nil, Endpoint{Address: known}
+		}
+		if x.request.Route.Repeatable() || !time.Now().Before(latest) || wait.For(x.ctx, continuationPollInterval) != nil {
+			return nil, Endpoint{}
+		}
+	}
+}
+
+// knownEndpoint returns another endpoint that has, or may have, a memory of the run; the zero value if there is none.
+func (x *execution) knownEndpoint(d *Dispatch) netip.AddrPort {
+	known := append([]netip.AddrPort{d.Backup}, x.backups...)
+	if x.paused != nil {
+		known = append(known, x.paused.addresses()...)
+	}
+	at := slices.IndexFunc(known, func(a netip.AddrPort) bool { return a.IsValid() && a != d.Endpoint.Address })
+	if at < 0 {
+		return netip.AddrPort{}
 	}
-	return slot, target, found
+	return known[at]
 }
 
 // stopFormer has the former endpoint stop the run and copy its memory to the target. It asks again while the endpoint does not say what has become
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -32,8 +32,8 @@
 // move is a run that was stopped in order to continue from a copy of its memory.
 type move struct {
 	copy     Copy
-	slot     *routing.Slot // slot at the new endpoint; nil if the run continues at its former one
-	endpoint Endpoint      // endpoint at which the run continues
+	slot     *routing.Slot // slot at the new endpoint; nil if only the former one has the memory
+	endpoint Endpoint      // endpoint that has the copy
 }
 
 // startMover starts a mover that waits for the notice of the run's endpoint. A run that can't or needn't be moved gets an idle one.
@@ -211,24 +211,22 @@
 		return errors.Is(err, ErrNoRun), false
 	}
 	if err != nil {
-		// The run was stopped but its memory was not transferred, so the run continues at its former endpoint.
+		// The run was stopped but its memory was not transferred.
 		slot.Release(routing.OutcomeCancelled, time.Now())
-		if m.execution.mayReturn(m.from, time.Now()) {
-			m.moved = &move{copy: copied, endpoint: m.from}
-		}
+		m.moved = &move{copy: copied}
 		return false, true
 	}
 	m.moved = &move{copy: copied, slot: slot, endpoint: target}
 	return false, true
 }
 
-// mayReturn reports whether a request that continues the run may be sent to the run's former endpoint again.
-func (x *execution) mayReturn(former Endpoint, now time.Time) bool {
+// mayReceive reports whether a request that continues the run may be sent to an endpoint that has its memory.
+func (x *execution) mayReceive(endpoint Endpoint, now time.Time) bool {
 	drain := x.runner.Drain
-	if drain > 0 && former.Leaving() && !now.Before(former.Notice.At().Add(drain-returnMargin)) {
+	if drain > 0 && endpoint.Leaving() && !now.Before(endpoint.Notice.At().Add(drain-returnMargin)) {
 		return false
 	}
-	current, found := x.runner.Roster.At(x.request.Service, former.Address)
+	current, found := x.runner.Roster.At(x.request.Service, endpoint.Address)
 	return !found || !current.Evacuated
 }
 
@@ -257,16 +255,3 @@
 	defer cancel()
 	x.runner.Endpoints.Drop(ctx, copied)
 }
-
-// continueAt takes over the slot of a move and returns the dispatch with which the run continues.
-func (x *execution) continueAt(d *Dispatch, m *move) *Dispatch {
-	if m.slot != nil {
-		x.release(routing.OutcomeCancelled)
-		x.slot = m.slot
-	} else {
-		x.slot.Resend(time.Now())
-	}
-	next := *d
-	next.Endpoint, next.After, next.Copy = m.endpoint, x.lastEvent, &m.copy
-	return &next
-}
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -80,6 +80,7 @@
 	Endpoint       Endpoint
 	Deadline       time.Time
 	After          int64             // id of the event after which the answer starts; zero to start with the first event
+	Origin         Origin            // from which memory it continues the run
 	Copy           *Copy             // copy from which the run continues; nil for a new run
 	Choice         routing.Candidate // the router's assessment of the endpoint
 	ExpectedTokens float64           // predicted length of the output in tokens
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -82,8 +82,10 @@
 	begun          atomic.Bool  // the head of the answer was forwarded
 	dispatchEvents int          // events that the latest dispatch has received
 	screening      *quarantine.Screening
-	held           int         // bytes of buffered answers that the memory budget counts
-	kept           *keptAnswer // latest answer with an error status; nil if there is none
+	held           int              // bytes of buffered answers that the memory budget counts
+	kept           *keptAnswer      // latest answer with an error status; nil if there is none
+	paused         *pausedRun       // the run from when no endpoint works on it until one has made an event of it; else nil
+	backups        []netip.AddrPort // endpoints that may have a backup of the run, the newest first
 }
 
 // Run runs a request and sends its answer to the sink; the context must be done when the caller disconnects.
@@ -274,19 +276,6 @@
 	return isNotRun(err) && x.mayHaveRun == 0 || x.request.Route.Repeatable() && x.mayHaveRun < x.request.Route.Attempts
 }
 
-// exclude keeps the router from choosing an endpoint again.
-func (x *execution) exclude(address netip.AddrPort) {
-	x.spec.Exclude = append(x.spec.Exclude, address)
-}
-
-// release releases the slot if the request has one.
-func (x *execution) release(outcome routing.Outcome) {
-	if x.slot != nil {
-		x.slot.Release(outcome, time.Now())
-		x.slot = nil
-	}
-}
-
 // passHead has the head of the answer sent to the caller unless that has been done.
 func (x *execution) passHead(status int, header http.Header) {
 	if x.result.Begun {
--- a/protocol/relay/silence.go
+++ b/protocol/relay/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -138,11 +137,3 @@
 	x.runner.Observer.StreamSilent(d, copied.Created, x.receivedEvent.Load())
 	return true
 }
-
-// continueSilent returns a dispatch that continues a run elsewhere whose connection went silent before the head of the answer; nil if there is none.
-func (x *execution) continueSilent(d *Dispatch, err error) *Dispatch {
-	if !errors.Is(err, errSilent) || x.request.Route.Repeatable() {
-		return nil
-	}
-	return x.continueElsewhere(d, stopNotAsked)
-}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -12,6 +12,7 @@
 // sendStream dispatches a request whose events are forwarded as they are received, and continues its run at other endpoints if it is
 // moved or restored.
 func (x *execution) sendStream(d *Dispatch) error {
+	defer x.settle(false)
 	for {
 		d.ExpectedTokens = x.slot.Decision().ExpectedTokens
 		d.Backup = x.chooseBackup()
@@ -20,7 +21,6 @@
 			return err
 		}
 		d = next
-		x.result.Moves++
 	}
 }
 
@@ -37,7 +37,7 @@
 		silence.close()
 		err = silence.cause(err)
 		x.noteCrash(d, err, 0)
-		if next := x.continueSilent(d, err); next != nil {
+		if next := x.continueUntaken(d, err); next != nil {
 			return next, nil
 		}
 		x.endBeforeRepeat(d, err)
@@ -46,6 +46,9 @@
 	defer func() { _ = reply.Body.Close() }()
 	if !IsSuccess(reply.Status) || !reply.Signed || reply.Encoded {
 		silence.close()
+		if next := x.continueUntaken(d, invalidAnswer(reply)); next != nil {
+			return next, nil
+		}
 		return nil, x.handleInvalidStream(d, reply)
 	}
 	m := x.startMover(d)
@@ -57,6 +60,7 @@
 	}
 	switch {
 	case err == nil && move == nil:
+		x.settle(true)
 		x.release(routing.OutcomeFinished)
 		x.result.Outcome = OutcomeServed
 		x.screening.Answered(time.Now())
@@ -66,7 +70,10 @@
 		x.release(routing.OutcomeCancelled)
 		return nil, errCallerLeft
 	case move != nil:
-		return x.continueAt(d, move), nil
+		if next := x.continueMoved(d, move); next != nil {
+			return next, nil
+		}
+		return nil, x.handleStreamFailure(d, errStopped)
 	}
 	err = silence.cause(err)
 	x.noteCrash(d, err, x.dispatchEvents)
@@ -128,6 +135,7 @@
 	}
 	x.lastEventAt = now
 	x.result.Events++
+	x.settle(true)
 	if x.dispatchEvents++; x.dispatchEvents == answeredEvents {
 		x.screening.Begun(now)
 	}
@@ -140,10 +148,7 @@
 func (x *execution) handleInvalidStream(d *Dispatch, reply *Reply) error {
 	x.exclude(d.Endpoint.Address)
 	x.release(routing.OutcomeFailed)
-	failure := error(&statusError{reply.Status})
-	if IsSuccess(reply.Status) {
-		failure = errInvalidAnswer
-	}
+	failure := invalidAnswer(reply)
 	if x.result.Begun || IsSuccess(reply.Status) {
 		return failure
 	}
@@ -161,6 +166,14 @@
 	return nil
 }
 
+// invalidAnswer returns the error for an answer that is not a signed and unencoded stream with a success status.
+func invalidAnswer(reply *Reply) error {
+	if IsSuccess(reply.Status) {
+		return errInvalidAnswer
+	}
+	return &statusError{reply.Status}
+}
+
 // handleStreamFailure releases the slot after a stream that broke off, and returns the cause.
 func (x *execution) handleStreamFailure(d *Dispatch, err error) error {
 	if x.caller.Err() != nil {
