A run whose last copy got lost goes on from the copy before it

What callers saw: a stream without a backup was broken off when the answer to the last copy of a move was lost, or when its endpoint crashed before it, although the target held a copy that had been made some tenths of a second before.

Cause: the mover forgot each copy that it made while the run went on; only the last one's handle counted.

Change: the latest such copy is a memory of the paused run (origin `part`), tried after the backups, and only once the source has ended the run or can't be reached. What it lacks is read anew by its endpoint.

--- a/protocol/relay/continuation.go
+++ b/protocol/relay/continuation.go
@@ -34,7 +34,7 @@
 	case isNotRun(err):
 		next = x.continueRefused(d, err)
 	case !x.request.Route.Repeatable() && (d.Copy != nil || errors.Is(err, errSilent)):
-		next = x.continueElsewhere(d, stopNotAsked)
+		next = x.continueElsewhere(d, stopNotAsked, nil)
 	}
 	if next != nil {
 		x.runner.Observer.RetryDecided(x.request, d.Endpoint, err, true)
@@ -60,8 +60,8 @@
 }
 
 // continueElsewhere returns a dispatch that continues a run whose stream has broken off; nil if that is not possible, or if its endpoint may still work
-// on it.
-func (x *execution) continueElsewhere(d *Dispatch, stop stopState) *Dispatch {
+// on it. A part of the run may have been copied for a move.
+func (x *execution) continueElsewhere(d *Dispatch, stop stopState, part *move) *Dispatch {
 	if x.request.Engine == nil || x.ctx.Err() != nil || x.result.Restores >= maximumRestores {
 		return nil
 	}
@@ -82,6 +82,9 @@
 		return nil
 	}
 	x.pauseBroken(d, copied, state, slot, target)
+	if part != nil && state != FormerStopped {
+		x.paused.memories = append(x.paused.memories, &runMemory{origin: OriginPart, address: part.endpoint.Address, endpoint: part.endpoint, copy: part.copy})
+	}
 	next := x.resume(d)
 	if next != nil {
 		x.result.Restores++
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -22,6 +22,7 @@
 	group      conc.WaitGroup
 	cancel     context.CancelFunc
 	moved      *move     // set when the run was stopped to be moved
+	part       *move     // latest copy that was made while the run went on; without a slot
 	stopState  stopState // what is known of the stop of the run at its endpoint
 	unregister func()    // removes the run from the MoveScheduler; nil if the mover is idle
 	localOnly  bool      // the time left allows only copies within the data centre
@@ -198,6 +199,7 @@
 			m.execution.runner.Endpoints.Drop(ctx, copied)
 			return false, false
 		}
+		m.part = &move{copy: copied, endpoint: target}
 		if m.stop.ShouldStop(began, time.Now()) {
 			break
 		}
--- a/protocol/relay/paused.go
+++ b/protocol/relay/paused.go
@@ -18,6 +18,7 @@
 	OriginCopy   Origin = "copy"   // the endpoint has the complete copy of a move
 	OriginSource Origin = "source" // the endpoint has stopped the run and keeps its memory
 	OriginBackup Origin = "backup" // the endpoint has the backup, which may lack the end
+	OriginPart   Origin = "part"   // the endpoint has a copy that was made for a move while the run went on
 )
 
 // pausedRun is a run that no endpoint works on, with the memories that are left of it. They are kept until an endpoint has made an event of the run:
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -77,7 +77,7 @@
 	}
 	err = silence.cause(err)
 	x.noteCrash(d, err, x.dispatchEvents)
-	if next := x.continueElsewhere(d, stop); next != nil {
+	if next := x.continueElsewhere(d, stop, m.part); next != nil {
 		return next, nil
 	}
 	return nil, x.handleStreamFailure(d, err)
@@ -146,6 +146,7 @@
 // handleInvalidStream handles an answer that is not a signed and unencoded stream with a success status. An answer with an error status
 // is forwarded if no retry is allowed.
 func (x *execution) handleInvalidStream(d *Dispatch, reply *Reply) error {
+	x.settle(false)
 	x.exclude(d.Endpoint.Address)
 	x.release(routing.OutcomeFailed)
 	failure := invalidAnswer(reply)
