Runs go on when the catalogue drops their service

What callers saw: a stream in progress was cut when its endpoint left after a new version of the catalogue had dropped its service: no endpoint could take the run, although the service's endpoints were there.

Cause: the router's entry of the service was removed at once, and with it each slot for a move, a restore or a further copy.

Change: Router.HasRuns; an entry whose service is dropped stays, and follows the list of endpoints, until its runs have ended. No route leads to it, so new requests are refused as before; requests that wait in its queue are served instead of refused meanwhile.

--- a/coordination/routing/admission.go
+++ b/coordination/routing/admission.go
@@ -173,6 +173,7 @@
 		r.pool.backlogStarts++
 	}
 	r.phase, r.endpoint = phaseRunning, e
+	r.pool.running++
 	r.started, r.recordedAt = now, now
 	r.uncachedTokens = max(float64(r.promptTokens())-e.cache.Match(r.spec.Prefix)*blockTokens, 0)
 	r.expectFirstToken(e, now)
--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -125,6 +125,12 @@
 	c.releaseEndpoints(previous)
 }
 
+// HasRuns reports whether runs of an entry are in progress.
+func (c *Core) HasRuns(name string) bool {
+	p := c.pools[name]
+	return p != nil && p.running > 0
+}
+
 // RemoveEntry removes an entry; its queued requests are refused by the next Admit.
 func (c *Core) RemoveEntry(name string) {
 	if p := c.pools[name]; p != nil {
--- a/coordination/routing/pool.go
+++ b/coordination/routing/pool.go
@@ -16,6 +16,7 @@
 type pool struct {
 	entry           *catalogue.Entry
 	endpoints       []*endpointState
+	running         int       // runs in progress, at whatever endpoint
 	backlogged      bool      // a request found no room in the latest round of Admit; those that limits delay don't count
 	typicalMemory   int       // moving average of the KV memory of a request, in tokens
 	fullRound       uint64    // round of Admit in which no further requests of the entry are tried
--- a/coordination/routing/progress.go
+++ b/coordination/routing/progress.go
@@ -54,6 +54,7 @@
 	}
 	c.RecordProgress(r, now)
 	r.phase = phaseOver
+	r.pool.running--
 	r.pool.updateStartRate(now)
 	c.releaseBackup(r)
 	r.endpoint.removeRun(r)
--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -46,6 +46,13 @@
 	r.update(now, func(c *Core) { c.RemoveEntry(name) })
 }
 
+// HasRuns reports whether runs of an entry are in progress.
+func (r *Router) HasRuns(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.HasRuns(name)
+}
+
 // SetWorkspace adds a workspace or replaces its limits.
 func (r *Router) SetWorkspace(w *catalogue.Workspace, now time.Time) {
 	r.update(now, func(c *Core) { c.SetWorkspace(w) })
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -100,8 +100,8 @@
 	group            conc.WaitGroup
 	stop             context.CancelFunc
 
-	mutex         sync.Mutex      // serializes updates of table, catalogue and the router's entries
-	routerEntries map[string]bool // names of the router's entries
+	mutex         sync.Mutex                // serializes updates of table, catalogue and the router's entries
+	routerEntries map[string]*route.Service // services with an entry of the router
 }
 
 // New returns an instance that does nothing until Start is called.
@@ -113,7 +113,7 @@
 		evacuations:      evacuation.NewTable(),
 		memory:           memory.NewBudget(int64(heldMemoryFraction * float64(settings.MemoryBytes))),
 		sharers:          newSharers(settings.DataCentre),
-		routerEntries:    make(map[string]bool),
+		routerEntries:    make(map[string]*route.Service),
 		registered:       make(chan struct{}),
 		initialized:      make(chan struct{}),
 		restartCatalogue: make(chan struct{}, 1),
--- a/instance/hosted/entries.go
+++ b/instance/hosted/entries.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -16,8 +17,8 @@
 	i.updateRouter()
 }
 
-// updateRouter sets an entry of the router for each service and removes the others. It closes initialized once the endpoint list is
-// known as well. The caller must hold the mutex.
+// updateRouter sets an entry of the router for each service and removes the others, unless they have runs in progress, which may have to go on at
+// another endpoint. It closes initialized once the endpoint list is known as well. The caller must hold the mutex.
 func (i *Instance) updateRouter() {
 	table := i.table.Load()
 	if table == nil {
@@ -25,18 +26,17 @@
 	}
 	now := time.Now()
 	endpoints := i.roster.List()
-	for name, s := range table.Services {
-		i.routerEntries[name] = true
-		entry := i.entryOf(s, endpoints)
-		i.router.SetEntry(entry, now)
-		i.sharers.setEntry(entry)
-	}
-	for name := range i.routerEntries {
-		if table.Services[name] == nil {
+	maps.Copy(i.routerEntries, table.Services)
+	for name, s := range i.routerEntries {
+		if table.Services[name] == nil && !i.router.HasRuns(name) {
 			delete(i.routerEntries, name)
 			i.router.RemoveEntry(name, now)
 			i.sharers.removeEntry(name)
+			continue
 		}
+		entry := i.entryOf(s, endpoints)
+		i.router.SetEntry(entry, now)
+		i.sharers.setEntry(entry)
 	}
 	i.updateQuotas(now)
 	i.updateStandings(endpoints, now)
--- a/protocol/relay/continuation_test.go
+++ b/protocol/relay/continuation_test.go
@@ -168,6 +168,15 @@
 				return copied, err
 			}
 		}, true, "new run, source, copy", soon},
+		{"the target refuses and the source's data centre is evacuated", both(refuseMoved(1, errFakeRefused), func(f *fakeFleet) {
+			f.move = func(_ context.Context, from, to netip.AddrPort, last bool, _ func()) (Copy, error) {
+				copied, err := f.copyRun(from, to, last)
+				f.mutex.Lock()
+				defer f.mutex.Unlock()
+				f.evacuated[from] = last
+				return copied, err
+			}
+		}), true, "new run, copy, backup", soon},
 		{"the target's connection breaks before the head and it works on", func(f *fakeFleet) {
 			f.loses = func(netip.AddrPort) bool { return f.isSecondSend() }
 		}, true, "new run, copy, copy", soon},
