Late requests are judged by the engine that would take them

Callers whose requests came late to an instance that was being stopped had them taken and cut, although other instances could serve them.

Cause: the plan of the stop judged a request by the mean speed of its engines at the runs of this instance alone. A slow engine, runs of other instances and prompts that an engine is still processing were not seen, nor the expected wait in the queue.

Change: a request is judged for each engine: by the speed at its present batch, the prompts there, the end of a rest, and a margin for requests of other instances that are not reported yet; at submission with the expected wait, and again when it is to be sent, so that it goes only where it can end (verdict closing). Without a limit of the output 99% of the known lengths count in place of 95%: a route whose lengths are not known refuses all that comes late.

--- a/coordination/routing/admission.go
+++ b/coordination/routing/admission.go
@@ -36,7 +36,7 @@
 
 // refusalReason returns why a new request must be refused and when it may be retried; the reason is empty if the request can be queued.
 func (c *Core) refusalReason(r *Request, now time.Time) (Reason, time.Time) {
-	if c.draining || !c.mayFinish(r, now) {
+	if c.draining || !c.mayFinish(r, now, now) {
 		return ReasonDraining, now.Add(minimumRetryDelay)
 	}
 	if !r.pool.hasEndpointFor(r) {
@@ -45,6 +45,9 @@
 	r.decision.Ahead = c.queue.countAhead(r, func(f *flow) bool { return !c.withinLimits(f.first(), now) })
 	wait := c.expectedWait(r, now)
 	r.decision.ExpectedStart = now.Add(wait)
+	if !c.mayFinish(r, r.decision.ExpectedStart, now) {
+		return ReasonDraining, now.Add(minimumRetryDelay)
+	}
 	if c.queue.size >= c.config.QueueBound || c.queue.workspaceCounts[r.spec.Workspace] >= c.config.WorkspaceBound {
 		return ReasonQueueFull, now.Add(max(wait/2, minimumRetryDelay))
 	}
--- a/coordination/routing/choice.go
+++ b/coordination/routing/choice.go
@@ -26,7 +26,7 @@
 		e := endpoints[(offset+i)%len(endpoints)]
 		candidate := c.assess(r, e, &runProfile, remaining, now)
 		r.decision.addCandidate(candidate)
-		if candidate.Verdict == VerdictNoMemory || candidate.Verdict == VerdictExcluded {
+		if candidate.Verdict == VerdictNoMemory || candidate.Verdict == VerdictExcluded || candidate.Verdict == VerdictClosing {
 			appliesToAll = false
 		}
 		if candidate.Verdict != VerdictFits {
@@ -53,6 +53,10 @@
 	if candidate.Verdict != "" {
 		return candidate
 	}
+	if !c.mayFinishAt(r, e, now, now) {
+		candidate.Verdict = VerdictClosing
+		return candidate
+	}
 	share := e.currentShare(c.config.Instances, now)
 	if e.running() >= share.Slots {
 		candidate.Verdict = VerdictNoSlots
--- a/coordination/routing/closing_test.go
+++ b/coordination/routing/closing_test.go
@@ -50,6 +50,50 @@
 		c.SetClosing(now)
 		is.True(c.Place(long(), now).Running())
 	})
+	t.Run("a request whose answer has begun is not refused", func(t *testing.T) {
+		is := is.New(t)
+		c := newCore(1, 8, 1<<20, now)
+		c.SetClosing(now)
+		begun := long()
+		begun.Begun = true
+		c.Submit(begun, now)
+		started := c.Admit(now)
+		is.Equal(len(started), 1)
+		is.True(started[0].Running())
+	})
+	t.Run("a request is not sent to an endpoint where it can't end in time, however that is chosen otherwise", func(t *testing.T) {
+		is := is.New(t)
+		c := newCore(2, 8, 1<<20, now)
+		for range 200 {
+			c.endpoints[address(1)].speed.Observe(1, 100*time.Millisecond)
+			c.endpoints[address(2)].speed.Observe(1, 5*time.Millisecond)
+		}
+		c.SetClosing(now.Add(3 * time.Second))
+		for range 3 {
+			r := c.Submit(&RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 100}, now)
+			is.Equal(len(c.Admit(now)), 1)
+			is.Equal(r.Endpoint(), address(2))
+		}
+		c.SetLeaving(address(2), true)
+		r := c.Submit(&RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 100}, now)
+		is.Equal(r.Refusal().Reason, ReasonDraining)
+	})
+	t.Run("prompts that an endpoint is processing count", func(t *testing.T) {
+		is := is.New(t)
+		c := newCore(1, 8, 1<<20, now)
+		c.SetClosing(now.Add(3 * time.Second))
+		c.SetPeerLoad(PeerLoad{Endpoint: address(1), Runs: 4, Prompts: 4, PromptTokens: 40_000}, now)
+		is.Equal(c.Submit(short(), now).Refusal().Reason, ReasonDraining)
+	})
+	t.Run("what waits for the end of a rest is judged by that", func(t *testing.T) {
+		is := is.New(t)
+		c := newCore(1, 8, 1<<20, now)
+		c.SetClosing(now.Add(5 * time.Second))
+		c.SetResting(address(1), now.Add(2*time.Second))
+		is.True(c.Submit(short(), now).Refusal() == nil)
+		c.SetResting(address(1), now.Add(4500*time.Millisecond))
+		is.Equal(c.Submit(short(), now).Refusal().Reason, ReasonDraining)
+	})
 	t.Run("requests of plain services are judged by their target", func(t *testing.T) {
 		is := is.New(t)
 		c := NewCore(Config{})
--- a/coordination/routing/constants.go
+++ b/coordination/routing/constants.go
@@ -54,8 +54,9 @@
 	typicalMemorySamples    = 8                      // requests that the moving average of memory per request covers
 	maximumLimiters         = 8192
 	defaultTokenTime        = 30 * time.Millisecond  // time between tokens when no endpoint is known
-	longAnswerProbability   = 0.95                   // of answers that end in the time which is taken to be the longest
-	slowAnswerFactor        = 1.5                    // ratio of that time to the one at the mean speed of the endpoints
+	longAnswerProbability   = 0.99                   // of answers that end in the time which is taken to be the longest
+	slowAnswerFactor        = 2.0                    // ratio of that time to the one at the present speed of an engine
+	busyAnswerMargin        = 300 * time.Millisecond // added to that time for requests of other instances that this one does not know of yet
 	plainAnswerFactor       = 2                      // ratio of that time of a plain service's answers to their target
 	minimumPlainAnswer      = 600 * time.Millisecond // the least that it is taken to be
 )
--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -28,6 +28,7 @@
 	VerdictEjected     Verdict = "ejected"
 	VerdictRateLimited Verdict = "rateLimited" // the endpoint limits the rate of requests, and there is no permit
 	VerdictResting     Verdict = "resting"     // the endpoint has asked for rest
+	VerdictClosing     Verdict = "closing"     // the answer is not likely to end there before the instance closes
 	VerdictNoSlots     Verdict = "slots"
 	VerdictNoMemory    Verdict = "memory"
 )
--- a/coordination/routing/spec.go
+++ b/coordination/routing/spec.go
@@ -16,6 +16,7 @@
 	MaximumTokens       int              // limit on output tokens set by the caller; zero: none
 	GeneratedTokens     int              // output tokens that the run has already produced at another endpoint
 	Prefix              []uint64         // chained hashes of the prompt's blocks; see endpoint.Blocks
+	Begun               bool             // an endpoint may have run it, or its answer has begun: it is not refused because the instance closes
 	MovableRuns         int              // runs that can be moved off an endpoint at short notice; zero: any number
 	PreferredEndpoint   netip.AddrPort   // endpoint that Place chooses if it is eligible
 	PreferredDataCentre string           // empty: the instance's own
