A stop does not refuse the continuation of a begun stream

Callers of a resumable stream that broke off during a stop had it broken off for good, and callers of a request that may have run got 502, although an endpoint could go on with it.

Cause: another attempt passes the same rule as a new request: not likely to end before the instance closes. For a request that has not run the refusal is true and another instance serves it; for one that has begun it is the cut itself.

Change: an attempt after the first byte of the answer, or after one that may have run, says so, and the rule leaves it alone.

Measured: TestStopRefusesStreamThatHasBegun before: 'unexpected EOF' after one event; now all 400 events. Moves and restores take their place without the rule (Place); TestClosing has that already.

--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -193,6 +193,7 @@
 
 // acquire waits for a slot. Endpoints that failed or refused are tried again after a pause if no other endpoint is available.
 func (x *execution) acquire() error {
+	x.spec.Begun = x.mayHaveRun > 0 || x.result.Begun
 	slot, err := x.runner.Router.Acquire(x.ctx, &x.spec)
 	if refusal, ok := errors.AsType[*routing.RefusalError](err); ok && refusal.MayPassWithoutExclusions() && len(x.spec.Exclude) > 0 {
 		if err := wait.For(x.ctx, x.refusalPause()); err != nil {
