A connection is closed in order, whatever its caller has sent behind its request

Callers who had sent bytes behind their request (a second request, more than they had announced, a body that a refusal did not wait for) and read slowly got a reset in the middle of an answer that was whole.

Cause: the kernel answers the close of a socket with unread bytes with a reset, and drops what the caller has not taken. net/http reads on in one case only (a body of more than 256 KiB that was not read), where it waits half a second without reading.

Change: a connection is closed for writing first; after an answer, what comes is read and discarded until the caller closes, for 0.5 s at most and not beyond the end of a stop; what has come by then is read without waiting; then it is closed.

Left: bytes that come after the process has ended still reset a connection that has not been emptied.

--- a/instance/hosted/connection.go
+++ b/instance/hosted/connection.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -20,8 +21,9 @@
 // callerConnection is a caller's connection, which is either read or closed as idle, never both.
 type callerConnection struct {
 	*net.TCPConn
-	accepted time.Time
-	state    atomic.Int32
+	connections *connections
+	accepted    time.Time
+	state       atomic.Int32
 }
 
 // Read reads from the connection. What has come on a connection that has been closed as idle meanwhile is not returned, so that it is not acted on.
@@ -60,6 +62,38 @@
 	}
 }
 
+// Close closes the connection in order: what the caller has sent behind its request is read and discarded, for some time if an answer has just been sent,
+// since the kernel would drop what the caller has not taken of the answer if anything remained unread.
+func (c *callerConnection) Close() error {
+	_ = c.CloseWrite() // it may be closed already
+	if c.state.Swap(connectionClosed) == connectionBusy {
+		if err := c.SetReadDeadline(c.connections.latestClose(time.Now())); err == nil {
+			_, _ = io.Copy(io.Discard, reader{c.TCPConn}) // until the caller has closed it too
+		}
+	}
+	c.discard()
+	return c.TCPConn.Close()
+}
+
+// reader hides all methods of a connection but Read.
+type reader struct{ io.Reader }
+
+// discard reads what has come, without waiting.
+func (c *callerConnection) discard() {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	var buffer [4096]byte
+	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
+		for range maximumDiscards {
+			if n, err := syscall.Read(int(fd), buffer[:]); n <= 0 || err != nil {
+				return
+			}
+		}
+	})
+}
+
 // widen has the kernel take more of an answer that the caller reads slowly. It goes on sending that once the process has ended.
 func (c *callerConnection) widen() {
 	if c.state.Load() != connectionBusy {
--- a/instance/hosted/connections.go
+++ b/instance/hosted/connections.go
@@ -14,7 +14,8 @@
 // connections holds the callers' connections. An instance that is stopped closes each of them only while nothing has been read on it since its latest
 // answer: the server itself would also close connections on which a request is being read.
 type connections struct {
-	stopping atomic.Bool // connections are closed after their answers
+	stopping atomic.Bool               // connections are closed after their answers
+	until    atomic.Pointer[time.Time] // when all connections are closed; nil: not known
 
 	mutex sync.Mutex
 	open  map[*callerConnection]bool
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConnection{TCPConn: accepted.(*net.TCPConn), accepted: time.Now()}
+	c := &callerConnection{TCPConn: accepted.(*net.TCPConn), connections: l.connections, accepted: time.Now()}
 	l.connections.add(c)
 	return c, nil
 }
@@ -87,12 +88,26 @@
 	})
 }
 
-// stop closes the connections that wait for another request. All others are closed once they have been answered, or if their first request does not come.
-func (c *connections) stop() {
+// stop closes the connections that wait for another request. All others are closed once they have been answered, or if their first request does not come,
+// and all at the given time.
+func (c *connections) stop(until time.Time) {
+	c.until.Store(&until)
 	c.stopping.Store(true)
 	c.closeIdle(time.Now())
 }
 
+// latestClose returns the time until which the close of a connection waits for its caller.
+func (c *connections) latestClose(now time.Time) time.Time {
+	latest := now.Add(lingerTime)
+	if until := c.until.Load(); until != nil && until.Before(latest) {
+		return *until
+	}
+	return latest
+}
+
+// cut has no close of a connection wait any more.
+func (c *connections) cut(now time.Time) { c.until.Store(&now) }
+
 // closeIdle closes the connections on which no request is in progress or expected, and reports whether none is left.
 func (c *connections) closeIdle(now time.Time) bool {
 	c.mutex.Lock()
--- a/instance/hosted/connections_test.go
+++ b/instance/hosted/connections_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -36,6 +38,7 @@
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = s.server.Serve(s.listener) })
 	t.Cleanup(func() {
+		c.cut(time.Now())
 		_ = s.server.Close()
 		serving.Wait()
 	})
@@ -91,7 +94,7 @@
 		for answered.Load() < callers*4 {
 			time.Sleep(time.Millisecond)
 		}
-		s.stop()
+		s.stop(time.Now().Add(time.Minute))
 		_ = s.listener.Close()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		is.NoErr(s.awaitEnd(ctx))
@@ -122,10 +125,33 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			s := startCallerServer(t, func(http.ResponseWriter, *http.Request) {})
-			connection := &callerConnection{TCPConn: s.dial(t).(*net.TCPConn), accepted: now}
+			connection := &callerConnection{TCPConn: s.dial(t).(*net.TCPConn), connections: s.connections, accepted: now}
 			c.before(connection)
 			connection.closeIdle(now.Add(c.after))
 			is.Equal(connection.begin(), !c.closed)
 		})
 	}
 }
+
+// An answer to a request whose body is not read must reach a caller that sends the whole body before it reads.
+func TestAnswerBeforeBodyIsLost(t *testing.T) {
+	const size = 30 << 10
+	for _, body := range []int{1 << 10, 128 << 10, 16 << 20} {
+		t.Run(fmt.Sprint(body, " bytes"), func(t *testing.T) {
+			is := is.New(t)
+			s := startCallerServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Connection", "close")
+				_, _ = io.WriteString(w, strings.Repeat("x", size))
+			})
+			c := dialNarrow(t, s.listener.Addr().String())
+			_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+			_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", body, strings.Repeat("b", body))
+			t.Log("sent:", err)
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			got, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(len(got), size)
+		})
+	}
+}
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -10,8 +10,10 @@
 	firstRequestTime       = 5 * time.Second       // for which an instance that is stopped waits for the first request on a connection
 	connectionPollInterval = 20 * time.Millisecond // between checks whether requests are in progress, of an instance that is stopped
 
-	lastSendBytes   = 1 << 20   // of an answer that the kernel takes at least, at the end of a stop; the system may allow less
-	enoughSendBytes = 400 << 10 // that are left as they are: a system may allow no more to be set
+	lingerTime      = 500 * time.Millisecond // for which the close of a connection waits for its caller's
+	maximumDiscards = 256                    // reads of bytes that are discarded before a connection is closed without waiting
+	lastSendBytes   = 1 << 20                // of an answer that the kernel takes at least, at the end of a stop; the system may allow less
+	enoughSendBytes = 400 << 10              // that are left as they are: a system may allow no more to be set
 
 	queueTickInterval      = 50 * time.Millisecond   // between two ticks while requests wait for a place
 	idleTickInterval       = 200 * time.Millisecond  // between two ticks otherwise
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -248,6 +248,7 @@
 func (i *Instance) Close() {
 	i.close()
 	i.stop()
+	i.connections.cut(time.Now())
 	_ = i.callerServer.Close()
 	_ = i.readinessServer.Close()
 	_ = i.metricsServer.Close()
--- a/instance/hosted/unread_test.go
+++ b/instance/hosted/unread_test.go
@@ -17,9 +17,9 @@
 	"dogwooddyke/platform/standin"
 )
 
-// connectNarrow is connect over a link with small segments, of which the caller holds little: what it does not read remains at the instance.
-func (f *fleet) connectNarrow(i *Instance) *connection {
-	f.t.Helper()
+// dialNarrow connects over a link with small segments, of which the caller holds little: what it does not read remains at the server.
+func dialNarrow(t *testing.T, address string) *connection {
+	t.Helper()
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		var failed error
 		err := raw.Control(func(fd uintptr) {
@@ -30,12 +30,12 @@
 		})
 		return errors.Join(err, failed)
 	}}
-	c, err := dialer.Dial("tcp", i.settings.Callers.String())
+	c, err := dialer.Dial("tcp", address)
 	if err != nil {
-		f.t.Fatal(err)
+		t.Fatal(err)
 	}
-	f.t.Cleanup(func() { _ = c.Close() })
-	return &connection{f.t, c}
+	t.Cleanup(func() { _ = c.Close() })
+	return &connection{t, c}
 }
 
 // signed begins the answer of a test's own endpoint.
@@ -50,9 +50,12 @@
 	for _, c := range []struct {
 		name, method, path, further string
 		events                      bool
+		behind                      string // that the caller sends behind its request
 	}{
-		{"whole answer", "GET", "/read/", "", false},
-		{"stream", "POST", "/long/", standin.HeaderTokens + ": 100,600\r\nContent-Length: 0\r\n", true},
+		{"whole answer", "GET", "/read/", "", false, ""},
+		{"stream", "POST", "/long/", standin.HeaderTokens + ": 100,600\r\nContent-Length: 0\r\n", true, ""},
+		{"whole answer, another request behind it", "GET", "/read/", "", false, headOf("GET", "/read/", "behind", "")},
+		{"stream, bytes behind it", "POST", "/long/", standin.HeaderTokens + ": 100,600\r\nContent-Length: 0\r\n", true, "more than was announced"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -80,9 +83,10 @@
 			i := f.startInstance()
 			f.awaitReady(i)
 			f.eventually("endpoints", func() bool { return len(i.roster.List()) == 2 })
-			caller := f.connectNarrow(i)
+			caller := dialNarrow(t, i.settings.Callers.String())
 			caller.write(headOf(c.method, c.path, "slow", c.further))
 			<-made
+			caller.write(c.behind) // the instance has read up to here
 			i.Drain()
 			i.Close()
 			_ = caller.SetReadDeadline(time.Now().Add(20 * time.Second))
