A late attempt is given up only for a repeat that has a place and a permit

What callers saw: a request that may be repeated, at an endpoint that is slow, got 502 or 504 at 1.6 times the route's target (a resumable stream broke off after 2 s without an event), although the endpoint was about to answer: the retry budget was used up, no other endpoint had a place, or the instance was being stopped and the router refused the repeat.

Cause: the attempt was cancelled by its own deadline, and only then were the retry budget and the router asked.

Change: one mechanism for whole answers and resumable streams. The silence timer asks before it cancels (repeat.go): quarantine, budget, a place from the router (which refuses what can't end before a stop), then the permit. What it gets is kept for the repeat, or given back if the answer comes all the same. Without it the attempt goes on, and is asked for each 0.25 s. A repeat at the same endpoint, which loses what that has done, is left until the last moment of use.

Failing before (TestSilentAttemptGivenUpWithoutRepeat; each case for a whole answer and for a resumable stream): retry budget used up: unknown != served no place soon: unknown != served repeat refused by the router: unknown != served no other endpoint: 3 sends != 1 repeat could not end before the instance closes: unknown != served TestSilentAttemptIsRepeated (elsewhere) passed before and after: in virtual time the repeat is sent at 1.6 s (target 1 s) and 2 s (stream) as it was. "Once the budget allows it" failed before (unknown != served). TestReservedRepeatIsLost fails without either check that gives back. 20 runs of the package with -race pass.

The fake endpoint's pause ends with its connection, and it can delay the head of an answer; the timer's lock is a channel, so that virtual time goes on under it.

--- a/protocol/relay/budget.go
+++ b/protocol/relay/budget.go
@@ -36,6 +36,33 @@
 func (b *Budget) Take(limits RetryLimits, now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if !b.allows(limits, now) {
+		return false
+	}
+	b.retries[b.bucketIndex%bucketCount]++
+	return true
+}
+
+// Return takes back the latest retry that was counted, since it was not made.
+func (b *Budget) Return() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for n := range int64(bucketCount) {
+		if i := (b.bucketIndex - n + bucketCount) % bucketCount; b.retries[i] > 0 {
+			b.retries[i]--
+			return
+		}
+	}
+}
+
+// Allows reports whether the limits allow a retry.
+func (b *Budget) Allows(limits RetryLimits, now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.allows(limits, now)
+}
+
+func (b *Budget) allows(limits RetryLimits, now time.Time) bool {
 	b.advance(limits.Window, now)
 	requests, retries := 0, 0
 	for i := range b.requests {
@@ -43,11 +70,7 @@
 		retries += b.retries[i]
 	}
 	allowed := limits.Ratio*float64(requests) + float64(limits.Extra)/float64(max(limits.Instances, 1))
-	if float64(retries+1) > usableBudgetFraction*allowed {
-		return false
-	}
-	b.retries[b.bucketIndex%bucketCount]++
-	return true
+	return float64(retries+1) <= usableBudgetFraction*allowed
 }
 
 // advance moves the window forward to the given time and clears the buckets that are reused.
--- a/protocol/relay/buffered.go
+++ b/protocol/relay/buffered.go
@@ -16,14 +16,18 @@
 // sendBuffered dispatches a request whose answer is buffered completely before it is forwarded, so that the request can still be sent
 // again if the answer breaks off.
 func (x *execution) sendBuffered(d *Dispatch) error {
-	ctx, cancel := context.WithDeadline(x.ctx, x.attemptDeadline())
+	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
+	late := x.startHedgeTimer(d, cancel)
+	defer late.close()
 	reply, err := x.send(ctx, d)
 	if err != nil {
+		late.close()
 		return x.handleFailure(ctx, d, err)
 	}
 	defer func() { _ = reply.Body.Close() }()
 	body, err := x.readBody(reply)
+	late.close()
 	if err != nil || reply.Encoded || IsSuccess(reply.Status) && !reply.Signed {
 		if err == nil {
 			err = errInvalidAnswer
@@ -92,14 +96,13 @@
 	return nil
 }
 
-// attemptDeadline returns the deadline of one dispatch: earlier than the request's if the request may still be sent to another endpoint.
-func (x *execution) attemptDeadline() time.Time {
+// startHedgeTimer starts a timer that calls cancel once a whole answer is late and its request can be sent to another endpoint.
+func (x *execution) startHedgeTimer(d *Dispatch, cancel func()) *silenceTimer {
 	timeout := time.Duration(hedgeTargetFactor * float64(x.request.Route.Target))
-	deadline := time.Now().Add(timeout)
-	if !x.request.Route.Repeatable() || x.mayHaveRun+1 >= x.request.Route.Attempts || timeout == 0 || deadline.After(x.request.Deadline) {
-		return x.request.Deadline
+	if timeout == 0 || !x.mayRepeatSilent() || time.Now().Add(timeout).After(x.request.Deadline) {
+		return &silenceTimer{}
 	}
-	return deadline
+	return x.startCheckedTimer(timeout, repeatPause, cancel, x.newReserver(d, timeout).reserve)
 }
 
 // handleFailure releases the slot after a dispatch without a valid answer, and returns the cause.
--- a/protocol/relay/constants.go
+++ b/protocol/relay/constants.go
@@ -11,13 +11,14 @@
 	lateDelivery       = time.Second           // after a request's deadline, for which its caller may still read what is held
 	firstHeldBytes     = 4 << 10               // that are held at least for an answer that is buffered
 
-	maximumNotRun        = 3   // dispatches of one request that reached endpoints, which certainly did not run them
-	maximumUnreached     = 12  // dispatches of one request that did not reach an endpoint
-	streamStartFraction  = 0.6 // part of a request's time within which a generation must have started
-	plainStartFraction   = 0.9 // part of a request's time within which a plain request must have been sent
-	answeredEvents       = 2   // events of a stream after which its endpoint counts as having survived the begin of the answer
-	hedgeTargetFactor    = 1.6 // multiple of the route's target after which a repeatable request is sent to another endpoint
-	usableBudgetFraction = 0.7 // part of the retry budget that an instance uses, since it counts only its own requests and retries
+	maximumNotRun        = 3                      // dispatches of one request that reached endpoints, which certainly did not run them
+	maximumUnreached     = 12                     // dispatches of one request that did not reach an endpoint
+	streamStartFraction  = 0.6                    // part of a request's time within which a generation must have started
+	plainStartFraction   = 0.9                    // part of a request's time within which a plain request must have been sent
+	answeredEvents       = 2                      // events of a stream after which its endpoint counts as having survived the begin of the answer
+	hedgeTargetFactor    = 1.6                    // multiple of the route's target after which a repeatable request is sent to another endpoint
+	repeatPause          = 250 * time.Millisecond // between two requests for the place of a repeat, for which each waits at most
+	usableBudgetFraction = 0.7                    // part of the retry budget that an instance uses, since it counts only its own requests and retries
 
 	moveAttempts          = 6                      // attempts to move a run before it stays where it is; each is to another endpoint, unless the run had not started
 	remoteCopyCost        = 1.0                    // seconds that a copy to another data centre takes longer than one within a data centre
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -17,6 +17,7 @@
 
 	"dogwooddyke/coordination/handover"
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/catalogue"
 	"dogwooddyke/state/endpoint"
 	"dogwooddyke/state/route"
@@ -74,6 +75,8 @@
 	loses func(address netip.AddrPort) bool
 	// hides says whether the connection to an endpoint goes silent before the head of the answer.
 	hides func(address netip.AddrPort) bool
+	// delays says how long an endpoint works before the head of its answer.
+	delays func(address netip.AddrPort) time.Duration
 	// pauses says after which event an endpoint makes none for a while; zero: never.
 	pauses  func(address netip.AddrPort) (after int64, pause time.Duration)
 	crashed func(address netip.AddrPort) bool
@@ -226,6 +229,15 @@
 		f.mutex.Lock()
 		return nil, ctx.Err()
 	}
+	if f.delays != nil {
+		f.mutex.Unlock()
+		err := wait.For(ctx, f.delays(d.Endpoint.Address))
+		f.mutex.Lock()
+		if err != nil {
+			r.stop()
+			return nil, err
+		}
+	}
 	reader, writer := io.Pipe()
 	go f.stream(ctx, d, r, writer)
 	return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Unframed: f.framing == unframed, Body: reader}, nil
@@ -246,6 +258,10 @@
 		pauseAfter, pause = f.pauses(d.Endpoint.Address)
 	}
 	for n := d.After + 1; n <= f.events; n++ {
+		next := fakeEventPause
+		if pauseAfter > 0 && n == pauseAfter+1 {
+			next += pause
+		}
 		select {
 		case <-r.stopped:
 			if silentAfter != 0 {
@@ -259,10 +275,7 @@
 			}
 			_ = w.CloseWithError(ctx.Err())
 			return
-		case <-time.After(fakeEventPause):
-		}
-		if pauseAfter > 0 && n == pauseAfter+1 {
-			time.Sleep(pause)
+		case <-time.After(next):
 		}
 		f.mutex.Lock()
 		r.made = n
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -71,6 +71,7 @@
 	ctx            context.Context // done when the caller disconnects, at the request's deadline or, with the cause errClosing, when the instance closes
 	spec           routing.RequestSpec
 	slot           *routing.Slot
+	repeat         *routing.Slot // reserved for a repeat that the retry budget has counted; nil if there is none
 	result         Result
 	unreached      int          // dispatches that did not reach an endpoint
 	notRun         int          // dispatches that endpoints refused to run
@@ -119,6 +120,7 @@
 	}
 	r.Budgets.Of(request.Service).CountRequest(r.RetryLimits().Window, time.Now())
 	x.run()
+	x.dropRepeat()
 	x.finish()
 	return x.result
 }
@@ -191,8 +193,13 @@
 	}
 }
 
-// acquire waits for a slot. Endpoints that failed or refused are tried again after a pause if no other endpoint is available.
+// acquire takes the slot that is reserved, or waits for one. Endpoints that failed or refused are tried again after a pause if no other endpoint is
+// available.
 func (x *execution) acquire() error {
+	if x.repeat != nil {
+		x.slot, x.repeat = x.repeat, nil
+		return nil
+	}
 	slot, err := x.runner.Router.Acquire(x.ctx, &x.spec)
 	if refusal, ok := errors.AsType[*routing.RefusalError](err); ok && refusal.MayPassWithoutExclusions() && len(x.spec.Exclude) > 0 {
 		if err := wait.For(x.ctx, x.refusalPause()); err != nil {
@@ -258,7 +265,7 @@
 // shouldRetry reports whether a failed request is sent again. A dispatch that did not reach an endpoint put no load on it, so the retry
 // does not count against the retry budget.
 func (x *execution) shouldRetry(err error) bool {
-	allowed := x.mayRetry(err) && (isUnreached(err) || x.runner.Budgets.Of(x.request.Service).Take(x.runner.RetryLimits(), time.Now()))
+	allowed := x.mayRetry(err) && (x.repeat != nil || isUnreached(err) || x.runner.Budgets.Of(x.request.Service).Take(x.runner.RetryLimits(), time.Now()))
 	x.runner.Observer.RetryDecided(x.request, x.result.Endpoint, err, allowed)
 	return allowed
 }
--- a/protocol/relay/silence.go
+++ b/protocol/relay/silence.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,61 +10,76 @@
 	"dogwooddyke/internal/wait"
 )
 
-// silenceTimer cancels the reading of a stream when no event has come for the timeout and the stream is found to be silent. Time in which the caller
-// is slow to read does not count. Without a timer it does nothing.
+// silenceTimer cancels the reading of an answer when no event has come for the timeout and a check allows it. Time in which the caller is slow to read
+// does not count. Without a timer it does nothing.
 type silenceTimer struct {
 	timer    *time.Timer // nil if the silence of the endpoint is not limited
 	timeout  time.Duration
+	pause    time.Duration // between two checks of one silence
 	cancel   func()
-	endCheck context.CancelFunc // ends a check in progress; nil if every silence counts
-	isSilent func() bool        // checks whether the stream is silent, rather than its endpoint slow; nil: every silence counts
+	endCheck context.CancelFunc // ends a check in progress; nil if there are none
+	check    func() bool        // reports whether the attempt may be given up; nil: always
 
-	reads   atomic.Int64 // events that were waited for
-	paused  atomic.Bool  // no event is waited for, since the caller is slow
-	expired atomic.Bool  // whether the timer has cancelled the read
-	mutex   sync.Mutex   // held during a check
+	reads   atomic.Int64  // events that were waited for
+	paused  atomic.Bool   // no event is waited for, since the caller is slow
+	expired atomic.Bool   // whether the timer has cancelled the read
+	held    chan struct{} // holds a value during a check; it guards closed
 	closed  bool
 }
 
-// startSilenceTimer starts a timer that calls cancel. A resumable stream is continued elsewhere after any silence, if the request has another attempt
-// left; any other run that can be moved only if its endpoint has made events which do not arrive.
+// startSilenceTimer starts a timer that calls cancel. A stream that may be repeated is given up after any silence once a repeat is certain; a run that
+// can be moved also if its endpoint has made events which do not arrive.
 func (x *execution) startSilenceTimer(d *Dispatch, cancel func()) *silenceTimer {
-	s := &silenceTimer{}
+	moves := x.request.Engine != nil && x.request.Engine.Moves
 	switch {
-	case x.request.Route.Resumable && x.mayHaveRun+1 < x.request.Route.Attempts:
-		s.start(max(x.request.Route.Target, minimumSilenceTimeout), cancel)
-	case !x.request.Route.Resumable && x.request.Engine != nil && x.request.Engine.Moves:
-		ctx, endCheck := context.WithCancel(x.ctx)
-		s.endCheck = endCheck
-		s.isSilent = func() bool { return x.missesEvents(ctx, d, s) }
-		s.start(minimumSilenceTimeout, cancel)
+	case x.mayRepeatSilent():
+		timeout := max(x.request.Route.Target, minimumSilenceTimeout)
+		return x.startCheckedTimer(timeout, repeatPause, cancel, x.newReserver(d, timeout).reserve)
+	case !x.request.Route.Resumable && moves:
+		check := func(ctx context.Context, s *silenceTimer) bool { return x.missesEvents(ctx, d, s) }
+		return x.startCheckedTimer(minimumSilenceTimeout, minimumSilenceTimeout, cancel, check)
+	default:
+		return &silenceTimer{}
 	}
+}
+
+// startCheckedTimer starts a timer that calls cancel if the check allows it; the check is repeated after each pause.
+func (x *execution) startCheckedTimer(timeout, pause time.Duration, cancel func(), check func(ctx context.Context, s *silenceTimer) bool) *silenceTimer {
+	ctx, endCheck := context.WithCancel(x.ctx)
+	s := &silenceTimer{pause: pause, endCheck: endCheck}
+	s.check = func() bool { return check(ctx, s) && ctx.Err() == nil }
+	s.start(timeout, cancel)
 	return s
 }
 
 // start starts the timer, which calls cancel.
 func (s *silenceTimer) start(timeout time.Duration, cancel func()) {
+	s.held = make(chan struct{}, 1)
+	s.hold()
+	defer s.free()
 	s.timeout, s.cancel = timeout, cancel
 	s.timer = time.AfterFunc(timeout, s.expire)
 }
 
-// expire cancels the read if the stream is silent, and else starts the timeout again.
+// hold waits for the end of a check in progress.
+func (s *silenceTimer) hold() { s.held <- struct{}{} }
+
+func (s *silenceTimer) free() { <-s.held }
+
+// expire cancels the read if the check allows it, and else checks again after the pause.
 func (s *silenceTimer) expire() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.hold()
+	defer s.free()
 	if s.closed || s.paused.Load() {
 		return
 	}
 	read := s.reads.Load()
-	if s.isSilent != nil && !s.isSilent() {
+	if s.check != nil && !s.check() {
 		if s.reads.Load() == read {
-			s.timer.Reset(s.timeout)
+			s.timer.Reset(s.pause)
 		}
 		return
 	}
-	if s.reads.Load() != read {
-		return
-	}
 	s.expired.Store(true)
 	s.cancel()
 }
@@ -96,8 +110,8 @@
 	if s.endCheck != nil {
 		s.endCheck()
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.hold()
+	defer s.free()
 	s.closed = true
 	s.timer.Stop()
 }
