A silent connection is given up only once its run can continue without it

What callers saw: a stream whose connection to its endpoint carried nothing for 2 s was broken off at the caller, though the endpoint went on making it and the connection came back some seconds later. A resumable stream on such a connection waited for its deadline in its last attempt.

Cause: the connection was closed when events were found missing, and only then was its endpoint asked to stop the run; nothing was left when it did not say, when no endpoint took the run, or when the run had continued elsewhere as often as it may. Resumable streams were given up for a repeat only.

A stop of unknown outcome counts for the end of an unframed stream. The same check serves resumable streams that get no repeat.

--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -71,6 +71,8 @@
 	breaks func(address netip.AddrPort) (after int64, worksOn bool)
 	// silences says after which event the connection of a stream carries nothing any more; zero: never.
 	silences func(address netip.AddrPort) int64
+	// returns says how long after that the connection carries everything that was made; zero: never.
+	returns func(address netip.AddrPort) time.Duration
 	// loses says whether an endpoint runs a request and its answer is lost.
 	loses func(address netip.AddrPort) bool
 	// hides says whether the connection to an endpoint goes silent before the head of the answer.
@@ -253,6 +255,10 @@
 	if f.silences != nil {
 		silentAfter = f.silences(d.Endpoint.Address)
 	}
+	var back <-chan time.Time
+	if f.returns != nil && f.returns(d.Endpoint.Address) > 0 {
+		back = time.After(time.Duration(max(silentAfter-d.After, 0))*fakeEventPause + f.returns(d.Endpoint.Address))
+	}
 	pauseAfter, pause := int64(0), time.Duration(0)
 	if f.pauses != nil {
 		pauseAfter, pause = f.pauses(d.Endpoint.Address)
@@ -265,7 +271,7 @@
 		select {
 		case <-r.stopped:
 			if silentAfter != 0 {
-				<-ctx.Done()
+				f.awaitReturn(ctx, back, w, max(silentAfter, d.After)+1, r.made)
 			}
 			f.cut(w)
 			return
@@ -281,6 +287,12 @@
 		r.made = n
 		f.mutex.Unlock()
 		if silentAfter != 0 && n > silentAfter {
+			select {
+			case <-back:
+				f.write(w, max(silentAfter, d.After)+1, n)
+				silentAfter = 0
+			default:
+			}
 			continue
 		}
 		if breakAfter > 0 && n > breakAfter {
@@ -293,16 +305,36 @@
 			}
 			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\n\n", n) // the reader may have left
+		f.write(w, n, n)
 	}
-	if silentAfter != 0 {
-		<-ctx.Done()
+	if silentAfter != 0 && !f.awaitReturn(ctx, back, w, max(silentAfter, d.After)+1, f.events) {
 		_ = w.CloseWithError(ctx.Err())
 		return
 	}
 	_ = w.Close()
 }
 
+// write writes events from the first to the last; the reader may have left.
+func (f *fakeFleet) write(w *io.PipeWriter, first, last int64) {
+	for n := first; n <= last; n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\n\n", n); err != nil {
+			return
+		}
+	}
+}
+
+// awaitReturn waits until a silent connection carries events again, and writes those from the first to the last. It reports whether it did before the
+// context was done.
+func (f *fakeFleet) awaitReturn(ctx context.Context, back <-chan time.Time, w *io.PipeWriter, first, last int64) bool {
+	select {
+	case <-back:
+		f.write(w, first, last)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // workOn makes the events of a run whose connection has closed.
 func (f *fakeFleet) workOn(r *fakeRun) {
 	for r.made < f.events {
--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -49,29 +49,43 @@
 	if stop == stopped || !x.request.Engine.Moves {
 		return x.restore(d)
 	}
-	slot, target, found := x.targetAfter(d)
-	if !found {
+	a := x.askFormer(d)
+	if a == nil {
 		return nil
 	}
-	copied, state := x.stopFormer(d, target)
-	if state == FormerStopped && copied.Target == target.Address {
+	if a.isCopied() {
 		x.result.Restores++
-		return x.continueAt(d, &move{copy: copied, slot: slot, endpoint: target})
+		return x.continueAt(d, &move{copy: a.copied, slot: a.slot, endpoint: a.target})
 	}
-	slot.Release(routing.OutcomeCancelled, time.Now())
-	if state == FormerUnknown {
+	a.slot.Release(routing.OutcomeCancelled, time.Now())
+	if a.state == FormerUnknown {
 		return nil
 	}
 	if next := x.restore(d); next != nil {
 		return next
 	}
-	if state == FormerStopped && x.mayReturn(d.Endpoint, time.Now()) {
+	if a.state == FormerStopped && x.mayReturn(d.Endpoint, time.Now()) {
 		x.result.Restores++
-		return x.continueAt(d, &move{copy: copied, endpoint: d.Endpoint})
+		return x.continueAt(d, &move{copy: a.copied, endpoint: d.Endpoint})
 	}
 	return nil
 }
 
+// askFormer returns what the former endpoint says of the run, which it is to stop; it is asked now unless the silence timer has. Without an endpoint
+// where the run could continue it returns nil.
+func (x *execution) askFormer(d *Dispatch) *askedRun {
+	if a := x.asked; a != nil {
+		x.asked = nil
+		return a
+	}
+	slot, target, found := x.targetAfter(d)
+	if !found {
+		return nil
+	}
+	copied, state, _ := x.stopFormer(x.ctx, d, target, x.dispatchEvents > 0 || d.Copy != nil)
+	return &askedRun{slot: slot, target: target, copied: copied, state: state}
+}
+
 // endBeforeRepeat has the endpoint of a generation whose answer did not come end its run before the request runs again, as far as it can be asked.
 func (x *execution) endBeforeRepeat(d *Dispatch, err error) {
 	if x.request.Engine == nil || !x.request.Engine.Moves || isNotRun(err) || !x.mayRetry(err) {
@@ -82,7 +96,7 @@
 		return
 	}
 	slot.Release(routing.OutcomeCancelled, time.Now())
-	if copied, state := x.stopFormer(d, target); state == FormerStopped {
+	if copied, state, _ := x.stopFormer(x.ctx, d, target, x.dispatchEvents > 0 || d.Copy != nil); state == FormerStopped {
 		x.runner.background.Go(func() { x.dropCopy(copied) })
 	}
 }
@@ -102,8 +116,9 @@
 }
 
 // stopFormer has the former endpoint stop the run and copy its memory to the target. It asks again while the endpoint does not say what has become
-// of the run, on a new connection each time. A run that may be repeated is not waited for long.
-func (x *execution) stopFormer(d *Dispatch, target Endpoint) (Copy, FormerRun) {
+// of the run, on a new connection each time. A run that may be repeated is not waited for long. The run
+// may be known to have begun there.
+func (x *execution) stopFormer(ctx context.Context, d *Dispatch, target Endpoint, begun bool) (Copy, FormerRun, stopState) {
 	began := time.Now()
 	timeout, attempts := stopTimeout, stopAttempts
 	if x.request.Route.Repeatable() {
@@ -111,13 +126,14 @@
 	}
 	var copied Copy
 	var err error
-	state := FormerUnknown
+	state, stop := FormerUnknown, stopNotAsked
 	for n := range attempts {
-		if n > 0 && wait.For(x.ctx, stopPause) != nil {
+		if n > 0 && wait.For(ctx, stopPause) != nil {
 			break
 		}
-		copied, err = x.askToStop(d, target, timeout)
-		if state = formerRunAfter(copied, err, x.dispatchEvents > 0 || d.Copy != nil); state == FormerStopped || state == FormerEnded {
+		copied, err = x.askToStop(ctx, d, target, timeout)
+		stop = stop.after(copied, err)
+		if state = formerRunAfter(copied, err, begun); state == FormerStopped || state == FormerEnded {
 			break
 		}
 	}
@@ -125,12 +141,12 @@
 	if err == nil {
 		copied.Target = target.Address
 	}
-	return copied, state
+	return copied, state, stop
 }
 
 // askToStop makes one call that is to stop the run at its former endpoint.
-func (x *execution) askToStop(d *Dispatch, target Endpoint, timeout time.Duration) (Copy, error) {
-	ctx, cancel := context.WithTimeout(x.ctx, timeout)
+func (x *execution) askToStop(ctx context.Context, d *Dispatch, target Endpoint, timeout time.Duration) (Copy, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return x.runner.Endpoints.Move(ctx, x.request.ID, d.Endpoint, target.Address, true)
 }
--- a/protocol/relay/repeat.go
+++ b/protocol/relay/repeat.go
@@ -87,3 +87,12 @@
 	x.repeat = nil
 	x.runner.Budgets.Of(x.request.Service).Return()
 }
+
+// dropReserved gives back what was reserved to give up a silent attempt, and is not used.
+func (x *execution) dropReserved() {
+	x.dropRepeat()
+	if x.asked != nil {
+		x.asked.drop(x)
+		x.asked = nil
+	}
+}
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -72,6 +72,7 @@
 	spec           routing.RequestSpec
 	slot           *routing.Slot
 	repeat         *routing.Slot // reserved for a repeat that the retry budget has counted; nil if there is none
+	asked          *askedRun     // run of a silent connection whose endpoint was asked to stop it; nil if there is none
 	result         Result
 	unreached      int          // dispatches that did not reach an endpoint
 	notRun         int          // dispatches that endpoints refused to run
@@ -120,7 +121,7 @@
 	}
 	r.Budgets.Of(request.Service).CountRequest(r.RetryLimits().Window, time.Now())
 	x.run()
-	x.dropRepeat()
+	x.dropReserved()
 	x.finish()
 	return x.result
 }
--- a/protocol/relay/silence.go
+++ b/protocol/relay/silence.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
-
-	"dogwooddyke/coordination/routing"
-	"dogwooddyke/internal/wait"
 )
 
 // silenceTimer cancels the reading of an answer when no event has come for the timeout and a check allows it. Time in which the caller is slow to read
@@ -17,27 +13,42 @@
 	timeout  time.Duration
 	pause    time.Duration // between two checks of one silence
 	cancel   func()
-	endCheck context.CancelFunc // ends a check in progress; nil if there are none
+	stopping context.Context    // of a check that has the run stopped
+	endStop  context.CancelFunc // ends such a check as well; nil if there are no checks
+	endCheck context.CancelFunc // ends any other check in progress
 	check    func() bool        // reports whether the attempt may be given up; nil: always
 
 	reads   atomic.Int64  // events that were waited for
 	paused  atomic.Bool   // no event is waited for, since the caller is slow
 	expired atomic.Bool   // whether the timer has cancelled the read
-	held    chan struct{} // holds a value during a check; it guards closed
+	held    chan struct{} // holds a value during a check; it guards the fields below
 	closed  bool
+	runStop stopState // of the run, by the checks
 }
 
 // startSilenceTimer starts a timer that calls cancel. A stream that may be repeated is given up after any silence once a repeat is certain; a run that
-// can be moved also if its endpoint has made events which do not arrive.
+// can be moved also if its endpoint has made events which do not arrive, and has stopped it.
 func (x *execution) startSilenceTimer(d *Dispatch, cancel func()) *silenceTimer {
-	moves := x.request.Engine != nil && x.request.Engine.Moves
+	misses := func(_ context.Context, _ *silenceTimer) bool { return false }
+	if x.request.Engine != nil && x.request.Engine.Moves {
+		misses = func(ctx context.Context, s *silenceTimer) bool { return x.missesEvents(ctx, d, s) }
+	}
 	switch {
 	case x.mayRepeatSilent():
 		timeout := max(x.request.Route.Target, minimumSilenceTimeout)
-		return x.startCheckedTimer(timeout, repeatPause, cancel, x.newReserver(d, timeout).reserve)
-	case !x.request.Route.Resumable && moves:
-		check := func(ctx context.Context, s *silenceTimer) bool { return x.missesEvents(ctx, d, s) }
-		return x.startCheckedTimer(minimumSilenceTimeout, minimumSilenceTimeout, cancel, check)
+		r, asked := x.newReserver(d, timeout), time.Time{}
+		return x.startCheckedTimer(timeout, repeatPause, cancel, func(ctx context.Context, s *silenceTimer) bool {
+			if r.reserve(ctx, s) {
+				return true
+			}
+			if time.Since(asked) < minimumSilenceTimeout {
+				return false
+			}
+			asked = time.Now()
+			return misses(ctx, s)
+		})
+	case x.request.Engine != nil && x.request.Engine.Moves:
+		return x.startCheckedTimer(minimumSilenceTimeout, minimumSilenceTimeout, cancel, misses)
 	default:
 		return &silenceTimer{}
 	}
@@ -45,8 +56,10 @@
 
 // startCheckedTimer starts a timer that calls cancel if the check allows it; the check is repeated after each pause.
 func (x *execution) startCheckedTimer(timeout, pause time.Duration, cancel func(), check func(ctx context.Context, s *silenceTimer) bool) *silenceTimer {
-	ctx, endCheck := context.WithCancel(x.ctx)
-	s := &silenceTimer{pause: pause, endCheck: endCheck}
+	s := &silenceTimer{pause: pause}
+	s.stopping, s.endStop = context.WithCancel(x.ctx)
+	ctx, endCheck := context.WithCancel(s.stopping)
+	s.endCheck = endCheck
 	s.check = func() bool { return check(ctx, s) && ctx.Err() == nil }
 	s.start(timeout, cancel)
 	return s
@@ -102,18 +115,28 @@
 	}
 }
 
-// close stops the timer for good and waits for a check in progress.
-func (s *silenceTimer) close() {
+// close stops the timer for good and waits for a check in progress, which it ends unless that has the run stopped: what has become of the run must be
+// known then.
+func (s *silenceTimer) close() { s.finish(false) }
+
+// finish is close; if the stream is known to be complete, it ends any check.
+func (s *silenceTimer) finish(complete bool) {
 	if s.timer == nil {
 		return
 	}
 	if s.endCheck != nil {
 		s.endCheck()
 	}
+	if s.endStop != nil && complete {
+		s.endStop()
+	}
 	s.hold()
 	defer s.free()
 	s.closed = true
 	s.timer.Stop()
+	if s.endStop != nil {
+		s.endStop()
+	}
 }
 
 // cause returns errSilent if the timer cancelled the read, else err.
@@ -123,40 +146,3 @@
 	}
 	return err
 }
-
-// missesEvents reports whether the endpoint has made events of the run that do not arrive, since the connection has gone silent. An endpoint that is
-// slow, or has not begun the run, has made none; one that is leaving is left anyway.
-func (x *execution) missesEvents(ctx context.Context, d *Dispatch, s *silenceTimer) bool {
-	if d.Endpoint.Leaving() || !x.screening.AllowsMove(time.Now()) {
-		return false
-	}
-	slot, target, found := x.targetAfter(d)
-	if !found {
-		return false
-	}
-	defer slot.Release(routing.OutcomeCancelled, time.Now())
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
-	began := time.Now()
-	copied, err := x.runner.Endpoints.Move(ctx, x.request.ID, d.Endpoint, target.Address, false)
-	x.runner.Observer.Moved(x.request, d.Endpoint.Address, target.Address, copied, false, began, err)
-	if err != nil {
-		return false
-	}
-	read := s.reads.Load()
-	missing := int64(copied.Created) > x.receivedEvent.Load() && wait.For(ctx, silenceConfirmation) == nil && s.reads.Load() == read
-	if !missing {
-		x.runner.background.Go(func() { x.dropCopy(copied) })
-		return false
-	}
-	x.runner.Observer.StreamSilent(d, copied.Created, x.receivedEvent.Load())
-	return true
-}
-
-// continueSilent returns a dispatch that continues a run elsewhere whose connection went silent before the head of the answer; nil if there is none.
-func (x *execution) continueSilent(d *Dispatch, err error) *Dispatch {
-	if !errors.Is(err, errSilent) || x.request.Route.Repeatable() {
-		return nil
-	}
-	return x.continueElsewhere(d, stopNotAsked)
-}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -20,6 +20,7 @@
 			return err
 		}
 		d = next
+		x.dropReserved()
 		x.result.Moves++
 	}
 }
@@ -37,7 +38,7 @@
 		silence.close()
 		err = silence.cause(err)
 		x.noteCrash(d, err, 0)
-		if next := x.continueSilent(d, err); next != nil {
+		if next := x.continueSilent(d); next != nil {
 			return next, nil
 		}
 		x.endBeforeRepeat(d, err)
@@ -50,10 +51,10 @@
 	}
 	m := x.startMover(d)
 	err = x.relayEvents(reply, silence)
-	silence.close()
+	silence.finish(err == nil && !reply.Unframed)
 	move, stop := m.finish(err == nil && !reply.Unframed)
 	if err == nil && move == nil {
-		err = x.checkStop(reply, stop)
+		err = x.checkStop(reply, max(stop, silence.runStop))
 	}
 	switch {
 	case err == nil && move == nil:
