Test: a silent attempt has its time while the instance closes

Each kind of request (whole answer and stream, once, repeatable), in its first attempt, its second after a refusal and its second after silence, with an endpoint that answers at 12 s or never, and a stop that lets endpoints answer until 14 s.

--- a/protocol/relay/closing_test.go
+++ b/protocol/relay/closing_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"dogwooddyke/coordination/routing"
+	"dogwooddyke/state/route"
 )
 
 // When the instance closes, a request whose answer has not begun must get an answer that is true, while an answer that has begun goes on.
@@ -57,3 +62,67 @@
 		is.Equal(result.Outcome, OutcomeCallerLeft)
 	})
 }
+
+// While an instance is stopped, a silent endpoint must have all of the time in which endpoints may answer, in each attempt of each kind of request: its
+// caller gets the instance's own answer then, not sooner. A repeat that could not end before the stop must not begin.
+func TestSilentAttemptWhileClosing(t *testing.T) {
+	const latest, answered, events = 14 * time.Second, 12 * time.Second, 20
+	refused := func(f *fakeFleet) {
+		f.refuses = func(netip.AddrPort) bool { return len(f.sends) == 1 }
+	}
+	for _, c := range []struct {
+		name   string
+		notice time.Duration // from the request's arrival until the instance is stopped
+		once   bool          // also with requests that may run once only
+		set    func(f *fakeFleet)
+		sends  int
+	}{
+		{"first attempt", time.Second, true, func(*fakeFleet) {}, 1},
+		{"second attempt after a refusal", time.Second, true, refused, 2},
+		{"second attempt after silence", 3 * time.Second, false, func(*fakeFleet) {}, 2},
+	} {
+		for kind, r := range map[string]route.Route{
+			"whole answer, once":       {Kind: route.KindOnce, Attempts: 1},
+			"whole answer, repeatable": {Kind: route.KindRepeat, Attempts: 3},
+			"stream, once":             {Kind: route.KindStream, Attempts: 1},
+			"stream, resumable":        {Kind: route.KindStream, Attempts: 3, Resumable: true},
+		} {
+			for _, slow := range []bool{true, false} {
+				if !c.once && !r.Repeatable() {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s, %s, slow %t", c.name, kind, slow), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						f := newFakeFleet(t, 3, events)
+						c.set(f)
+						arrived := time.Now()
+						f.delays = func(netip.AddrPort) time.Duration {
+							if slow {
+								return time.Until(arrived.Add(answered))
+							}
+							return time.Hour
+						}
+						closing, end := context.WithCancel(t.Context())
+						f.closing = closing
+						time.AfterFunc(latest, end)
+						runner := f.runner()
+						router := runner.Router.(*routing.Router)
+						time.AfterFunc(c.notice, func() { router.SetClosing(arrived.Add(latest-time.Second), time.Now()) })
+						request := f.request(r.Resumable)
+						request.Route = &r
+						request.Route.Target = time.Second
+						result := runner.Run(t.Context(), request, &recordingSink{})
+						f.is.Equal(len(f.sends), c.sends)
+						if slow {
+							f.is.Equal(result.Outcome, OutcomeServed)
+							return
+						}
+						f.is.Equal(result.Outcome, OutcomeUnknown)
+						f.is.Equal(result.Reason, ReasonClosing)
+						f.is.Equal(time.Since(arrived), latest)
+					})
+				})
+			}
+		}
+	}
+}
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -75,6 +75,8 @@
 	returns func(address netip.AddrPort) time.Duration
 	// loses says whether an endpoint runs a request and its answer is lost.
 	loses func(address netip.AddrPort) bool
+	// refuses says whether an endpoint refuses to run a request.
+	refuses func(address netip.AddrPort) bool
 	// hides says whether the connection to an endpoint goes silent before the head of the answer.
 	hides func(address netip.AddrPort) bool
 	// delays says how long an endpoint works before the head of its answer.
@@ -218,6 +220,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.sends = append(f.sends, fakeSend{time.Now(), d.Endpoint.Address, d.After, d.Copy, f.working(d.Endpoint.Address)})
+	if f.refuses != nil && f.refuses(d.Endpoint.Address) {
+		return nil, &NotRunError{Status: http.StatusServiceUnavailable}
+	}
 	r := &fakeRun{stopped: make(chan struct{}), made: d.After}
 	f.runs[d.Endpoint.Address] = r
 	if f.loses != nil && f.loses(d.Endpoint.Address) {
