A late repeat of a plain request is judged by the whole time of its answer

What callers saw: while an instance was stopped, a request to a plain service that an endpoint had refused late was sent on shortly before the connections closed and ended as unknown (502), though it had not run; a slow attempt was given up for a repeat that could not end in time either.

Cause: the router took what was left until the first token was due, when the request came to it, for the time that the answer takes.

Change: the specification has the route's target itself.

Failing before (TestLateRepeatOfPlainRequestWhileClosing, target 2 s, 1.3 and 2.6 s left): 2 sends != 1 in both cases. Now: not run, and served.

--- a/coordination/routing/closing.go
+++ b/coordination/routing/closing.go
@@ -30,7 +30,7 @@
 // which all but few answers like it end.
 func (r *Request) longestAnswer() time.Duration {
 	if r.pool.isPlain() {
-		return max(plainAnswerFactor*r.spec.FirstTokenDeadline.Sub(r.submitted), minimumPlainAnswer)
+		return max(plainAnswerFactor*r.target(), minimumPlainAnswer)
 	}
 	emitted := int(r.emittedTokens.Load())
 	tokens := max(r.spec.MaximumTokens-emitted, 0)
@@ -40,3 +40,12 @@
 	step, tokenTime := r.pool.meanSpeed()
 	return time.Duration(slowAnswerFactor * float64(time.Duration(tokens)*step+time.Duration(r.promptTokens())*tokenTime))
 }
+
+// target returns the time in which the answer of a plain service is on time. A request that is sent again late has little or nothing left until its
+// first token is due, but its answer takes as long as any.
+func (r *Request) target() time.Duration {
+	if r.spec.Target > 0 {
+		return r.spec.Target
+	}
+	return r.spec.FirstTokenDeadline.Sub(r.submitted)
+}
--- a/coordination/routing/closing_test.go
+++ b/coordination/routing/closing_test.go
@@ -61,6 +61,17 @@
 		spec = &RequestSpec{Entry: "e", FirstTokenDeadline: now.Add(2 * time.Second)}
 		is.Equal(c.Submit(spec, now).Refusal().Reason, ReasonDraining)
 	})
+	t.Run("repeats of plain requests are judged by their whole target, however late", func(t *testing.T) {
+		is := is.New(t)
+		c := NewCore(Config{})
+		c.SetEntry(&catalogue.Entry{Name: "e", Kind: catalogue.KindService, Endpoints: engines(1)}, now)
+		c.UpdateLoad(address(1), endpoint.Load{At: now}, now)
+		c.SetClosing(now.Add(3 * time.Second))
+		spec := &RequestSpec{Entry: "e", FirstTokenDeadline: now.Add(-time.Second), Target: 2 * time.Second}
+		is.Equal(c.Submit(spec, now).Refusal().Reason, ReasonDraining)
+		spec.Target = time.Second
+		is.True(c.Submit(spec, now).Refusal() == nil)
+	})
 	t.Run("without a limit nothing is refused", func(t *testing.T) {
 		is := is.New(t)
 		c, waiting := full(is)
--- a/coordination/routing/spec.go
+++ b/coordination/routing/spec.go
@@ -22,6 +22,7 @@
 	RemoteCost          float64          // seconds added to the score of an endpoint outside the preferred data centre; zero: the default
 	Deadline            time.Time        // latest start of the run; zero: none
 	FirstTokenDeadline  time.Time        // time until which the first token is on time; zero: none
+	Target              time.Duration    // of the answer of a plain service; zero: until FirstTokenDeadline
 	Exclude             []netip.AddrPort // endpoints that have already failed this request
 }
 
--- a/protocol/relay/closing_test.go
+++ b/protocol/relay/closing_test.go
@@ -97,6 +97,9 @@
 						c.set(f)
 						arrived := time.Now()
 						f.delays = func(netip.AddrPort) time.Duration {
+							if f.refuses != nil && f.refuses(netip.AddrPort{}) {
+								return 0
+							}
 							if slow {
 								return time.Until(arrived.Add(answered))
 							}
@@ -126,3 +129,39 @@
 		}
 	}
 }
+
+// A plain request that is sent again late must be judged by the whole time that such answers take: it was passed on shortly before the instance closed, and
+// its caller got no answer, or the attempt that was about to be answered was given up for it.
+func TestLateRepeatOfPlainRequestWhileClosing(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		route   route.Route
+		delay   time.Duration // until the first endpoint answers
+		refuses bool          // it answers with a refusal
+		outcome Outcome
+	}{
+		{"refused late, and runs once", route.Route{Kind: route.KindOnce, Attempts: 1}, 1900 * time.Millisecond, true, OutcomeNotRun},
+		{"late, and may be repeated", route.Route{Kind: route.KindRepeat, Attempts: 3}, 4 * time.Second, false, OutcomeServed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, 3, 20)
+				f.plain = true
+				f.delays = func(netip.AddrPort) time.Duration { return c.delay }
+				f.refuses = func(netip.AddrPort) bool { return c.refuses && len(f.sends) == 1 }
+				closing, end := context.WithCancel(t.Context())
+				f.closing = closing
+				time.AfterFunc(5*time.Second, end)
+				runner := f.runner()
+				router, until := runner.Router.(*routing.Router), time.Now().Add(4500*time.Millisecond)
+				time.AfterFunc(time.Second, func() { router.SetClosing(until, time.Now()) })
+				request := f.request(false)
+				request.Route = &c.route
+				request.Route.Target = 2 * time.Second
+				result := runner.Run(t.Context(), request, &recordingSink{})
+				f.is.Equal(len(f.sends), 1)
+				f.is.Equal(result.Outcome, c.outcome)
+			})
+		})
+	}
+}
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -63,6 +63,7 @@
 	events    int64
 	notices   map[netip.AddrPort]*fakeNotice
 	noBackups bool            // endpoints take none
+	plain     bool            // the service has no model engines
 	closing   context.Context // done when the instance closes; nil: never
 
 	// move answers a call that copies a run; stop ends the run and its stream. By default the run is stopped by the last copy, which succeeds.
@@ -130,6 +131,9 @@
 func (f *fakeFleet) runner() *Runner {
 	router := routing.New(routing.Config{Random: rand.New(rand.NewPCG(1, 2))})
 	entry := &catalogue.Entry{Name: "s", Kind: catalogue.KindEngine}
+	if f.plain {
+		entry.Kind = catalogue.KindService
+	}
 	for n := range len(f.notices) {
 		entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: fakeAddress(byte(n + 1))})
 	}
@@ -153,10 +157,14 @@
 		attempts = 3
 	}
 	now := time.Now()
+	engine := &route.Engine{Stride: 4, Moves: true, Backups: !f.noBackups}
+	if f.plain {
+		engine = nil
+	}
 	return &Request{
 		ID: "r-1", Method: http.MethodPost, Target: "/x", Service: "s", Arrived: now, Deadline: now.Add(40 * time.Second), PromptTokens: 100, MaximumTokens: 4000,
 		Route:  &route.Route{Name: "long", Kind: route.KindStream, Attempts: attempts, Resumable: resumable},
-		Engine: &route.Engine{Stride: 4, Moves: true, Backups: !f.noBackups},
+		Engine: engine,
 	}
 }
 
@@ -220,9 +228,6 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.sends = append(f.sends, fakeSend{time.Now(), d.Endpoint.Address, d.After, d.Copy, f.working(d.Endpoint.Address)})
-	if f.refuses != nil && f.refuses(d.Endpoint.Address) {
-		return nil, &NotRunError{Status: http.StatusServiceUnavailable}
-	}
 	r := &fakeRun{stopped: make(chan struct{}), made: d.After}
 	f.runs[d.Endpoint.Address] = r
 	if f.loses != nil && f.loses(d.Endpoint.Address) {
@@ -245,6 +250,10 @@
 			return nil, err
 		}
 	}
+	if f.refuses != nil && f.refuses(d.Endpoint.Address) {
+		r.stop()
+		return nil, &NotRunError{Status: http.StatusServiceUnavailable}
+	}
 	reader, writer := io.Pipe()
 	go f.stream(ctx, d, r, writer)
 	return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Unframed: f.framing == unframed, Body: reader}, nil
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -112,6 +112,7 @@
 		PromptTokens:  request.PromptTokens,
 		MaximumTokens: request.MaximumTokens,
 		Deadline:      latestStart(request),
+		Target:        request.Route.Target,
 	}
 	if request.Route.Target > 0 {
 		x.spec.FirstTokenDeadline = request.Arrived.Add(request.Route.Target)
