--- a/coordination/routing/closing.go
+++ b/coordination/routing/closing.go
@@ -47,7 +47,7 @@
 
 // longestPlainAnswer returns the time in which all but few answers of a plain service end.
 func (r *Request) longestPlainAnswer() time.Duration {
-	return max(plainAnswerFactor*r.spec.FirstTokenDeadline.Sub(r.submitted), minimumPlainAnswer)
+	return max(plainAnswerFactor*r.target(), minimumPlainAnswer)
 }
 
 // longestAnswer returns the time in which all but few answers like the request's end if it starts at an engine now: by the limit of its output if that
@@ -70,3 +70,12 @@
 	}
 	return a
 }
+
+// target returns the time in which the answer of a plain service is on time. A request that is sent again late has little or nothing left until its
+// first token is due, but its answer takes as long as any.
+func (r *Request) target() time.Duration {
+	if r.spec.Target > 0 {
+		return r.spec.Target
+	}
+	return r.spec.FirstTokenDeadline.Sub(r.submitted)
+}
--- a/protocol/relay/continuation.go
+++ b/protocol/relay/continuation.go
@@ -33,7 +33,7 @@
 		return nil
 	case isNotRun(err):
 		next = x.continueRefused(d, err)
-	case !x.request.Route.Repeatable() && (d.Copy != nil || errors.Is(err, errSilent)):
+	case x.asked != nil, !x.request.Route.Repeatable() && d.Copy != nil:
 		next = x.continueElsewhere(d, stopNotAsked, nil)
 	}
 	if next != nil {
@@ -68,21 +68,18 @@
 	if x.screening.Admit(x.ctx, x.spec.Deadline) != nil {
 		return nil
 	}
-	copied, state := Copy{}, FormerEnded
-	var slot *routing.Slot
-	var target Endpoint
+	a := &askedRun{state: FormerEnded}
 	if stop != stopped && x.request.Engine.Moves {
-		if slot, target = x.targetForStop(d); !target.Address.IsValid() {
+		if a = x.askFormer(d); a == nil {
 			return nil
 		}
-		copied, state = x.stopFormer(d, target)
 	}
-	if state == FormerUnknown {
-		releaseSlot(slot, routing.OutcomeCancelled)
+	if a.state == FormerUnknown {
+		releaseSlot(a.slot, routing.OutcomeCancelled)
 		return nil
 	}
-	x.pauseBroken(d, copied, state, slot, target)
-	if part != nil && state != FormerStopped {
+	x.pauseBroken(d, a)
+	if part != nil && a.state != FormerStopped {
 		x.paused.memories = append(x.paused.memories, &runMemory{origin: OriginPart, address: part.endpoint.Address, endpoint: part.endpoint, copy: part.copy})
 	}
 	next := x.resume(d)
@@ -94,11 +91,11 @@
 
 // pauseBroken notes what is left of a run whose stream has broken off and that its endpoint works on no more. A slot at the target is released unless
 // the run was copied there.
-func (x *execution) pauseBroken(d *Dispatch, copied Copy, state FormerRun, slot *routing.Slot, target Endpoint) {
+func (x *execution) pauseBroken(d *Dispatch, a *askedRun) {
 	earlier := x.paused
 	p := x.pause(d)
-	if state != FormerStopped {
-		releaseSlot(slot, routing.OutcomeCancelled)
+	if a.state != FormerStopped {
+		releaseSlot(a.slot, routing.OutcomeCancelled)
 		x.release(routing.OutcomeFailed)
 		if earlier != nil { // the endpoint may not have used the copy
 			earlier.useCurrent()
@@ -109,14 +106,14 @@
 	}
 	x.letGo(earlier)
 	outcome := routing.OutcomeFailed
-	if copied.Target == target.Address {
-		p.memories = append(p.memories, copyMemory(&move{copy: copied, slot: slot, endpoint: target}))
+	if a.isCopied() {
+		p.memories = append(p.memories, copyMemory(&move{copy: a.copied, slot: a.slot, endpoint: a.target}))
 		outcome = routing.OutcomeCancelled
 	} else {
-		releaseSlot(slot, routing.OutcomeCancelled)
+		releaseSlot(a.slot, routing.OutcomeCancelled)
 	}
 	p.memories = append(p.memories, x.backupMemories(d)...)
-	p.memories = append(p.memories, x.takeSlot(sourceMemory(d.Endpoint, copied, outcome)))
+	p.memories = append(p.memories, x.takeSlot(sourceMemory(d.Endpoint, a.copied, outcome)))
 	p.source = &d.Endpoint
 }
 
--- a/protocol/relay/copies_test.go
+++ b/protocol/relay/copies_test.go
@@ -79,6 +79,9 @@
 	fleet *fakeFleet
 }
 
+// routerOf returns the router behind that of a fake fleet's runner.
+func routerOf(r *Runner) *routing.Router { return r.Router.(*fakeRouter).Router }
+
 // Place refuses as the test says.
 func (f *fakeRouter) Place(spec *routing.RequestSpec) (*routing.Slot, error) {
 	if f.fleet.places != nil {
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -17,6 +17,7 @@
 
 	"dogwooddyke/coordination/handover"
 	"dogwooddyke/coordination/routing"
+	"dogwooddyke/internal/wait"
 	"dogwooddyke/state/catalogue"
 	"dogwooddyke/state/endpoint"
 	"dogwooddyke/state/route"
@@ -63,6 +64,7 @@
 	events    int64
 	notices   map[netip.AddrPort]*fakeNotice
 	noBackups bool            // endpoints take none
+	plain     bool            // the service has no model engines
 	closing   context.Context // done when the instance closes; nil: never
 	ending    context.Context // done when it ends answers that have begun; nil: never
 	closed    context.Context // done when it closes callers' connections; nil: never
@@ -73,10 +75,16 @@
 	breaks func(address netip.AddrPort) (after int64, worksOn bool)
 	// silences says after which event the connection of a stream carries nothing any more; zero: never.
 	silences func(address netip.AddrPort) int64
+	// returns says how long after that the connection carries everything that was made; zero: never.
+	returns func(address netip.AddrPort) time.Duration
 	// loses says whether an endpoint runs a request and its answer is lost.
 	loses func(address netip.AddrPort) bool
+	// refusesLate says whether an endpoint refuses to run a request after its delay.
+	refusesLate func(address netip.AddrPort) bool
 	// hides says whether the connection to an endpoint goes silent before the head of the answer.
 	hides func(address netip.AddrPort) bool
+	// delays says how long an endpoint works before the head of its answer.
+	delays func(address netip.AddrPort) time.Duration
 	// pauses says after which event an endpoint makes none for a while; zero: never.
 	pauses  func(address netip.AddrPort) (after int64, pause time.Duration)
 	crashed func(address netip.AddrPort) bool
@@ -142,6 +150,9 @@
 func (f *fakeFleet) runner() *Runner {
 	router := routing.New(routing.Config{Random: rand.New(rand.NewPCG(1, 2))})
 	entry := &catalogue.Entry{Name: "s", Kind: catalogue.KindEngine}
+	if f.plain {
+		entry.Kind = catalogue.KindService
+	}
 	for n := range len(f.notices) {
 		entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: fakeAddress(byte(n + 1))})
 	}
@@ -168,10 +179,14 @@
 		attempts = 3
 	}
 	now := time.Now()
+	engine := &route.Engine{Stride: 4, Moves: true, Backups: !f.noBackups}
+	if f.plain {
+		engine = nil
+	}
 	return &Request{
 		ID: "r-1", Method: http.MethodPost, Target: "/x", Service: "s", Arrived: now, Deadline: now.Add(40 * time.Second), PromptTokens: 100, MaximumTokens: 4000,
 		Route:  &route.Route{Name: "long", Kind: route.KindStream, Attempts: attempts, Resumable: resumable},
-		Engine: &route.Engine{Stride: 4, Moves: true, Backups: !f.noBackups},
+		Engine: engine,
 	}
 }
 
@@ -261,6 +276,19 @@
 		f.mutex.Lock()
 		return nil, ctx.Err()
 	}
+	if f.delays != nil {
+		f.mutex.Unlock()
+		err := wait.For(ctx, f.delays(d.Endpoint.Address))
+		f.mutex.Lock()
+		if err != nil {
+			r.stop()
+			return nil, err
+		}
+	}
+	if f.refusesLate != nil && f.refusesLate(d.Endpoint.Address) {
+		r.stop()
+		return nil, &NotRunError{Status: http.StatusServiceUnavailable}
+	}
 	reader, writer := io.Pipe()
 	go f.stream(ctx, d, r, writer)
 	return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Unframed: f.framing == unframed, Body: reader}, nil
@@ -276,15 +304,23 @@
 	if f.silences != nil {
 		silentAfter = f.silences(d.Endpoint.Address)
 	}
+	var back <-chan time.Time
+	if f.returns != nil && f.returns(d.Endpoint.Address) > 0 {
+		back = time.After(time.Duration(max(silentAfter-d.After, 0))*fakeEventPause + f.returns(d.Endpoint.Address))
+	}
 	pauseAfter, pause := int64(0), time.Duration(0)
 	if f.pauses != nil {
 		pauseAfter, pause = f.pauses(d.Endpoint.Address)
 	}
 	for n := d.After + 1; n <= f.events; n++ {
+		next := fakeEventPause
+		if pauseAfter > 0 && n == pauseAfter+1 {
+			next += pause
+		}
 		select {
 		case <-r.stopped:
 			if silentAfter != 0 {
-				<-ctx.Done()
+				f.awaitReturn(ctx, back, w, max(silentAfter, d.After)+1, r.made)
 			}
 			f.cut(w)
 			return
@@ -296,15 +332,18 @@
 				r.stop()
 			}
 			return
-		case <-time.After(fakeEventPause):
-		}
-		if pauseAfter > 0 && n == pauseAfter+1 {
-			time.Sleep(pause)
+		case <-time.After(next):
 		}
 		f.mutex.Lock()
 		r.made = n
 		f.mutex.Unlock()
 		if silentAfter != 0 && n > silentAfter {
+			select {
+			case <-back:
+				f.write(w, max(silentAfter, d.After)+1, n)
+				silentAfter = 0
+			default:
+			}
 			continue
 		}
 		if breakAfter > 0 && n > breakAfter {
@@ -317,16 +356,36 @@
 			}
 			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\n\n", n) // the reader may have left
+		f.write(w, n, n)
 	}
-	if silentAfter != 0 {
-		<-ctx.Done()
+	if silentAfter != 0 && !f.awaitReturn(ctx, back, w, max(silentAfter, d.After)+1, f.events) {
 		_ = w.CloseWithError(ctx.Err())
 		return
 	}
 	_ = w.Close()
 }
 
+// write writes events from the first to the last; the reader may have left.
+func (f *fakeFleet) write(w *io.PipeWriter, first, last int64) {
+	for n := first; n <= last; n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\n\n", n); err != nil {
+			return
+		}
+	}
+}
+
+// awaitReturn waits until a silent connection carries events again, and writes those from the first to the last. It reports whether it did before the
+// context was done.
+func (f *fakeFleet) awaitReturn(ctx context.Context, back <-chan time.Time, w *io.PipeWriter, first, last int64) bool {
+	select {
+	case <-back:
+		f.write(w, first, last)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // workOn makes the events of a run whose connection has closed.
 func (f *fakeFleet) workOn(r *fakeRun) {
 	for r.made < f.events {
--- a/protocol/relay/silence.go
+++ b/protocol/relay/silence.go
@@ -2,69 +2,97 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
-
-	"dogwooddyke/coordination/routing"
-	"dogwooddyke/internal/wait"
 )
 
-// silenceTimer cancels the reading of a stream when no event has come for the timeout and the stream is found to be silent. Time in which the caller
-// is slow to read does not count. Without a timer it does nothing.
+// silenceTimer cancels the reading of an answer when no event has come for the timeout and a check allows it. Time in which the caller is slow to read
+// does not count. Without a timer it does nothing.
 type silenceTimer struct {
 	timer    *time.Timer // nil if the silence of the endpoint is not limited
 	timeout  time.Duration
+	pause    time.Duration // between two checks of one silence
 	cancel   func()
-	endCheck context.CancelFunc // ends a check in progress; nil if every silence counts
-	isSilent func() bool        // checks whether the stream is silent, rather than its endpoint slow; nil: every silence counts
+	stopping context.Context    // of a check that has the run stopped
+	endStop  context.CancelFunc // ends such a check as well; nil if there are no checks
+	endCheck context.CancelFunc // ends any other check in progress
+	check    func() bool        // reports whether the attempt may be given up; nil: always
 
-	reads   atomic.Int64 // events that were waited for
-	paused  atomic.Bool  // no event is waited for, since the caller is slow
-	expired atomic.Bool  // whether the timer has cancelled the read
-	mutex   sync.Mutex   // held during a check
+	reads   atomic.Int64  // events that were waited for
+	paused  atomic.Bool   // no event is waited for, since the caller is slow
+	expired atomic.Bool   // whether the timer has cancelled the read
+	held    chan struct{} // holds a value during a check; it guards the fields below
 	closed  bool
+	runStop stopState // of the run, by the checks
 }
 
-// startSilenceTimer starts a timer that calls cancel. A resumable stream is continued elsewhere after any silence, if the request has another attempt
-// left; any other run that can be moved only if its endpoint has made events which do not arrive.
+// startSilenceTimer starts a timer that calls cancel. A stream that may be repeated is given up after any silence once a repeat is certain; a run that
+// can be moved also if its endpoint has made events which do not arrive, and has stopped it.
 func (x *execution) startSilenceTimer(d *Dispatch, cancel func()) *silenceTimer {
-	s := &silenceTimer{}
+	misses := func(_ context.Context, _ *silenceTimer) bool { return false }
+	if x.request.Engine != nil && x.request.Engine.Moves {
+		misses = func(ctx context.Context, s *silenceTimer) bool { return x.missesEvents(ctx, d, s) }
+	}
 	switch {
-	case x.request.Route.Resumable && x.mayHaveRun+1 < x.request.Route.Attempts:
-		s.start(max(x.request.Route.Target, minimumSilenceTimeout), cancel)
-	case !x.request.Route.Resumable && x.request.Engine != nil && x.request.Engine.Moves:
-		ctx, endCheck := context.WithCancel(x.ctx)
-		s.endCheck = endCheck
-		s.isSilent = func() bool { return x.missesEvents(ctx, d, s) }
-		s.start(minimumSilenceTimeout, cancel)
+	case x.mayRepeatSilent():
+		timeout := max(x.request.Route.Target, minimumSilenceTimeout)
+		r, asked := x.newReserver(d, timeout), time.Time{}
+		return x.startCheckedTimer(timeout, repeatPause, cancel, func(ctx context.Context, s *silenceTimer) bool {
+			if r.reserve(ctx, s) {
+				return true
+			}
+			if time.Since(asked) < minimumSilenceTimeout {
+				return false
+			}
+			asked = time.Now()
+			return misses(ctx, s)
+		})
+	case x.request.Engine != nil && x.request.Engine.Moves:
+		return x.startCheckedTimer(minimumSilenceTimeout, minimumSilenceTimeout, cancel, misses)
+	default:
+		return &silenceTimer{}
 	}
+}
+
+// startCheckedTimer starts a timer that calls cancel if the check allows it; the check is repeated after each pause.
+func (x *execution) startCheckedTimer(timeout, pause time.Duration, cancel func(), check func(ctx context.Context, s *silenceTimer) bool) *silenceTimer {
+	s := &silenceTimer{pause: pause}
+	s.stopping, s.endStop = context.WithCancel(x.ctx)
+	ctx, endCheck := context.WithCancel(s.stopping)
+	s.endCheck = endCheck
+	s.check = func() bool { return check(ctx, s) && ctx.Err() == nil }
+	s.start(timeout, cancel)
 	return s
 }
 
 // start starts the timer, which calls cancel.
 func (s *silenceTimer) start(timeout time.Duration, cancel func()) {
+	s.held = make(chan struct{}, 1)
+	s.hold()
+	defer s.free()
 	s.timeout, s.cancel = timeout, cancel
 	s.timer = time.AfterFunc(timeout, s.expire)
 }
 
-// expire cancels the read if the stream is silent, and else starts the timeout again.
+// hold waits for the end of a check in progress.
+func (s *silenceTimer) hold() { s.held <- struct{}{} }
+
+func (s *silenceTimer) free() { <-s.held }
+
+// expire cancels the read if the check allows it, and else checks again after the pause.
 func (s *silenceTimer) expire() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.hold()
+	defer s.free()
 	if s.closed || s.paused.Load() {
 		return
 	}
 	read := s.reads.Load()
-	if s.isSilent != nil && !s.isSilent() {
+	if s.check != nil && !s.check() {
 		if s.reads.Load() == read {
-			s.timer.Reset(s.timeout)
+			s.timer.Reset(s.pause)
 		}
 		return
 	}
-	if s.reads.Load() != read {
-		return
-	}
 	s.expired.Store(true)
 	s.cancel()
 }
@@ -87,18 +115,28 @@
 	}
 }
 
-// close stops the timer for good and waits for a check in progress.
-func (s *silenceTimer) close() {
+// close stops the timer for good and waits for a check in progress, which it ends unless that has the run stopped: what has become of the run must be
+// known then.
+func (s *silenceTimer) close() { s.finish(false) }
+
+// finish is close; if the stream is known to be complete, it ends any check.
+func (s *silenceTimer) finish(complete bool) {
 	if s.timer == nil {
 		return
 	}
 	if s.endCheck != nil {
 		s.endCheck()
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	if s.endStop != nil && complete {
+		s.endStop()
+	}
+	s.hold()
+	defer s.free()
 	s.closed = true
 	s.timer.Stop()
+	if s.endStop != nil {
+		s.endStop()
+	}
 }
 
 // cause returns errSilent if the timer cancelled the read, else err.
@@ -108,32 +146,3 @@
 	}
 	return err
 }
-
-// missesEvents reports whether the endpoint has made events of the run that do not arrive, since the connection has gone silent. An endpoint that is
-// slow, or has not begun the run, has made none; one that is leaving is left anyway.
-func (x *execution) missesEvents(ctx context.Context, d *Dispatch, s *silenceTimer) bool {
-	if d.Endpoint.Leaving() || !x.screening.AllowsMove(time.Now()) {
-		return false
-	}
-	slot, target, found := x.targetAfter(d)
-	if !found {
-		return false
-	}
-	defer slot.Release(routing.OutcomeCancelled, time.Now())
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
-	began := time.Now()
-	copied, err := x.runner.Endpoints.Move(ctx, x.request.ID, d.Endpoint, target.Address, false)
-	x.runner.Observer.Moved(x.request, d.Endpoint.Address, target.Address, copied, false, began, err)
-	if err != nil {
-		return false
-	}
-	read := s.reads.Load()
-	missing := int64(copied.Created) > x.receivedEvent.Load() && wait.For(ctx, silenceConfirmation) == nil && s.reads.Load() == read
-	if !missing {
-		x.runner.background.Go(func() { x.dropCopy(copied) })
-		return false
-	}
-	x.runner.Observer.StreamSilent(d, copied.Created, x.receivedEvent.Load())
-	return true
-}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -21,6 +21,7 @@
 			return err
 		}
 		d = next
+		x.dropReserved()
 	}
 }
 
@@ -53,14 +54,14 @@
 	}
 	m := x.startMover(d)
 	err = x.relayEvents(reply, silence)
-	silence.close()
 	complete := err == nil && !reply.Unframed
+	silence.finish(complete)
 	if !complete && x.ctx.Err() == nil {
 		x.result.Phase = PhaseBetween
 	}
 	move, stop := m.finish(complete)
 	if err == nil && move == nil {
-		err = x.checkStop(reply, stop)
+		err = x.checkStop(reply, max(stop, silence.runStop))
 	}
 	switch {
 	case err == nil && move == nil:
