A run that is asked to stop before its head has come counts as between two endpoints

The phase of such a request was told as sent, though the instance itself had given up its connection and asked its endpoint to stop the run.

--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -43,6 +43,7 @@
 	if x.request.Engine == nil || x.ctx.Err() != nil || x.result.Restores >= maximumRestores {
 		return nil
 	}
+	x.result.Phase = PhaseBetween
 	if x.screening.Admit(x.ctx, x.spec.Deadline) != nil {
 		return nil
 	}
--- a/protocol/relay/phase_test.go
+++ b/protocol/relay/phase_test.go
@@ -71,6 +71,22 @@
 		assertClosing(f, result, OutcomeUnknown, PhaseSent)
 		f.is.Equal(f.failed, []error{errClosing})
 	})
+	run("between two endpoints, before a head", 2, func(t *testing.T, f *fakeFleet) {
+		f.stopAfter(t, 4*time.Second, 5*time.Second)
+		f.hides = func(netip.AddrPort) bool { return true }
+		f.answerMoves(func(ctx context.Context, from, _ netip.AddrPort, last bool, _ func()) (Copy, error) {
+			if last {
+				<-ctx.Done()
+				return Copy{}, ctx.Err()
+			}
+			return Copy{Source: from, Handle: "h", Created: 3}, nil
+		})
+		result, _ := f.serve(t, false)
+		f.is.Equal(result.Outcome, OutcomeUnknown)
+		f.is.Equal(result.Reason, ReasonClosing)
+		f.is.Equal(result.Phase, PhaseBetween)
+		f.is.Equal(len(f.sends), 1)
+	})
 	run("waiting", 1, func(t *testing.T, f *fakeFleet) {
 		r := f.runner()
 		r.Router = waitingRouter{}
