--- a/protocol/relay/missing.go
+++ b/protocol/relay/missing.go
@@ -79,3 +79,11 @@
 	x.runner.Observer.StreamSilent(d, copied.Created, x.receivedEvent.Load())
 	return true
 }
+
+// finishSilence closes the silence timer of a stream that has ended. A run that a check may have stopped is at no endpoint.
+func (x *execution) finishSilence(s *silenceTimer, complete bool) {
+	s.finish(complete)
+	if s.runStop != stopNotAsked {
+		x.result.Phase = PhaseBetween
+	}
+}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -35,7 +35,7 @@
 	x.dispatchEvents = 0
 	reply, err := x.send(ctx, d)
 	if err != nil {
-		silence.close()
+		x.finishSilence(silence, false)
 		err = silence.cause(err)
 		x.noteCrash(d, err, 0)
 		if next := x.continueUntaken(d, err); next != nil {
@@ -55,7 +55,7 @@
 	m := x.startMover(d)
 	err = x.relayEvents(reply, silence)
 	complete := err == nil && !reply.Unframed
-	silence.finish(complete)
+	x.finishSilence(silence, complete)
 	if !complete && x.ctx.Err() == nil {
 		x.result.Phase = PhaseBetween
 	}
