An endpoint that sends bytes without end is not borne while a target for its run is looked for

The wait is for runs whose connection was lost; where the bytes are wrong it ends as before. The test is unchanged and passes.

--- a/protocol/relay/continuation.go
+++ b/protocol/relay/continuation.go
@@ -34,7 +34,7 @@
 	case isNotRun(err):
 		next = x.continueRefused(d, err)
 	case !x.request.Route.Repeatable() && (d.Copy != nil || errors.Is(err, errSilent)):
-		next = x.continueElsewhere(d, stopNotAsked, nil)
+		next = x.continueElsewhere(d, err, stopNotAsked, nil)
 	}
 	if next != nil {
 		x.runner.Observer.RetryDecided(x.request, d.Endpoint, err, true)
@@ -61,7 +61,7 @@
 
 // continueElsewhere returns a dispatch that continues a run whose stream has broken off; nil if that is not possible, or if its endpoint may still work
 // on it. A part of the run may have been copied for a move.
-func (x *execution) continueElsewhere(d *Dispatch, stop stopState, part *move) *Dispatch {
+func (x *execution) continueElsewhere(d *Dispatch, cause error, stop stopState, part *move) *Dispatch {
 	if x.request.Engine == nil || x.ctx.Err() != nil || x.result.Restores >= maximumRestores {
 		return nil
 	}
@@ -72,7 +72,7 @@
 	var slot *routing.Slot
 	var target Endpoint
 	if stop != stopped && x.request.Engine.Moves {
-		if slot, target = x.targetForStop(d); !target.Address.IsValid() {
+		if slot, target = x.targetForStop(d, cause); !target.Address.IsValid() {
 			return nil
 		}
 		copied, state = x.stopFormer(d, target)
--- a/protocol/relay/failure.go
+++ b/protocol/relay/failure.go
@@ -27,6 +27,12 @@
 	return ok && n.Cause != nil
 }
 
+// isSpoilt reports whether the bytes of an answer are wrong, rather than missing.
+func isSpoilt(err error) bool {
+	reason := reasonOf(err)
+	return reason == ReasonGap || reason == ReasonInvalidAnswer || errors.Is(err, errEventSize)
+}
+
 // isConnectionRefused reports whether no process listens at the endpoint's address.
 func isConnectionRefused(err error) bool {
 	return isUnreached(err) && errors.Is(err, syscall.ECONNREFUSED)
--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -65,9 +65,9 @@
 }
 
 // targetForStop returns where the endpoint of a run whose stream has broken off is to copy the run's memory when it stops the run: an endpoint with
-// a slot, else one that is known to the run, since the call needs a target even if the run then continues at the endpoint itself. It waits for a
-// target if there is none; the run must not continue before it is stopped.
-func (x *execution) targetForStop(d *Dispatch) (*routing.Slot, Endpoint) {
+// a slot, else one that is known to the run, since the call needs a target even if the run then continues at the endpoint itself. If there is
+// none it waits for one, but not while the endpoint goes on to send bytes that are wrong.
+func (x *execution) targetForStop(d *Dispatch, cause error) (*routing.Slot, Endpoint) {
 	latest := time.Now().Add(continuationWait)
 	for {
 		if slot, target, found := x.targetAfter(d); found {
@@ -76,7 +76,7 @@
 		if known := x.knownEndpoint(d); known.IsValid() {
 			return nil, Endpoint{Address: known}
 		}
-		if x.request.Route.Repeatable() || !time.Now().Before(latest) || wait.For(x.ctx, continuationPollInterval) != nil {
+		if x.request.Route.Repeatable() || isSpoilt(cause) || !time.Now().Before(latest) || wait.For(x.ctx, continuationPollInterval) != nil {
 			return nil, Endpoint{}
 		}
 	}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -77,7 +77,7 @@
 	}
 	err = silence.cause(err)
 	x.noteCrash(d, err, x.dispatchEvents)
-	if next := x.continueElsewhere(d, stop, m.part); next != nil {
+	if next := x.continueElsewhere(d, err, stop, m.part); next != nil {
 		return next, nil
 	}
 	return nil, x.handleStreamFailure(d, err)
