A run that may wait in an endpoint's queue is not taken for ended

Found while mending the moves: a request that continues a run from its backup, and whose connection breaks before the head of the answer, may wait in that endpoint's queue, which then says that it does not know the run. Only an endpoint that has the complete copy of a move, for which it has kept room, or that has sent a head, is believed now; else the outcome is unknown and nobody goes on.

--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -111,7 +111,7 @@
 			break
 		}
 		copied, err = x.askToStop(d, target, timeout)
-		if state = formerRunAfter(copied, err, x.dispatchEvents > 0 || d.Copy != nil); state == FormerStopped || state == FormerEnded {
+		if state = formerRunAfter(copied, err, x.hasBegun(d)); state == FormerStopped || state == FormerEnded {
 			break
 		}
 	}
@@ -122,6 +122,12 @@
 	return copied, state
 }
 
+// hasBegun reports whether the run has begun at the endpoint of the latest dispatch if the request has arrived there. An endpoint that has the complete
+// copy of a move has kept room for the run; at any other one a request that continues a run may wait.
+func (x *execution) hasBegun(d *Dispatch) bool {
+	return x.dispatchEvents > 0 || d.Copy != nil && (x.dispatchBegun || d.Origin == OriginCopy)
+}
+
 // askToStop makes one call that is to stop the run at its former endpoint.
 func (x *execution) askToStop(d *Dispatch, target Endpoint, timeout time.Duration) (Copy, error) {
 	ctx, cancel := context.WithTimeout(x.ctx, timeout)
--- a/protocol/relay/paused_test.go
+++ b/protocol/relay/paused_test.go
@@ -47,6 +47,14 @@
 		{"the backup's endpoint has no copy, its own has stopped it", both(breaks(true), both(notCopied, noCopy)), true, "new run, backup, source", soon},
 		{"the backup's endpoint has no copy, its own has ended it", both(breaks(false), noCopy), false, "new run, backup, backup, backup", refused},
 		{"the backup's endpoint refuses once", both(breaks(false), refuseMoved(1, errFakeBusy)), true, "new run, backup, backup", time.Second},
+		{"the backup's connection breaks before the head, and the run may wait in its endpoint's queue", both(breaks(false), func(f *fakeFleet) {
+			f.refuses = func(d *Dispatch) error {
+				if d.Copy != nil {
+					return errFakeNoAnswer
+				}
+				return nil
+			}
+		}), false, "new run, backup", soon},
 		{"no endpoint has a slot for a while", both(breaks(true), both(withoutBackups, noSlots(4*time.Second))), true, "new run, copy", 5 * time.Second},
 		{"no endpoint has a slot for a while, and it has a backup", both(breaks(false), noSlots(4*time.Second)), true, "new run, backup", 5 * time.Second},
 		{"no endpoint has a slot for long", both(breaks(true), both(withoutBackups, noSlots(time.Minute))), false, "new run", soon},
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -80,6 +80,7 @@
 	passedTokens   atomic.Int32 // tokens forwarded to the caller
 	receivedEvent  atomic.Int64 // lastEvent, for the silence timer
 	begun          atomic.Bool  // the head of the answer was forwarded
+	dispatchBegun  bool         // the head of the latest dispatch's answer has come
 	dispatchEvents int          // events that the latest dispatch has received
 	screening      *quarantine.Screening
 	held           int              // bytes of buffered answers that the memory budget counts
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -31,7 +31,7 @@
 	defer cancel()
 	silence := x.startSilenceTimer(d, cancel)
 	defer silence.close()
-	x.dispatchEvents = 0
+	x.dispatchBegun, x.dispatchEvents = false, 0
 	reply, err := x.send(ctx, d)
 	if err != nil {
 		silence.close()
@@ -51,6 +51,7 @@
 		}
 		return nil, x.handleInvalidStream(d, reply)
 	}
+	x.dispatchBegun = true
 	m := x.startMover(d)
 	err = x.relayEvents(reply, silence)
 	silence.close()
