--- a/protocol/relay/paused_test.go
+++ b/protocol/relay/paused_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,3 +124,31 @@
 		}
 	})
 }
+
+// A resumable run may run again, but its memory is used where an endpoint still has it. Nothing is waited for.
+func TestResumableRunIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		refusals int
+		origins  string
+	}{
+		{1, "new run, copy, source"},
+		{2, "new run, copy, source, new run"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeFleet(t, 4, 250)
+			refuseMoved(c.refusals, errFakeRefused)(f)
+			f.breaks = func(netip.AddrPort) (int64, bool) {
+				if len(f.origins()) > 1 {
+					return 0, false
+				}
+				return 40, true
+			}
+			result, text := f.serve(t, true)
+			f.assertAnswer(result, text)
+			f.is.Equal(result.Outcome, OutcomeServed)
+			f.is.Equal(strings.Join(f.origins(), ", "), c.origins)
+			f.is.True(result.LongestPause <= 100*time.Millisecond)
+			f.assertNothingHeld()
+		})
+	}
+}
