--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -41,16 +41,16 @@
 
 // askFormer returns what the former endpoint says of the run, which it is to stop; it is asked now unless the silence timer has. Without an endpoint
 // where the run could continue it returns nil.
-func (x *execution) askFormer(d *Dispatch) *askedRun {
+func (x *execution) askFormer(d *Dispatch, cause error) *askedRun {
 	if a := x.asked; a != nil {
 		x.asked = nil
 		return a
 	}
-	slot, target := x.targetForStop(d)
+	slot, target := x.targetForStop(d, cause)
 	if !target.Address.IsValid() {
 		return nil
 	}
-	copied, state, _ := x.stopFormer(x.ctx, d, target, x.dispatchEvents > 0 || d.Copy != nil)
+	copied, state, _ := x.stopFormer(x.ctx, d, target, x.hasBegun(d))
 	return &askedRun{slot: slot, target: target, copied: copied, state: state}
 }
 
@@ -64,7 +64,7 @@
 		return
 	}
 	slot.Release(routing.OutcomeCancelled, time.Now())
-	if copied, state, _ := x.stopFormer(x.ctx, d, target, x.dispatchEvents > 0 || d.Copy != nil); state == FormerStopped {
+	if copied, state, _ := x.stopFormer(x.ctx, d, target, x.hasBegun(d)); state == FormerStopped {
 		x.runner.background.Go(func() { x.dropCopy(copied) })
 	}
 }
@@ -80,9 +80,9 @@
 }
 
 // targetForStop returns where the endpoint of a run whose stream has broken off is to copy the run's memory when it stops the run: an endpoint with
-// a slot, else one that is known to the run, since the call needs a target even if the run then continues at the endpoint itself. It waits for a
-// target if there is none; the run must not continue before it is stopped.
-func (x *execution) targetForStop(d *Dispatch) (*routing.Slot, Endpoint) {
+// a slot, else one that is known to the run, since the call needs a target even if the run then continues at the endpoint itself. If there is
+// none it waits for one, but not while the endpoint goes on to send bytes that are wrong.
+func (x *execution) targetForStop(d *Dispatch, cause error) (*routing.Slot, Endpoint) {
 	latest := time.Now().Add(continuationWait)
 	for {
 		if slot, target, found := x.targetAfter(d); found {
@@ -91,7 +91,7 @@
 		if known := x.knownEndpoint(d); known.IsValid() {
 			return nil, Endpoint{Address: known}
 		}
-		if x.request.Route.Repeatable() || !time.Now().Before(latest) || wait.For(x.ctx, continuationPollInterval) != nil {
+		if x.request.Route.Repeatable() || isSpoilt(cause) || !time.Now().Before(latest) || wait.For(x.ctx, continuationPollInterval) != nil {
 			return nil, Endpoint{}
 		}
 	}
@@ -139,6 +139,12 @@
 	return copied, state, stop
 }
 
+// hasBegun reports whether the run has begun at the endpoint of the latest dispatch if the request has arrived there. An endpoint that has the complete
+// copy of a move has kept room for the run; at any other one a request that continues a run may wait.
+func (x *execution) hasBegun(d *Dispatch) bool {
+	return x.dispatchEvents > 0 || d.Copy != nil && (x.dispatchBegun || d.Origin == OriginCopy)
+}
+
 // askToStop makes one call that is to stop the run at its former endpoint.
 func (x *execution) askToStop(ctx context.Context, d *Dispatch, target Endpoint, timeout time.Duration) (Copy, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/protocol/relay/paused_test.go
+++ b/protocol/relay/paused_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,6 +48,14 @@
 		{"the backup's endpoint has no copy, its own has stopped it", both(breaks(true), both(notCopied, noCopy)), true, "new run, backup, source", soon},
 		{"the backup's endpoint has no copy, its own has ended it", both(breaks(false), noCopy), false, "new run, backup, backup, backup", refused},
 		{"the backup's endpoint refuses once", both(breaks(false), refuseMoved(1, errFakeBusy)), true, "new run, backup, backup", time.Second},
+		{"the backup's connection breaks before the head, and the run may wait in its endpoint's queue", both(breaks(false), func(f *fakeFleet) {
+			f.refuses = func(d *Dispatch) error {
+				if d.Copy != nil {
+					return errFakeNoAnswer
+				}
+				return nil
+			}
+		}), false, "new run, backup", soon},
 		{"no endpoint has a slot for a while", both(breaks(true), both(withoutBackups, noSlots(4*time.Second))), true, "new run, copy", 5 * time.Second},
 		{"no endpoint has a slot for a while, and it has a backup", both(breaks(false), noSlots(4*time.Second)), true, "new run, backup", 5 * time.Second},
 		{"no endpoint has a slot for long", both(breaks(true), both(withoutBackups, noSlots(time.Minute))), false, "new run", soon},
@@ -115,3 +124,31 @@
 		}
 	})
 }
+
+// A resumable run may run again, but its memory is used where an endpoint still has it. Nothing is waited for.
+func TestResumableRunIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		refusals int
+		origins  string
+	}{
+		{1, "new run, copy, source"},
+		{2, "new run, copy, source, new run"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeFleet(t, 4, 250)
+			refuseMoved(c.refusals, errFakeRefused)(f)
+			f.breaks = func(netip.AddrPort) (int64, bool) {
+				if len(f.origins()) > 1 {
+					return 0, false
+				}
+				return 40, true
+			}
+			result, text := f.serve(t, true)
+			f.assertAnswer(result, text)
+			f.is.Equal(result.Outcome, OutcomeServed)
+			f.is.Equal(strings.Join(f.origins(), ", "), c.origins)
+			f.is.True(result.LongestPause <= 100*time.Millisecond)
+			f.assertNothingHeld()
+		})
+	}
+}
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -83,6 +83,7 @@
 	passedTokens   atomic.Int32 // tokens forwarded to the caller
 	receivedEvent  atomic.Int64 // lastEvent, for the silence timer
 	beginning      atomic.Int32 // whether the answer has begun, or may not begin any more
+	dispatchBegun  bool         // the head of the latest dispatch's answer has come
 	dispatchEvents int          // events that the latest dispatch has received
 	screening      *quarantine.Screening
 	held           int              // bytes of buffered answers that the memory budget counts
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -32,7 +32,7 @@
 	defer cancel()
 	silence := x.startSilenceTimer(d, cancel)
 	defer silence.close()
-	x.dispatchEvents = 0
+	x.dispatchBegun, x.dispatchEvents = false, 0
 	reply, err := x.send(ctx, d)
 	if err != nil {
 		x.finishSilence(silence, false)
@@ -52,6 +52,7 @@
 		}
 		return nil, x.handleInvalidStream(d, reply)
 	}
+	x.dispatchBegun = true
 	m := x.startMover(d)
 	err = x.relayEvents(reply, silence)
 	complete := err == nil && !reply.Unframed
@@ -82,7 +83,7 @@
 	}
 	err = silence.cause(err)
 	x.noteCrash(d, err, x.dispatchEvents)
-	if next := x.continueElsewhere(d, stop, m.part); next != nil {
+	if next := x.continueElsewhere(d, err, stop, m.part); next != nil {
 		return next, nil
 	}
 	return nil, x.handleStreamFailure(d, err)
