--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,6 +27,9 @@
 // fakeEventPause is the time between two events of a fake run.
 const fakeEventPause = 20 * time.Millisecond
 
+// fakeFailure is the body of a fake endpoint's answer with an error status.
+const fakeFailure = "failed"
+
 // framing says how the end of an answer is marked.
 type framing int
 
@@ -76,6 +80,8 @@
 	returns func(address netip.AddrPort) time.Duration
 	// loses says whether an endpoint runs a request and its answer is lost.
 	loses func(address netip.AddrPort) bool
+	// fails says whether an endpoint answers with an error status.
+	fails func(address netip.AddrPort) bool
 	// refuses says whether an endpoint refuses to run a request.
 	refuses func(address netip.AddrPort) bool
 	// hides says whether the connection to an endpoint goes silent before the head of the answer.
@@ -176,12 +182,17 @@
 func (f *fakeFleet) serveRequest(t *testing.T, request *Request) (Result, string) {
 	sink := &recordingSink{}
 	result := f.runner().Run(t.Context(), request, sink)
+	f.stopRuns()
+	return result, sink.text.String()
+}
+
+// stopRuns stops the runs that go on at their endpoints.
+func (f *fakeFleet) stopRuns() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, r := range f.runs {
 		r.stop()
 	}
-	return result, sink.text.String()
 }
 
 // waitingRouter grants no slot.
@@ -254,6 +265,10 @@
 		r.stop()
 		return nil, &NotRunError{Status: http.StatusServiceUnavailable}
 	}
+	if f.fails != nil && f.fails(d.Endpoint.Address) {
+		r.stop()
+		return &Reply{Status: http.StatusInternalServerError, Header: http.Header{}, Signed: true, Body: io.NopCloser(strings.NewReader(fakeFailure))}, nil
+	}
 	reader, writer := io.Pipe()
 	go f.stream(ctx, d, r, writer)
 	return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Unframed: f.framing == unframed, Body: reader}, nil
