A run is not held for the copy at an endpoint that has crashed

A memory whose endpoint refuses connections is given up at once.

Measured: TestBrokenRunIsCutBetweenEndpoints, "the backup's endpoint has crashed as well"; before: `new run, backup, backup, backup != new run, backup`.

--- a/protocol/relay/paused.go
+++ b/protocol/relay/paused.go
@@ -71,7 +71,7 @@
 	m.reached = m.reached || !isUnreached(err)
 	m.notBefore = now.Add(continuationPause << (m.refusals - 1))
 	refusal, ok := errors.AsType[*NotRunError](err)
-	if givenUp = ok && refusal.AddressReused || m.refusals >= maximumMemoryRefusals; givenUp {
+	if givenUp = ok && refusal.AddressReused || isConnectionRefused(err) || m.refusals >= maximumMemoryRefusals; givenUp {
 		p.remove(m)
 	}
 	return givenUp
--- a/protocol/relay/paused_test.go
+++ b/protocol/relay/paused_test.go
@@ -47,6 +47,7 @@
 	for _, c := range []pausedCase{
 		{"the backup's endpoint has no copy, its own has stopped it", both(breaks(true), both(notCopied, noCopy)), true, "new run, backup, source", soon},
 		{"the backup's endpoint has no copy, its own has ended it", both(breaks(false), noCopy), false, "new run, backup, backup, backup", refused},
+		{"the backup's endpoint has crashed as well", both(breaks(false), refuseMoved(1000, errFakeClosed)), false, "new run, backup", soon},
 		{"the backup's endpoint refuses once", both(breaks(false), refuseMoved(1, errFakeBusy)), true, "new run, backup, backup", time.Second},
 		{"the backup's connection breaks before the head, and the run may wait in its endpoint's queue", both(breaks(false), func(f *fakeFleet) {
 			f.refuses = func(d *Dispatch) error {
