An endpoint that does not say what became of a broken run is asked for 6 s

Cause: the endpoint was asked three times, however soon each call failed; three calls that time out take 6 s, three that are reset 0.2 s.

Change: an endpoint that does not say is asked for 6 s, with growing pauses; nobody else goes on meanwhile, as before. One to which no connection can be made counts as unreachable after three calls, as before.

Measured: TestRunGoesOnAtTwoEndpoints, "the endpoint says nothing for a while" (six calls without an answer, then one that stops and copies the run); before: not whole.

--- a/protocol/relay/constants.go
+++ b/protocol/relay/constants.go
@@ -34,8 +34,10 @@
 	permitWait               = 250 * time.Millisecond // for which a run that is to continue from a backup waits for a permit of the endpoint
 	permitPollInterval       = 10 * time.Millisecond  // between two checks for such a permit
 	stopTimeout              = 2 * time.Second        // of a call that has a former endpoint stop a run and copy it
-	stopAttempts             = 3                      // such calls for one break of a stream
-	stopPause                = 100 * time.Millisecond // between two of them
+	stopAttempts             = 3                      // such calls after which an endpoint counts as unreachable
+	stopWait                 = 6 * time.Second        // for which an endpoint is asked that does not say what has become of a run
+	maximumStopPause         = 800 * time.Millisecond // longest pause between two such calls
+	stopPause                = 100 * time.Millisecond // between the first two of them; it doubles
 	repeatableStopTimeout    = 500 * time.Millisecond // of the only such call for a run that may be repeated
 	deadlineMargin           = 20 * time.Millisecond  // before a request's deadline, from which the end of an unframed answer may be its endpoint's deadline
 	closingRetrySpread       = 200 * time.Millisecond // within which the callers of an instance that closes retry
--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -39,6 +39,11 @@
 	}
 }
 
+// mayBeAskedAgain reports whether another call, after so many, may tell more of the run.
+func (f FormerRun) mayBeAskedAgain(calls int) bool {
+	return f == FormerUnknown || f == FormerUnreachable && calls < stopAttempts
+}
+
 // endBeforeRepeat has the endpoint of a generation whose answer did not come end its run before the request runs again, as far as it can be asked.
 func (x *execution) endBeforeRepeat(d *Dispatch, err error) {
 	if x.request.Engine == nil || !x.request.Engine.Moves || isNotRun(err) || !x.mayRetry(err) {
@@ -99,21 +104,20 @@
 // of the run, on a new connection each time. A run that may be repeated is not waited for long.
 func (x *execution) stopFormer(d *Dispatch, target Endpoint) (Copy, FormerRun) {
 	began := time.Now()
-	timeout, attempts := stopTimeout, stopAttempts
+	timeout, latest := stopTimeout, began.Add(stopWait)
 	if x.request.Route.Repeatable() {
-		timeout, attempts = repeatableStopTimeout, 1
+		timeout, latest = repeatableStopTimeout, began
 	}
-	var copied Copy
-	var err error
-	state := FormerUnknown
-	for n := range attempts {
-		if n > 0 && wait.For(x.ctx, stopPause) != nil {
+	copied, err := x.askToStop(d, target, timeout)
+	state := formerRunAfter(copied, err, x.hasBegun(d))
+	pause := stopPause
+	for n := 1; state.mayBeAskedAgain(n) && time.Now().Before(latest); n++ {
+		if wait.For(x.ctx, pause) != nil {
 			break
 		}
+		pause = min(2*pause, maximumStopPause)
 		copied, err = x.askToStop(d, target, timeout)
-		if state = formerRunAfter(copied, err, x.hasBegun(d)); state == FormerStopped || state == FormerEnded {
-			break
-		}
+		state = formerRunAfter(copied, err, x.hasBegun(d))
 	}
 	x.runner.Observer.FormerRunAsked(d, state, began, err)
 	if err == nil {
--- a/protocol/relay/twice_test.go
+++ b/protocol/relay/twice_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -39,6 +40,7 @@
 		{"it is stopped and not copied, without a backup", true, []answer{{true, copied(), errors.New("no room")}}, false, true, "copy", 100 * time.Millisecond},
 		{"the call is not answered but has its effect", true, []answer{{true, Copy{}, errFakeNoAnswer}, {false, Copy{}, ErrNoRun}}, false, true, "backup", time.Second},
 		{"another call is in progress", true, []answer{{false, Copy{}, ErrMoveInProgress}, {true, copied(), nil}}, false, true, "copy", time.Second},
+		{"the endpoint says nothing for a while", true, append(slices.Repeat([]answer{{false, Copy{}, errFakeNoAnswer}}, 6), answer{true, copied(), nil}), false, true, "copy", 4 * time.Second},
 		{"the endpoint never says that it has ended", true, []answer{{false, Copy{}, errFakeNoAnswer}}, false, false, "", 0},
 		{"it has ended with its connection", false, []answer{{false, Copy{}, ErrNoRun}}, false, true, "backup", 100 * time.Millisecond},
 		{"the endpoint has crashed", false, []answer{{false, Copy{}, refused}}, false, true, "backup", 10 * time.Millisecond},
