--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -54,6 +54,11 @@
 	return &askedRun{slot: slot, target: target, copied: copied, state: state}
 }
 
+// mayBeAskedAgain reports whether another call, after so many, may tell more of the run.
+func (f FormerRun) mayBeAskedAgain(calls int) bool {
+	return f == FormerUnknown || f == FormerUnreachable && calls < stopAttempts
+}
+
 // endBeforeRepeat has the endpoint of a generation whose answer did not come end its run before the request runs again, as far as it can be asked.
 func (x *execution) endBeforeRepeat(d *Dispatch, err error) {
 	if x.request.Engine == nil || !x.request.Engine.Moves || isNotRun(err) || !x.mayRetry(err) {
@@ -111,26 +116,23 @@
 }
 
 // stopFormer has the former endpoint stop the run and copy its memory to the target. It asks again while the endpoint does not say what has become
-// of the run, on a new connection each time. A run that may be repeated is not waited for long. The run
-// may be known to have begun there.
+// of the run, on a new connection each time. A run that may be repeated is not waited for long. The run may be known to have begun there.
 func (x *execution) stopFormer(ctx context.Context, d *Dispatch, target Endpoint, begun bool) (Copy, FormerRun, stopState) {
 	began := time.Now()
-	timeout, attempts := stopTimeout, stopAttempts
+	timeout, latest := stopTimeout, began.Add(stopWait)
 	if x.request.Route.Repeatable() {
-		timeout, attempts = repeatableStopTimeout, 1
+		timeout, latest = repeatableStopTimeout, began
 	}
-	var copied Copy
-	var err error
-	state, stop := FormerUnknown, stopNotAsked
-	for n := range attempts {
-		if n > 0 && wait.For(ctx, stopPause) != nil {
+	copied, err := x.askToStop(ctx, d, target, timeout)
+	state, stop := formerRunAfter(copied, err, begun), stopNotAsked.after(copied, err)
+	pause := stopPause
+	for n := 1; state.mayBeAskedAgain(n) && time.Now().Before(latest); n++ {
+		if wait.For(ctx, pause) != nil {
 			break
 		}
+		pause = min(2*pause, maximumStopPause)
 		copied, err = x.askToStop(ctx, d, target, timeout)
-		stop = stop.after(copied, err)
-		if state = formerRunAfter(copied, err, begun); state == FormerStopped || state == FormerEnded {
-			break
-		}
+		state, stop = formerRunAfter(copied, err, begun), stop.after(copied, err)
 	}
 	x.runner.Observer.FormerRunAsked(d, state, began, err)
 	if err == nil {
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -193,7 +193,7 @@
 		x.slot, x.repeat = x.repeat, nil
 		return nil
 	}
-	x.spec.Begun = x.mayHaveRun > 0 || x.result.Begun
+	x.spec.Begun = x.result.Begun || x.mayHaveRun > 0 && x.kept == nil
 	slot, err := x.runner.Router.Acquire(x.ctx, &x.spec)
 	if refusal, ok := errors.AsType[*routing.RefusalError](err); ok && refusal.MayPassWithoutExclusions() && len(x.spec.Exclude) > 0 {
 		if err := wait.For(x.ctx, x.refusalPause()); err != nil {
