Soak: planned work only, in series, judged by which requests are lost

Streams last longer than the grace period, callers don't wait for each other, some open connections early, send in pieces or read slowly. A request that was sent whole and has no whole answer is lost unless its endpoint broke off, its deadline passed, or an endpoint worked on it in the last sixth of the grace period and it was sent within 3 s after SIGTERM. Answers of class 4 that promise nothing count as denied.

--- a/cmd/dykectl/soak.go
+++ b/cmd/dykectl/soak.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 
 	"dogwooddyke/experiment/soak"
 )
@@ -27,6 +28,16 @@
 	WithoutStatements    bool    `long:"withoutStatements" description:"has no engine say of itself that it rests or leaves, as for seeds of older runs"`
 	WithoutLimits        bool    `long:"withoutLimits" description:"has no engine name a limit on the rate of requests, as for seeds of older runs"`
 	WithoutRestores      bool    `long:"withoutRestores" description:"never restores the log from an older copy, as for seeds of older runs"`
+	Planned              bool    `long:"planned" description:"has planned work only: instances stopped in turn, engines that leave after a notice, SIGHUP, new catalogues; with streams longer than the grace period and callers that don't wait for each other, and judged by which requests are lost"`
+	Stops                float64 `long:"stopSeconds" value-name:"N" default:"19" description:"between the stops of two instances, with --planned"`
+	Grace                float64 `long:"graceSeconds" value-name:"N" default:"8" description:"from SIGTERM until SIGKILL, with --planned"`
+	Reclaims             float64 `long:"reclaimSeconds" value-name:"N" default:"6" description:"between two notices of engines on average, with --planned"`
+	Together             int     `long:"reclaimedTogether" value-name:"N" default:"1" description:"engines that leave at once, with --planned"`
+	Factor               float64 `long:"loadFactor" value-name:"X" default:"1" description:"of the times that engines and slow callers take, with --planned"`
+	WithoutStops         bool    `long:"withoutStops" description:"stops no instance, with --planned"`
+	WithoutReclaims      bool    `long:"withoutReclaims" description:"has no engine leave, with --planned"`
+	WithoutReloads       bool    `long:"withoutReloads" description:"sends no SIGHUP but before stops, with --planned"`
+	WithoutCatalogues    bool    `long:"withoutCatalogues" description:"keeps one catalogue, with --planned"`
 	Keep                 string  `long:"keep" value-name:"DIRECTORY" description:"where settings and logs of failed runs are kept"`
 }
 
@@ -72,7 +83,11 @@
 	}
 	options := &soak.Options{
 		Binary: c.Binary, Directory: directory, Seed: seed, Seconds: c.Seconds, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers,
-		Without: soak.Without{Limits: c.WithoutLimits, Restores: c.WithoutRestores, CrashingParts: c.WithoutCrashingParts, RepeatedRequests: c.WithoutRepeated, Evacuations: c.WithoutEvacuations, Statements: c.WithoutStatements},
+		Without: soak.Without{Limits: c.WithoutLimits, Restores: c.WithoutRestores, CrashingParts: c.WithoutCrashingParts, RepeatedRequests: c.WithoutRepeated, Evacuations: c.WithoutEvacuations, Statements: c.WithoutStatements, Stops: c.WithoutStops, Reclaims: c.WithoutReclaims, Reloads: c.WithoutReloads, Catalogues: c.WithoutCatalogues},
+	}
+	if c.Planned {
+		seconds := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+		options.Planned = &soak.Planned{Stops: seconds(c.Stops), Grace: seconds(c.Grace), Reclaims: seconds(c.Reclaims), Together: c.Together, Factor: c.Factor}
 	}
 	if err := options.Check(); err != nil {
 		return false, &exitError{exitBadInput, errors.Join(err, os.RemoveAll(directory))}
--- a/experiment/soak/caller.go
+++ b/experiment/soak/caller.go
@@ -8,8 +8,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"dogwooddyke/internal/wait"
@@ -33,12 +35,15 @@
 	ledger *ledger
 	sent   int
 
+	patience time.Duration // deadline of each request
+	factor   float64       // of the times of a planned run's load
+
 	crashes *crashes // requests that crash engines
 }
 
 func newCaller(number int, seed uint64, nodes []*node, l *ledger) *caller {
 	return &caller{
-		number: number, random: rand.New(rand.NewPCG(seed, uint64(number))), nodes: nodes, ledger: l, crashes: &crashes{},
+		number: number, random: rand.New(rand.NewPCG(seed, uint64(number))), nodes: nodes, ledger: l, crashes: &crashes{}, patience: callTimeout,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 }
@@ -47,7 +52,8 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		pause := c.call(c.random.IntN(len(c.nodes)), c.pick())
+		instance := c.random.IntN(len(c.nodes))
+		pause := c.call(c.demand(instance, c.pick()))
 		_ = wait.For(ctx, pause+time.Duration(c.random.Int64N(int64(thinkMost)))) // an ended context ends the loop
 	}
 }
@@ -65,45 +71,69 @@
 	}
 }
 
-// call sends one request to its end and returns how long to wait before the next.
-func (c *caller) call(instance int, route string) time.Duration {
+// demand returns a request of a route to an instance.
+func (c *caller) demand(instance int, route string) demand {
+	d := demand{id: c.nextID(), route: route, instance: instance}
+	switch route {
+	case routeShort:
+		d.events = shortEvents
+	case routeLong:
+		d.events = leastEvents + c.random.IntN(mostEvents-leastEvents)
+	}
+	return d
+}
+
+func (c *caller) nextID() string {
 	c.sent++
-	r := record{id: fmt.Sprintf("c%d-%d", c.number, c.sent), route: route, instance: instance, began: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	return fmt.Sprintf("c%d-%d", c.number, c.sent)
+}
+
+// call sends one request to its end and returns how long to wait before the next.
+func (c *caller) call(d demand) time.Duration {
+	r := record{id: d.id, route: d.route, instance: d.instance, began: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), c.patience)
 	defer cancel()
-	pause := c.exchange(ctx, &r)
+	var whole atomic.Pointer[time.Time]
+	pause := c.exchange(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if now := time.Now(); info.Err == nil {
+			whole.Store(&now)
+		}
+	}}), &d, &r)
 	r.ended = time.Now()
+	if at := whole.Load(); at != nil {
+		r.whole = *at
+	}
 	c.ledger.record(r)
 	return pause
 }
 
 // exchange sends the request and notes how it ends.
-func (c *caller) exchange(ctx context.Context, r *record) time.Duration {
-	method, events := http.MethodGet, 0
-	switch r.route {
-	case routeWrite:
-		method = http.MethodPost
-	case routeShort:
-		method, events = http.MethodPost, shortEvents
-	case routeLong:
-		method, events = http.MethodPost, leastEvents+c.random.IntN(mostEvents-leastEvents)
+func (c *caller) exchange(ctx context.Context, d *demand, r *record) time.Duration {
+	method := http.MethodPost
+	if r.route == routeRead {
+		method = http.MethodGet
 	}
 	path := "/" + r.route + "/" + r.id
 	if r.route == routeRead && c.crashes.request.Load() && c.random.IntN(repeatedShare) == 0 {
 		path, r.crashing = repeatedPath, causeRequest
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.nodes[r.instance].callers+path, strings.NewReader("body of "+path))
+	var body io.Reader = strings.NewReader("body of " + path)
+	if d.pieces > 0 {
+		body = &pieces{rest: "body of " + path, pause: d.pieces}
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.nodes[r.instance].callers+path, body)
 	if err != nil {
 		r.outcome, r.why = outcomeWrong, err.Error()
 		return 0
 	}
+	request.ContentLength = int64(len("body of " + path))
 	request.Host = standin.Host
 	request.GetBody = nil // the client must not send it again by itself
 	request.Header.Set(standin.HeaderRequest, r.id)
-	request.Header.Set(standin.HeaderDeadline, strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	request.Header.Set(standin.HeaderDeadline, strconv.FormatInt(c.patience.Milliseconds(), 10))
 	request.Header.Set(standin.HeaderKey, standin.Key)
-	if events > 0 {
-		request.Header.Set(standin.HeaderTokens, fmt.Sprint(promptTokens, ",", events))
+	if d.events > 0 {
+		request.Header.Set(standin.HeaderTokens, fmt.Sprint(promptTokens, ",", d.events))
 		request.Header.Set(standin.HeaderParts, c.parts(r))
 	}
 	response, err := c.client.Do(request)
@@ -112,11 +142,14 @@
 		return 0
 	}
 	defer func() { _ = response.Body.Close() }()
+	if d.slowness > 0 {
+		response.Body = &slowReader{response.Body, d.slowness}
+	}
 	if response.StatusCode != http.StatusOK {
 		return refused(r, response)
 	}
-	if events > 0 {
-		r.outcome, r.why = readEvents(response.Body, r.id, events)
+	if d.events > 0 {
+		r.outcome, r.why = readEvents(response.Body, r.id, d.events)
 		return 0
 	}
 	r.outcome, r.why = readWhole(response, method, path)
--- a/experiment/soak/constants.go
+++ b/experiment/soak/constants.go
@@ -36,6 +36,7 @@
 	engineMargin      = 3 * time.Second         // after an engine's fault in which requests may still end by it
 	grace             = 8 * time.Second         // from SIGTERM until SIGKILL
 	readyWait         = 60 * time.Second
+	routeTimeout      = 15 * time.Second // of the catalogue's routes
 	callTimeout       = 20 * time.Second
 	linkDelay         = 300 * time.Millisecond
 	retryMost         = time.Second // that a caller waits after a refusal
@@ -56,6 +57,45 @@
 	repeatedPath   = "/read/again?page=3"
 )
 
+// Runs with planned work only.
+const (
+	leastPlanned    = 500 * time.Millisecond // that an option of time may be
+	plannedNotice   = 2 * time.Second        // from an engine's notice until it is gone
+	reloadPause     = 9 * time.Second        // between two reloads on average
+	cataloguePause  = 7 * time.Second        // between two versions on average
+	reloadLead      = 300 * time.Millisecond // before a stop, in which a reload may come
+	secondSignal    = 7 * time.Second        // after the first, in which a second SIGTERM may come
+	restartPause    = 500 * time.Millisecond
+	readyPause      = 50 * time.Millisecond
+	watchPause      = 250 * time.Millisecond // between two questions of the load balancer
+	leastEventPause = 28 * time.Millisecond
+	mostEventPause  = 60 * time.Millisecond
+	plainAnswer     = 60 * time.Millisecond
+	longMedian      = 190 // events; the mean is about 232
+	longSpread      = 0.84
+	longMost        = 549
+	shortMost       = 12
+	arrivalPause    = time.Second      // between two requests of a caller on average
+	longPatience    = 40 * time.Second // deadline of a request, and the routes' time limit
+	unlistedShare   = 5                // one in so many requests goes to any instance
+	specialShare    = 5                // one in so many is sent in pieces, and one is read slowly
+	mostPiecePause  = 500 * time.Millisecond
+	pieceSize       = 8
+	slowPause       = 200 * time.Millisecond
+	slowSize        = 128
+	keptConnections = 8
+	earlyShare      = 3 // one in so many callers opens connections long before it uses them
+	earlySteps      = 8
+	earlyStep       = 350 * time.Millisecond // up to shortly before instances close a silent connection
+
+	// The rule for lost requests.
+	lossSlack  = 200 * time.Millisecond // after its last byte, in which a connection may close if the request was not sent on
+	afterGrace = time.Second            // after the grace period, in which a request may end by the stop
+	graceParts = 6                      // the last of so many parts of the grace period excuses what endpoints then work on
+	sentLimit  = 3 * time.Second        // after SIGTERM, in which such a request was sent
+	changeTime = 3 * time.Second        // in which a change is in force
+)
+
 // Services and data centres of the stand-ins.
 const (
 	serviceModel = "model"
--- a/experiment/soak/fault.go
+++ b/experiment/soak/fault.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"syscall"
@@ -83,17 +84,14 @@
 		defer n.signal(syscall.SIGCONT)
 		return wait.For(ctx, p.last) == nil
 	case kindStop:
-		n.signal(syscall.SIGTERM)
-		if !n.over(grace) {
-			n.end()
-		}
+		n.stop(p, s.options.grace())
 	default:
 		n.end()
 	}
 	if wait.For(ctx, p.last/2) != nil {
 		return false
 	}
-	return n.start() == nil
+	return n.start() == nil && (s.options.Planned == nil || n.await())
 }
 
 // lose takes an engine away, with notice or without, and starts another in its place.
@@ -104,10 +102,11 @@
 	}
 	if p.kind == kindReclaim {
 		s.announce(m, p.target)
-		if wait.For(ctx, shortNotice) != nil {
+		if wait.For(ctx, cmp.Or(p.notice, shortNotice)) != nil {
 			return false
 		}
 	}
+	m.engine.End()
 	m.link.set(modeReset)
 	m.engine.Close()
 	if p.kind == kindCrash {
--- a/experiment/soak/ledger.go
+++ b/experiment/soak/ledger.go
@@ -23,6 +23,7 @@
 	route    string
 	instance int
 	began    time.Time
+	whole    time.Time // when its last byte was sent; zero: it was not
 	ended    time.Time
 	outcome  outcome
 	why      string
@@ -45,6 +46,7 @@
 	arrivals []arrival // of requests that crash engines, at engines
 
 	evacuations []*evacuation
+	planned     bool // judgeLosses judges what has no whole answer
 }
 
 func (l *ledger) record(r record) {
@@ -83,7 +85,7 @@
 		return "wrong answer"
 	case r.outcome == outcomeRefused && ran > 0:
 		return "said not to have run"
-	case (r.outcome == outcomeBroken || r.outcome == outcomeUnknown) && ran > 0 && r.crashing == causeNone && !l.excused(r, instances):
+	case !l.planned && (r.outcome == outcomeBroken || r.outcome == outcomeUnknown) && ran > 0 && r.crashing == causeNone && !l.excused(r, instances):
 		return "not answered"
 	}
 	return ""
--- a/experiment/soak/node.go
+++ b/experiment/soak/node.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,6 +23,7 @@
 	callers string
 	ready   string
 	log     *link
+	listed  atomic.Bool // the load balancer knows it as ready
 
 	mutex   sync.Mutex
 	process *exec.Cmd
@@ -44,7 +46,7 @@
 		"firstPeerPort = %d\nlastPeerPort = %d\nmetrics = 127.0.0.1:%d\n[log]\naddress = %s\n"+
 		"[bounds]\ngraceSeconds = %g\nheartbeatMilliseconds = %d\nextraRetries = 100\n",
 		n.name, dataCentres[number%len(dataCentres)], n.callers, n.ready, ports[2], ports[2]+4, ports[3], log.address(),
-		grace.Seconds(), heartbeat.Milliseconds())
+		o.grace().Seconds(), heartbeat.Milliseconds())
 	if err := os.WriteFile(n.file, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
--- a/experiment/soak/options.go
+++ b/experiment/soak/options.go
@@ -18,6 +18,31 @@
 	Callers   int
 
 	Without Without
+	Planned *Planned // nil: faults of all kinds
+}
+
+// steps draws what happens.
+func (o *Options) steps(span time.Duration) []step {
+	if o.Planned != nil {
+		return planned(o.Seed, span, o.Planned, &o.Without)
+	}
+	return plan(o.Seed, span, &o.Without)
+}
+
+// patience returns the time limit of the catalogue's routes.
+func (o *Options) patience() time.Duration {
+	if o.Planned != nil {
+		return longPatience
+	}
+	return routeTimeout
+}
+
+// grace returns the time from SIGTERM until SIGKILL.
+func (o *Options) grace() time.Duration {
+	if o.Planned != nil {
+		return o.Planned.Grace
+	}
+	return grace
 }
 
 // Without names faults that are left out, as for seeds of runs that did not have them.
@@ -29,6 +54,12 @@
 	RepeatedRequests bool // services do not crash under a request that callers repeat
 	Evacuations      bool // no data centre is evacuated
 	Statements       bool // engines do not say of themselves that they rest or leave
+
+	// Only for runs with planned work only.
+	Stops      bool // no instance is stopped
+	Reclaims   bool // no engine leaves
+	Reloads    bool // no instance gets SIGHUP
+	Catalogues bool // the catalogue does not change
 }
 
 // Check lists what is wrong with the options.
@@ -49,5 +80,8 @@
 	if o.Callers < 1 {
 		faults = append(faults, fmt.Errorf("--callers: %d is less than 1", o.Callers))
 	}
+	if p := o.Planned; p != nil && (p.Stops < leastPlanned || p.Grace < leastPlanned || p.Reclaims < leastPlanned || p.Together < 1 || p.Factor <= 0) {
+		faults = append(faults, fmt.Errorf("--planned: times must be at least %s and numbers positive", leastPlanned))
+	}
 	return errors.Join(faults...)
 }
--- a/experiment/soak/plan.go
+++ b/experiment/soak/plan.go
@@ -59,6 +59,9 @@
 	target int           // counted round the instances or engines
 	mode   mode          // of a link
 	last   time.Duration // how long it lasts
+
+	notice time.Duration // from an engine's notice until it is gone
+	again  time.Duration // from an instance's first SIGTERM until a second; zero: there is none
 }
 
 // plan draws the faults of a run; the same seed gives the same ones.
@@ -98,6 +101,10 @@
 	if !without.Statements {
 		steps = append(steps, statements(seed, span)...)
 	}
+	return sorted(steps)
+}
+
+func sorted(steps []step) []step {
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
--- a/experiment/soak/run.go
+++ b/experiment/soak/run.go
@@ -18,6 +18,7 @@
 //	plan.go    draws the faults from the seed
 //	site.go    starts stand-ins, links and processes; fault.go breaks them
 //	caller.go  sends requests all the while and checks each answer
+//	planned.go draws planned work only instead; load.go sends as such a deployment's callers do, loss.go judges what is lost then
 //	ledger.go  judges each request by what its caller saw, how often it ran, and which faults there were
 
 // Report is what a run showed.
@@ -25,7 +26,8 @@
 	Seed   uint64
 	Faults map[kind]int
 	Counts map[string]map[outcome]int
-	Broken []string // promises that did not hold
+	Others map[string]int // of a run with planned work only: refusals, failures and cuts that are excused
+	Broken []string       // promises that did not hold
 }
 
 // Run carries out one run; an error means that it could not be carried out.
@@ -42,6 +44,9 @@
 	var background conc.WaitGroup
 	background.Go(func() { s.beat(over) })
 	background.Go(func() { s.keepCopies(over) })
+	if o.Planned != nil {
+		background.Go(func() { s.watch(over) })
+	}
 	s.traffic(ctx)
 	s.heal()
 	report := &Report{Seed: o.Seed, Faults: make(map[kind]int)}
@@ -57,6 +62,10 @@
 	report.Broken = append(report.Broken, s.ledger.judgeCrashes(o.Instances)...)
 	report.Broken = append(report.Broken, s.ledger.judgeEvacuations(append(s.fleet, s.gone...), o.Instances)...)
 	report.Broken = append(report.Broken, s.ledger.judgeStatements(append(s.fleet, s.gone...), o.Instances)...)
+	if s.ledger.planned {
+		lost, others := s.ledger.judgeLosses(&losses{instances: o.Instances, grace: o.grace(), patience: longPatience, worked: s.engines.Worked})
+		report.Broken, report.Others = append(report.Broken, lost...), others
+	}
 	report.Counts = s.ledger.counts()
 	for _, t := range s.ledger.troubles {
 		report.Faults[t.step.kind]++
@@ -72,11 +81,16 @@
 	defer cancel()
 	var callers conc.WaitGroup
 	for n := range s.options.Callers {
+		if s.options.Planned != nil {
+			c := newArriving(n, s.options, s.nodes, s.ledger)
+			callers.Go(func() { c.arrive(ctx) })
+			continue
+		}
 		c := newCaller(n, s.options.Seed, s.nodes, s.ledger)
 		c.crashes = &s.crashes
 		callers.Go(func() { c.run(ctx) })
 	}
-	for _, p := range plan(s.options.Seed, span, &s.options.Without) {
+	for _, p := range s.options.steps(span) {
 		if wait.For(ctx, time.Until(started.Add(p.at))) != nil {
 			break
 		}
@@ -91,7 +105,11 @@
 	c := newCaller(s.options.Callers, s.options.Seed, s.nodes, &ledger{})
 	for n := range s.nodes {
 		for _, route := range []string{routeRead, routeWrite, routeShort, routeLong} {
-			c.call(n, route)
+			d := c.demand(n, route)
+			if s.options.Planned != nil {
+				d.events = min(d.events, shortEvents) // events take longer there
+			}
+			c.call(d)
 		}
 	}
 	for _, r := range c.ledger.records {
@@ -112,6 +130,11 @@
 			return err
 		}
 	}
+	for _, other := range slices.Sorted(maps.Keys(r.Others)) {
+		if _, err := fmt.Fprintf(w, "  %4d %s\n", r.Others[other], other); err != nil {
+			return err
+		}
+	}
 	for _, b := range r.Broken[:min(len(r.Broken), maximumShown)] {
 		if _, err := fmt.Fprintln(w, "  BROKEN", b); err != nil {
 			return err
--- a/experiment/soak/site.go
+++ b/experiment/soak/site.go
@@ -47,6 +47,10 @@
 
 func newSite(o *Options) (*site, error) {
 	s := &site{options: o, log: standin.NewLog(), engines: standin.NewEngines(), ledger: &ledger{}, busy: make(map[*node]bool), evacuated: make(map[string]bool)}
+	if o.Planned != nil {
+		s.ledger.planned = true
+		s.engines.SetPace(plannedPace(o.Planned.Factor))
+	}
 	s.publish()
 	for range o.Engines {
 		if err := s.add(serviceModel); err != nil {
@@ -54,7 +58,9 @@
 		}
 	}
 	plain := []string{serviceDesk, serviceOther}
-	if !o.Without.RepeatedRequests {
+	if o.Planned != nil {
+		plain = append(plain, serviceDesk)
+	} else if !o.Without.RepeatedRequests {
 		plain = append(plain, serviceDesk, serviceDesk) // which crash one after the other
 	}
 	for _, name := range plain {
@@ -93,7 +99,7 @@
 	if s.version%2 == 0 {
 		writes = serviceOther
 	}
-	s.log.Put(platform.TopicOperator, platform.KeyCatalogue, standin.ColdCatalogue(s.version, writes, coldRate))
+	s.log.Put(platform.TopicOperator, platform.KeyCatalogue, standin.TimedCatalogue(s.version, writes, coldRate, s.options.patience()))
 }
 
 // add starts an engine and lists it.
