Soak: slow callers, callers that open connections before a stop and send late; a line that breaks off is no wrong event

It now compares whole lines only; one that ends as whole within a line is wrong as before (TestReadEventsBrokenLine).

--- a/experiment/soak/caller.go
+++ b/experiment/soak/caller.go
@@ -37,6 +37,8 @@
 
 	patience time.Duration // deadline of each request
 	factor   float64       // of the times of a planned run's load
+	early    bool          // it opens connections long before it uses them
+	slowness time.Duration // between two reads of an answer
 
 	crashes *crashes // requests that crash engines
 }
@@ -90,7 +92,7 @@
 
 // call sends one request to its end and returns how long to wait before the next.
 func (c *caller) call(d demand) time.Duration {
-	r := record{id: d.id, route: d.route, instance: d.instance, began: time.Now()}
+	r := record{id: d.id, route: d.route, instance: d.instance, slow: c.slowness > 0, began: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), c.patience)
 	defer cancel()
 	var whole atomic.Pointer[time.Time]
@@ -142,8 +144,8 @@
 		return 0
 	}
 	defer func() { _ = response.Body.Close() }()
-	if d.slowness > 0 {
-		response.Body = &slowReader{response.Body, d.slowness}
+	if c.slowness > 0 {
+		response.Body = &slowReader{response.Body, c.slowness}
 	}
 	if response.StatusCode != http.StatusOK {
 		return refused(r, response)
@@ -195,10 +197,11 @@
 
 // readEvents checks that a stream has each event once and in order, and ends as whole only after the last.
 func readEvents(body io.Reader, id string, count int) (outcome, string) {
-	lines := bufio.NewScanner(body)
+	lines := bufio.NewReader(body)
 	last := 0
-	for lines.Scan() {
-		text, found := strings.CutPrefix(lines.Text(), "data: ")
+	line, err := lines.ReadString('\n')
+	for ; err == nil; line, err = lines.ReadString('\n') { // a line that breaks off is no event
+		text, found := strings.CutPrefix(strings.TrimSuffix(line, "\n"), "data: ")
 		if !found {
 			continue
 		}
@@ -207,11 +210,13 @@
 			return outcomeWrong, fmt.Sprintf("event %q in the place of %d", text, last)
 		}
 	}
-	switch err := lines.Err(); {
-	case err != nil && last == count:
+	switch {
+	case !errors.Is(err, io.EOF) && last == count:
 		return outcomeBroken, "end missing"
-	case err != nil:
-		return outcomeBroken, fmt.Sprintf("after %d of %d events: %v", last, count, errors.Unwrap(err))
+	case !errors.Is(err, io.EOF):
+		return outcomeBroken, fmt.Sprintf("after %d of %d events: %v", last, count, err)
+	case line != "":
+		return outcomeWrong, fmt.Sprintf("ends as whole within line %q", line)
 	case last != count:
 		return outcomeWrong, fmt.Sprintf("ends as whole after %d of %d events", last, count)
 	}
--- a/experiment/soak/constants.go
+++ b/experiment/soak/constants.go
@@ -78,11 +78,14 @@
 	arrivalPause    = time.Second      // between two requests of a caller on average
 	longPatience    = 40 * time.Second // deadline of a request, and the routes' time limit
 	unlistedShare   = 5                // one in so many requests goes to any instance
-	specialShare    = 5                // one in so many is sent in pieces, and one is read slowly
+	piecesShare     = 5                // one in so many is sent in pieces
+	slowShare       = 6                // one in so many callers reads slowly
 	mostPiecePause  = 500 * time.Millisecond
 	pieceSize       = 8
-	slowPause       = 200 * time.Millisecond
-	slowSize        = 128
+	slowPause       = 150 * time.Millisecond // between two reads of a slow caller
+	slowSize        = 4096
+	slowBuffer      = 16384 // of such a caller's socket
+	eventPadding    = 1000  // bytes
 	keptConnections = 8
 	earlyShare      = 3 // one in so many callers opens connections long before it uses them
 	earlySteps      = 8
--- a/experiment/soak/ledger.go
+++ b/experiment/soak/ledger.go
@@ -28,6 +28,7 @@
 	outcome  outcome
 	why      string
 	crashing cause // why engines crash under it
+	slow     bool  // its caller read slowly, and so saw its end late
 }
 
 // trouble is a fault as it happened.
--- a/experiment/soak/ledger_test.go
+++ b/experiment/soak/ledger_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -131,3 +133,14 @@
 		is.New(t).Equal((&limitation{perSecond: 1}).allowed(), 11)
 	})
 }
+
+// A stream that breaks off within a line is broken and not wrong; one that ends as whole there is wrong.
+func TestReadEventsBrokenLine(t *testing.T) {
+	is := is.New(t)
+	text := "data: r-1\n\ndata: r"
+	got, why := readEvents(io.MultiReader(strings.NewReader(text), iotest.ErrReader(io.ErrUnexpectedEOF)), "r", 2)
+	is.Equal(got, outcomeBroken)
+	is.Equal(why, "after 1 of 2 events: unexpected EOF")
+	got, _ = readEvents(strings.NewReader(text), "r", 2)
+	is.Equal(got, outcomeWrong)
+}
--- a/experiment/soak/load.go
+++ b/experiment/soak/load.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -22,33 +23,42 @@
 	instance int
 	events   int           // of a stream
 	pieces   time.Duration // between the pieces in which the body is sent; zero: it is sent whole
-	slowness time.Duration // between two reads of the answer; zero: it is read as it comes
 }
 
 // plannedPace is how long engines take in runs with planned work only.
 func plannedPace(factor float64) standin.Pace {
-	return standin.Pace{LeastPause: scaled(leastEventPause, factor), MostPause: scaled(mostEventPause, factor), Answer: scaled(plainAnswer, factor)}
+	return standin.Pace{LeastPause: scaled(leastEventPause, factor), MostPause: scaled(mostEventPause, factor), Answer: scaled(plainAnswer, factor), Padding: eventPadding}
 }
 
 func scaled(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
-// newArriving returns a caller whose requests don't wait for each other. Some open connections long before they use them.
+// newArriving returns a caller whose requests don't wait for each other. Some open connections long before they use them, some read slowly.
 func newArriving(number int, o *Options, nodes []*node, l *ledger) *caller {
 	c := newCaller(number, o.Seed, nodes, l)
 	c.patience, c.factor = longPatience, o.Planned.Factor
 	var early time.Duration
-	if number%earlyShare == 0 {
+	switch {
+	case number%earlyShare == 0:
+		c.early = true
 		early = time.Duration(number/earlyShare%earlySteps) * earlyStep
+	case number%slowShare == 1:
+		c.slowness = scaled(slowPause, c.factor)
 	}
 	c.client.Transport = &http.Transport{
 		MaxIdleConnsPerHost: keptConnections,
 		WriteBufferSize:     1, // so that heads and bodies are sent in pieces
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
-			if err != nil || wait.For(ctx, early) == nil {
-				return connection, err
+			if err != nil {
+				return nil, err
 			}
-			return nil, errors.Join(ctx.Err(), connection.Close())
+			if c.slowness > 0 {
+				err = connection.(*net.TCPConn).SetReadBuffer(slowBuffer)
+			}
+			if err = errors.Join(err, wait.For(ctx, early)); err != nil {
+				return nil, errors.Join(err, connection.Close())
+			}
+			return connection, nil
 		},
 	}
 	return c
@@ -65,14 +75,9 @@
 	}
 }
 
-// draw returns the next request. Most go to instances that take work by what the load balancer knows.
+// draw returns the next request.
 func (c *caller) draw() demand {
-	d := demand{instance: c.random.IntN(len(c.nodes))}
-	if c.random.IntN(unlistedShare) > 0 {
-		for n := 0; n < len(c.nodes) && !c.nodes[d.instance].listed.Load(); n++ {
-			d.instance = (d.instance + 1) % len(c.nodes)
-		}
-	}
+	d := demand{instance: c.place()}
 	switch pick := c.random.IntN(20); {
 	case pick < 3:
 		spread := longSpread * c.random.NormFloat64()
@@ -84,16 +89,30 @@
 	default:
 		d.route = routeRead
 	}
-	switch c.random.IntN(specialShare) {
-	case 0:
+	if c.random.IntN(piecesShare) == 0 {
 		d.pieces = scaled(between(c.random, 0, mostPiecePause), c.factor)
-	case 1:
-		d.slowness = scaled(slowPause, c.factor)
 	}
 	d.id = c.nextID()
 	return d
 }
 
+// place returns an instance: mostly one that takes work by what the load balancer knows. Callers that open connections early often meet one that has
+// been told to stop.
+func (c *caller) place() int {
+	at := c.random.IntN(len(c.nodes))
+	if c.early && c.random.IntN(2) == 0 {
+		if stopping := slices.IndexFunc(c.nodes, func(n *node) bool { return n.stopping.Load() }); stopping >= 0 {
+			return stopping
+		}
+	}
+	if c.random.IntN(unlistedShare) > 0 {
+		for n := 0; n < len(c.nodes) && !c.nodes[at].listed.Load(); n++ {
+			at = (at + 1) % len(c.nodes)
+		}
+	}
+	return at
+}
+
 // pieces is a body that is sent in parts.
 type pieces struct {
 	rest  string
--- a/experiment/soak/loss.go
+++ b/experiment/soak/loss.go
@@ -84,11 +84,21 @@
 	return excuseNone
 }
 
+// cutAt returns when a request without a whole answer was cut: a slow caller sees that later than the endpoint, whose connection ends with it.
+func (j *losses) cutAt(r *record) time.Time {
+	works := j.worked(r.id)
+	if r.slow && len(works) > 0 && works[len(works)-1].End == standin.WorkLeft && !works[len(works)-1].Until.IsZero() {
+		return works[len(works)-1].Until
+	}
+	return r.ended
+}
+
 // stopOf returns the stop of the request's instance around its end; nil if there was none.
 func (j *losses) stopOf(r *record) *trouble {
+	cut := j.cutAt(r)
 	for n := range j.stops {
 		t := &j.stops[n]
-		if t.step.target%j.instances == r.instance && r.ended.After(t.began) && r.ended.Before(t.began.Add(j.grace+afterGrace)) {
+		if t.step.target%j.instances == r.instance && cut.After(t.began) && cut.Before(t.began.Add(j.grace+afterGrace)) {
 			return t
 		}
 	}
@@ -106,10 +116,10 @@
 
 // describe tells a lost request's times, in seconds from the stop of its instance, or from its own begin if there was none.
 func (j *losses) describe(r *record) string {
-	origin, around := r.began, "in calm"
+	origin, around, cut := r.began, "in calm", j.cutAt(r)
 	for _, t := range j.others {
 		own := t.step.kind == kindCatalogue || t.step.target%j.instances == r.instance
-		if own && r.ended.After(t.began) && r.ended.Before(t.began.Add(changeTime)) {
+		if own && cut.After(t.began) && cut.Before(t.began.Add(changeTime)) {
 			around = "at a " + string(t.step.kind)
 		}
 	}
--- a/experiment/soak/loss_test.go
+++ b/experiment/soak/loss_test.go
@@ -28,6 +28,8 @@
 	turnedAway.outcome, turnedAway.why = outcomeRefused, "429 Too Many Requests"
 	elsewhere := request(100, 100, 7600)
 	elsewhere.instance = 2
+	slow := request(-5000, -5000, 15000)
+	slow.slow = true
 	served := request(100, 100, 7600)
 	served.outcome = outcomeServed
 	for name, c := range map[string]struct {
@@ -51,6 +53,8 @@
 		"work ended early":          {request(0, 0, 7600), []standin.Work{work(0, 6660, standin.WorkStopped)}, "lost", "at a stop"},
 		"work ended in time":        {request(0, 0, 7600), []standin.Work{work(0, 6670, standin.WorkStopped)}, "", ""},
 		"endpoint works on":         {request(0, 0, 7600), []standin.Work{{Engine: "e", From: at(0)}}, "", ""},
+		"its slow caller sees late": {slow, []standin.Work{work(-5000, 7600, standin.WorkLeft)}, "", ""},
+		"slow, cut with work done":  {slow, []standin.Work{work(-5000, 7500, standin.WorkWhole)}, "lost", "in calm"},
 		"work began after the end":  {request(0, 0, 8900), []standin.Work{work(8000, 8900, standin.WorkLeft)}, "lost", "at a stop"},
 		"cut after the stop":        {request(0, 0, 9000), []standin.Work{work(0, 9000, standin.WorkLeft)}, "lost", "in calm"},
 		"cut before the stop":       {request(-900, -900, -1), []standin.Work{work(-900, -1, standin.WorkLeft)}, "lost", "in calm"},
--- a/experiment/soak/node.go
+++ b/experiment/soak/node.go
@@ -25,6 +25,8 @@
 	log     *link
 	listed  atomic.Bool // the load balancer knows it as ready
 
+	stopping atomic.Bool // it has been told to, a short while ago
+
 	mutex   sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
--- a/experiment/soak/planned.go
+++ b/experiment/soak/planned.go
@@ -64,6 +64,8 @@
 // stop has an instance end in the grace period.
 func (n *node) stop(p step, period time.Duration) {
 	limit := time.Now().Add(period)
+	n.stopping.Store(true)
+	time.AfterFunc(period/3, func() { n.stopping.Store(false) }) // the listener closes about then
 	n.signal(syscall.SIGTERM)
 	if p.again > 0 && !n.over(p.again) {
 		n.signal(syscall.SIGTERM)
