A stopped instance judges what may still end by the batches of all instances' runs

Cause: the router asks for the time between tokens at the batch of its own runs, which are few or none once it is stopped. Speeds are learned at the whole batch, so that the line through them, continued down to one run, promises up to the batch's size times more (9 ms an event where it takes 28 to 60).

Change: closing.go asks at the batch of all instances' runs and one more. What else uses the mean speed stays as it is (expected waits, hold times).

TestClosingByWholeBatch failed before: 'closing_test.go:86: not true: taken.Refusal() != nil'.

--- a/coordination/routing/closing.go
+++ b/coordination/routing/closing.go
@@ -8,7 +8,7 @@
 
 // mayFinish reports whether the answer to a request that starts now is likely to end before the instance closes.
 func (c *Core) mayFinish(r *Request, now time.Time) bool {
-	return c.closing.IsZero() || !now.Add(r.longestAnswer()).After(c.closing)
+	return c.closing.IsZero() || !now.Add(r.longestAnswer(now)).After(c.closing)
 }
 
 // refuseUnfinishable refuses the queued requests that are not likely to end before the instance closes.
@@ -28,7 +28,7 @@
 
 // longestAnswer returns the time from the start of a request in which its answer ends: by the limit of its output if that is known, else the time in
 // which all but few answers like it end.
-func (r *Request) longestAnswer() time.Duration {
+func (r *Request) longestAnswer(now time.Time) time.Duration {
 	if r.pool.isPlain() {
 		return max(plainAnswerFactor*r.spec.FirstTokenDeadline.Sub(r.submitted), minimumPlainAnswer)
 	}
@@ -37,6 +37,22 @@
 	if r.spec.MaximumTokens <= 0 {
 		tokens = r.lengthHistogram.Quantile(emitted, longAnswerProbability)
 	}
-	step, tokenTime := r.pool.meanSpeed()
+	_, tokenTime := r.pool.meanSpeed()
+	step := r.pool.batchStep(now)
 	return time.Duration(slowAnswerFactor * float64(time.Duration(tokens)*step+time.Duration(r.promptTokens())*tokenTime))
 }
+
+// batchStep returns the mean time between tokens of the endpoints that take work, with one more run beside those of all instances.
+func (p *pool) batchStep(now time.Time) time.Duration {
+	sum, count := time.Duration(0), time.Duration(0)
+	for _, e := range p.endpoints {
+		if !e.leaving() {
+			sum += e.speed.Step(e.batch(now) + 1)
+			count++
+		}
+	}
+	if count == 0 {
+		return defaultTokenTime
+	}
+	return sum / count
+}
--- a/coordination/routing/closing_test.go
+++ b/coordination/routing/closing_test.go
@@ -68,3 +68,22 @@
 		is.True(waiting[0].Refusal() == nil)
 	})
 }
+
+// Speeds are learned at the batches that the runs of all instances make. An instance that is stopped and has few runs of its own left took long streams
+// late, by the speed that a batch of its own runs alone would have, and cut them at the end of the grace period.
+func TestClosingByWholeBatch(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := newCore(1, 64, 1<<20, now)
+	for _, runs := range []int{5, 10} {
+		c.SetPeerLoad(PeerLoad{Endpoint: address(1), Runs: runs, Share: endpoint.Share{Slots: 64, Memory: 1 << 20, Spread: 1, Until: now.Add(time.Hour)}}, now)
+		for range 400 {
+			c.ObservePeerInterval(address(1), time.Duration(runs)*6*time.Millisecond, now)
+		}
+	}
+	c.SetClosing(now.Add(4100 * time.Millisecond)) // 130 events take 7.8 s at the batch of ten
+	taken := c.Submit(&RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 130}, now)
+	is.True(taken.Refusal() != nil)
+	is.Equal(taken.Refusal().Reason, ReasonDraining)
+	is.True(c.Submit(&RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 20}, now).Refusal() == nil)
+}
