--- a/experiment/soak/soak_test.go
+++ b/experiment/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -16,8 +17,29 @@
 func TestSoak(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	directory := t.TempDir()
-	o := &Options{Binary: filepath.Join(directory, "dogwooddyke"), Directory: directory, Seed: 1, Seconds: 12, Instances: 3, Engines: 4, Callers: 8}
+	report := play(t, &Options{Seed: 1, Seconds: 12, Instances: 3, Engines: 4, Callers: 8})
+	is.True(report.Counts[routeLong][outcomeServed] > 0)
+	is.True(len(report.Faults) > 0)
+}
+
+// Instances are stopped in turn, as at an update, while streams longer than their grace period run; no request may be lost.
+func TestStopsInSeries(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	report := play(t, &Options{
+		Seed: 1, Seconds: 10, Instances: 3, Engines: 4, Callers: 32,
+		Planned: &Planned{Stops: 2 * time.Second, Grace: 2 * time.Second, Reclaims: 4 * time.Second, Together: 1, Factor: 0.2},
+	})
+	is.True(report.Faults[kindStop] >= 2)
+	is.True(report.Counts[routeLong][outcomeServed] > 0)
+}
+
+// play carries out one run with the binary of this code; no promise may be broken.
+func play(t *testing.T, o *Options) *Report {
+	t.Helper()
+	is := is.New(t)
+	o.Directory = t.TempDir()
+	o.Binary = filepath.Join(o.Directory, "dogwooddyke")
 	output, err := exec.Command("go", "build", "-o", o.Binary, "dogwooddyke/cmd/dogwooddyke").CombinedOutput()
 	if err != nil {
 		t.Fatalf("%v: %s", err, output)
@@ -29,11 +51,10 @@
 	is.NoErr(report.Print(&shown))
 	t.Log(shown.String())
 	for _, b := range report.Broken {
-		t.Log(linesOf(t, directory, b))
+		t.Log(linesOf(t, o.Directory, b))
 	}
 	is.Equal(report.Broken, nil)
-	is.True(report.Counts[routeLong][outcomeServed] > 0)
-	is.True(len(report.Faults) > 0)
+	return report
 }
 
 // linesOf returns what the instances have logged of the request that a broken promise names, and of what they believed.
