A stopped instance trusts no estimate below the time between tokens that was lately seen

The estimate is now at least the recent interval of each endpoint.

The second half of TestClosingByWholeBatch failed before: 'closing_test.go:93: not true: taken.Refusal() != nil'.

--- a/coordination/routing/closing.go
+++ b/coordination/routing/closing.go
@@ -42,12 +42,14 @@
 	return time.Duration(slowAnswerFactor * float64(time.Duration(tokens)*step+time.Duration(r.promptTokens())*tokenTime))
 }
 
-// batchStep returns the mean time between tokens of the endpoints that take work, with one more run beside those of all instances.
+// batchStep returns the mean time between tokens of the endpoints that take work, with one more run beside those of all instances; for each endpoint
+// the time that was lately seen there at least, as estimates for small batches may rest on large ones only.
 func (p *pool) batchStep(now time.Time) time.Duration {
 	sum, count := time.Duration(0), time.Duration(0)
 	for _, e := range p.endpoints {
 		if !e.leaving() {
-			sum += e.speed.Step(e.batch(now) + 1)
+			recent, _ := e.speed.Recent()
+			sum += max(e.speed.Step(e.batch(now)+1), recent)
 			count++
 		}
 	}
--- a/coordination/routing/closing_test.go
+++ b/coordination/routing/closing_test.go
@@ -86,4 +86,9 @@
 	is.True(taken.Refusal() != nil)
 	is.Equal(taken.Refusal().Reason, ReasonDraining)
 	is.True(c.Submit(&RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 20}, now).Refusal() == nil)
+
+	// Batches that have just become small promise more than was ever seen.
+	c.SetPeerLoad(PeerLoad{Endpoint: address(1), Share: endpoint.Share{Slots: 64, Memory: 1 << 20, Spread: 1, Until: now.Add(time.Hour)}}, now)
+	taken = c.Submit(&RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 130}, now)
+	is.True(taken.Refusal() != nil)
 }
