--- a/coordination/routing/closing.go
+++ b/coordination/routing/closing.go
@@ -60,7 +60,8 @@
 	}
 	engine := r.pool.promptsAt(e, now)
 	prompts := time.Duration((engine.Tokens() + float64(r.promptTokens())) * float64(engine.TokenTime))
-	step := e.speed.Step(e.batch(now) + 1)
+	recent, _ := e.speed.Recent()
+	step := max(e.speed.Step(e.batch(now)+1), recent) // estimates for small batches may rest on large ones only
 	return time.Duration(slowAnswerFactor*float64(time.Duration(tokens)*step+prompts)) + busyAnswerMargin
 }
 
