A run that is moved does not go to and fro between endpoints that refuse it

Change: the mover prefers endpoints that have not refused the run; one that has is tried again after a pause (0.4 s, doubling), any one once three have refused. The limit of 10 s is for waiting only: a memory that is left is tried also if a dispatch before it took longer.

--- a/protocol/relay/continuation.go
+++ b/protocol/relay/continuation.go
@@ -53,9 +53,15 @@
 		outcome = routing.OutcomeCancelled
 	}
 	x.release(outcome)
-	if current := x.paused.current; x.paused.refuse(err, time.Now()) && current.origin == OriginBackup {
+	now := time.Now()
+	current := x.paused.current
+	if x.paused.refuse(err, now) && current.origin == OriginBackup {
 		x.forgetBackup(current.address)
 	}
+	if current.origin == OriginCopy {
+		x.moveAfter = now.Add(continuationPause << min(len(x.refusers), maximumMemoryRefusals))
+		x.refusers = append(x.refusers, current.address)
+	}
 	return x.resume(d)
 }
 
@@ -124,7 +130,7 @@
 func (x *execution) pause(d *Dispatch) *pausedRun {
 	p := &pausedRun{since: time.Now()}
 	if earlier := x.paused; earlier != nil {
-		p.since, p.sends, p.copies = earlier.since, earlier.sends, earlier.copies
+		p.sends, p.copies = earlier.sends, earlier.copies
 		if earlier.current != nil && earlier.current.origin == OriginBackup {
 			x.forgetBackup(earlier.current.address)
 		}
@@ -168,7 +174,7 @@
 // resume returns the dispatch with which the paused run continues; nil once nothing is left to continue from. It waits for an endpoint that can take
 // the run, since a pause is better for the caller than the end; a run that may run again does not wait.
 func (x *execution) resume(d *Dispatch) *Dispatch {
-	for p := x.paused; !p.isOver(time.Now()) && x.ctx.Err() == nil; {
+	for p := x.paused; !p.isOver() && x.ctx.Err() == nil; {
 		for _, m := range p.ready(time.Now()) {
 			if next := x.continueFrom(d, m); next != nil {
 				return next
@@ -177,7 +183,7 @@
 		if m := x.copyAgain(d); m != nil {
 			return x.continueFrom(d, m)
 		}
-		if x.request.Route.Repeatable() || wait.For(x.ctx, continuationPollInterval) != nil {
+		if x.request.Route.Repeatable() || !p.mayWait(time.Now()) || wait.For(x.ctx, continuationPollInterval) != nil {
 			return nil
 		}
 	}
--- a/protocol/relay/continuation_test.go
+++ b/protocol/relay/continuation_test.go
@@ -127,6 +127,17 @@
 		{"the target is another process", refuseMoved(1, errFakeReused), true, "new run, copy, source, copy", soon},
 		{"the target refuses connections", refuseMoved(1, errFakeClosed), true, "new run, copy, source, copy", soon},
 		{"the target can't be reached", refuseMoved(1, errFakeLost), true, "new run, copy, source, copy", soon},
+		{"the target refuses late", func(f *fakeFleet) {
+			f.refuses = func(d *Dispatch) error {
+				if d.Copy == nil || !f.isSecondSend() {
+					return nil
+				}
+				f.mutex.Unlock()
+				time.Sleep(12 * time.Second)
+				f.mutex.Lock()
+				return errFakeLost
+			}
+		}, true, "new run, copy, backup", 13 * time.Second},
 		{"target and source refuse", refuseMoved(2, errFakeRefused), true, "new run, copy, source, backup", soon},
 		{"target and source refuse, without a backup", both(withoutBackups, refuseMoved(2, errFakeRefused)), true, "new run, copy, source, copy", time.Second},
 		{"target, source and backup refuse", refuseMoved(3, errFakeRefused), true, "new run, copy, source, backup, copy", time.Second},
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -151,11 +151,21 @@
 	return nil
 }
 
-// awaitTarget waits for an endpoint that can take the run: one may be added to the roster while the run's endpoint is leaving.
+// awaitTarget waits for an endpoint that can take the run: one may be added to the roster while the run's endpoint is leaving. Endpoints that have
+// refused the run are tried again after a pause, and so are the others once several have refused it.
 func (m *mover) awaitTarget(ctx context.Context, tried []netip.AddrPort) (*routing.Slot, Endpoint, error) {
+	refusers := m.execution.refusers
 	for !m.runEnded() {
-		if slot, target, found := m.findTarget(tried); found {
-			return slot, target, nil
+		mayRepeat := !time.Now().Before(m.execution.moveAfter)
+		if mayRepeat || len(refusers) < maximumMemoryRefusals {
+			if slot, target, found := m.findTarget(slices.Concat(tried, refusers)); found {
+				return slot, target, nil
+			}
+		}
+		if mayRepeat && len(refusers) > 0 {
+			if slot, target, found := m.findTarget(tried); found {
+				return slot, target, nil
+			}
 		}
 		if err := wait.For(ctx, movePollInterval); err != nil {
 			return nil, Endpoint{}, err
--- a/protocol/relay/paused.go
+++ b/protocol/relay/paused.go
@@ -57,12 +57,15 @@
 	return ready
 }
 
-// isOver reports whether the run can't continue any more: nothing is left of it, or it has been tried for too long or too often.
-func (p *pausedRun) isOver(now time.Time) bool {
+// isOver reports whether the run can't continue any more: nothing is left of it, or it has been tried too often.
+func (p *pausedRun) isOver() bool {
 	nothingLeft := len(p.memories) == 0 && p.source == nil
-	return nothingLeft || p.sends >= maximumContinuations || !now.Before(p.since.Add(continuationWait))
+	return nothingLeft || p.sends >= maximumContinuations
 }
 
+// mayWait reports whether the run may wait for an endpoint that can take it.
+func (p *pausedRun) mayWait(now time.Time) bool { return now.Before(p.since.Add(continuationWait)) }
+
 // refuse notes that the endpoint of the latest dispatch did not run it, and reports whether the memory is given up: its endpoint refuses again and
 // again, or is gone.
 func (p *pausedRun) refuse(err error, now time.Time) (givenUp bool) {
--- a/protocol/relay/paused_test.go
+++ b/protocol/relay/paused_test.go
@@ -153,3 +153,28 @@
 		})
 	}
 }
+
+// Each endpoint refuses a run that is moved off a leaving one. It must not go to and fro between them until it is given up, all in one moment.
+func TestRunGoesToAndFro(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, 4, 250)
+		f.noBackups = true
+		refused := 0
+		f.refuses = func(d *Dispatch) error {
+			if d.Copy == nil || d.Copy.Source == d.Endpoint.Address {
+				return nil
+			}
+			refused++
+			return errFakeRefused
+		}
+		go func() {
+			first := f.firstRun()
+			time.Sleep(10*fakeEventPause + fakeEventPause/2)
+			f.notice(first)
+		}()
+		result, text := f.serve(t, false)
+		f.assertAnswer(result, text)
+		f.is.Equal(result.Outcome, OutcomeServed)
+		f.is.Equal(refused, 4) // once by each endpoint at once, then once more
+	})
+}
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -86,6 +86,8 @@
 	held           int              // bytes of buffered answers that the memory budget counts
 	kept           *keptAnswer      // latest answer with an error status; nil if there is none
 	paused         *pausedRun       // the run from when no endpoint works on it until one has made an event of it; else nil
+	refusers       []netip.AddrPort // endpoints that refused the run although they had a copy of it
+	moveAfter      time.Time        // when such an endpoint may be sent the run again
 	backups        []netip.AddrPort // endpoints that may have a backup of the run, the newest first
 }
 
