Test: the engines of a rolling change are counted at one moment

Cause, in the test: it locked one engine after the other. A load takes 8 s, a multiple of the runner's tick, so one engine ends its load and the runner sees that and orders the next one to load in the same instant of virtual time, in which the test counts. It counted the first before and the second after.

Change: all engines are locked while they are counted. The condition and its bound are the same, and hold at one moment.

--- a/protocol/order/fake_test.go
+++ b/protocol/order/fake_test.go
@@ -107,17 +107,21 @@
 // engine returns the engine of the entry's endpoint with the index.
 func (f *fleet) engine(i int) *engine { return f.engines[f.entry.Endpoints[i].Address] }
 
-// serving returns the number of engines that serve and of those that a fault prevents from serving.
+// serving returns the number of engines that serve and of those that a fault prevents from serving, all at one moment: one engine may end its load and
+// another begin one in the same instant of virtual time.
 func (f *fleet) serving() (ready, faulty int) {
-	for _, e := range f.engines {
+	for i := range f.entry.Endpoints {
+		e := f.engine(i)
 		e.mutex.Lock()
+		defer e.mutex.Unlock()
+	}
+	for _, e := range f.engines {
 		switch {
 		case e.faulty || e.unreachable:
 			faulty++
 		case e.report.State == EngineReady:
 			ready++
 		}
-		e.mutex.Unlock()
 	}
 	return ready, faulty
 }
