--- a/coordination/routing/closing_test.go
+++ b/coordination/routing/closing_test.go
@@ -50,6 +50,50 @@
 		c.SetClosing(now)
 		is.True(c.Place(long(), now).Running())
 	})
+	t.Run("a request whose answer has begun is not refused", func(t *testing.T) {
+		is := is.New(t)
+		c := newCore(1, 8, 1<<20, now)
+		c.SetClosing(now)
+		begun := long()
+		begun.Begun = true
+		c.Submit(begun, now)
+		started := c.Admit(now)
+		is.Equal(len(started), 1)
+		is.True(started[0].Running())
+	})
+	t.Run("a request is not sent to an endpoint where it can't end in time, however that is chosen otherwise", func(t *testing.T) {
+		is := is.New(t)
+		c := newCore(2, 8, 1<<20, now)
+		for range 200 {
+			c.endpoints[address(1)].speed.Observe(1, 100*time.Millisecond)
+			c.endpoints[address(2)].speed.Observe(1, 5*time.Millisecond)
+		}
+		c.SetClosing(now.Add(3 * time.Second))
+		for range 3 {
+			r := c.Submit(&RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 100}, now)
+			is.Equal(len(c.Admit(now)), 1)
+			is.Equal(r.Endpoint(), address(2))
+		}
+		c.SetLeaving(address(2), true)
+		r := c.Submit(&RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 100}, now)
+		is.Equal(r.Refusal().Reason, ReasonDraining)
+	})
+	t.Run("prompts that an endpoint is processing count", func(t *testing.T) {
+		is := is.New(t)
+		c := newCore(1, 8, 1<<20, now)
+		c.SetClosing(now.Add(3 * time.Second))
+		c.SetPeerLoad(PeerLoad{Endpoint: address(1), Runs: 4, Prompts: 4, PromptTokens: 40_000}, now)
+		is.Equal(c.Submit(short(), now).Refusal().Reason, ReasonDraining)
+	})
+	t.Run("what waits for the end of a rest is judged by that", func(t *testing.T) {
+		is := is.New(t)
+		c := newCore(1, 8, 1<<20, now)
+		c.SetClosing(now.Add(5 * time.Second))
+		c.SetResting(address(1), now.Add(2*time.Second))
+		is.True(c.Submit(short(), now).Refusal() == nil)
+		c.SetResting(address(1), now.Add(4500*time.Millisecond))
+		is.Equal(c.Submit(short(), now).Refusal().Reason, ReasonDraining)
+	})
 	t.Run("requests of plain services are judged by their target", func(t *testing.T) {
 		is := is.New(t)
 		c := NewCore(Config{})
@@ -79,3 +123,27 @@
 		is.True(waiting[0].Refusal() == nil)
 	})
 }
+
+// Speeds are learned at the batches that the runs of all instances make. An instance that is stopped and has few runs of its own left took long streams
+// late, by the speed that a batch of its own runs alone would have, and cut them at the end of the grace period.
+func TestClosingByWholeBatch(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := newCore(1, 64, 1<<20, now)
+	for _, runs := range []int{5, 10} {
+		c.SetPeerLoad(PeerLoad{Endpoint: address(1), Runs: runs, Share: endpoint.Share{Slots: 64, Memory: 1 << 20, Spread: 1, Until: now.Add(time.Hour)}}, now)
+		for range 400 {
+			c.ObservePeerInterval(address(1), time.Duration(runs)*6*time.Millisecond, now)
+		}
+	}
+	c.SetClosing(now.Add(4100 * time.Millisecond)) // 130 events take 7.8 s at the batch of ten
+	taken := c.Submit(&RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 130}, now)
+	is.True(taken.Refusal() != nil)
+	is.Equal(taken.Refusal().Reason, ReasonDraining)
+	is.True(c.Submit(&RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 20}, now).Refusal() == nil)
+
+	// Batches that have just become small promise more than was ever seen.
+	c.SetPeerLoad(PeerLoad{Endpoint: address(1), Share: endpoint.Share{Slots: 64, Memory: 1 << 20, Spread: 1, Until: now.Add(time.Hour)}}, now)
+	taken = c.Submit(&RequestSpec{Entry: "e", PromptTokens: 10, MaximumTokens: 130}, now)
+	is.True(taken.Refusal() != nil)
+}
--- /dev/null
+++ b/instance/hosted/connection.go
@@ -0,0 +1,118 @@
+package hosted
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// connectionState is what has been read on a caller's connection.
+type connectionState = int32
+
+const (
+	connectionSilent   connectionState = iota // nothing yet
+	connectionBusy                            // a part of a request, or a request that has no whole answer yet
+	connectionAnswered                        // nothing since the latest answer
+	connectionClosed                          // nothing will be read any more
+)
+
+// callerConnection is a caller's connection, which is either read or closed as idle, never both.
+type callerConnection struct {
+	*net.TCPConn
+	connections *connections
+	accepted    time.Time
+	state       atomic.Int32
+}
+
+// Read reads from the connection. What has come on a connection that has been closed as idle meanwhile is not returned, so that it is not acted on.
+func (c *callerConnection) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.begin() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// begin notes that a request is being read or served, and reports whether the connection is open for that.
+func (c *callerConnection) begin() bool {
+	for {
+		state := c.state.Load()
+		if state == connectionBusy || state == connectionClosed {
+			return state == connectionBusy
+		}
+		if c.state.CompareAndSwap(state, connectionBusy) {
+			return true
+		}
+	}
+}
+
+// answered notes that the latest request has its whole answer.
+func (c *callerConnection) answered() { c.state.CompareAndSwap(connectionBusy, connectionAnswered) }
+
+// closeIdle closes the connection unless a request is in progress, or may be expected since the connection was accepted lately.
+func (c *callerConnection) closeIdle(now time.Time) {
+	state := c.state.Load()
+	if state == connectionSilent && now.Sub(c.accepted) < firstRequestTime {
+		return
+	}
+	if state != connectionBusy && c.state.CompareAndSwap(state, connectionClosed) {
+		_ = c.Close() // its caller may have closed it
+	}
+}
+
+// Close closes the connection in order: what the caller has sent behind its request is read and discarded, for some time if an answer has just been sent,
+// since the kernel would drop what the caller has not taken of the answer if anything remained unread.
+func (c *callerConnection) Close() error {
+	_ = c.CloseWrite() // it may be closed already
+	if c.state.Swap(connectionClosed) == connectionBusy {
+		if err := c.SetReadDeadline(c.connections.latestClose(time.Now())); err == nil {
+			_, _ = io.Copy(io.Discard, reader{c.TCPConn}) // until the caller has closed it too
+		}
+	}
+	c.discard()
+	return c.TCPConn.Close()
+}
+
+// reader hides all methods of a connection but Read.
+type reader struct{ io.Reader }
+
+// discard reads what has come, without waiting.
+func (c *callerConnection) discard() {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	var buffer [4096]byte
+	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
+		for range maximumDiscards {
+			if n, err := syscall.Read(int(fd), buffer[:]); n <= 0 || err != nil {
+				return
+			}
+		}
+	})
+}
+
+// widen has the kernel take more of an answer that the caller reads slowly. It goes on sending that once the process has ended.
+func (c *callerConnection) widen() {
+	if c.state.Load() != connectionBusy {
+		return
+	}
+	if size, err := c.sendBuffer(); err != nil || size < enoughSendBytes {
+		_ = c.SetWriteBuffer(lastSendBytes) // fails only on a closed connection
+	}
+}
+
+// sendBuffer returns how many bytes the kernel takes of what the caller has not read.
+func (c *callerConnection) sendBuffer() (size int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { size, failed = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF) }); err != nil {
+		return 0, err
+	}
+	return size, failed
+}
--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -37,55 +39,26 @@
 	}
 }
 
-// continueElsewhere returns a dispatch that continues the run at another endpoint after its stream has broken off; nil if that is not possible, or
-// if its former endpoint may still work on it.
-func (x *execution) continueElsewhere(d *Dispatch, stop stopState) *Dispatch {
-	if x.request.Engine == nil || x.ctx.Err() != nil || x.result.Restores >= maximumRestores {
-		return nil
-	}
-	if x.screening.Admit(x.ctx, x.spec.Deadline) != nil {
-		return nil
-	}
-	if stop == stopped || !x.request.Engine.Moves {
-		return x.restore(d)
-	}
-	a := x.askFormer(d)
-	if a == nil {
-		return nil
-	}
-	if a.isCopied() {
-		x.result.Restores++
-		return x.continueAt(d, &move{copy: a.copied, slot: a.slot, endpoint: a.target})
-	}
-	a.slot.Release(routing.OutcomeCancelled, time.Now())
-	if a.state == FormerUnknown {
-		return nil
-	}
-	if next := x.restore(d); next != nil {
-		return next
-	}
-	if a.state == FormerStopped && x.mayReturn(d.Endpoint, time.Now()) {
-		x.result.Restores++
-		return x.continueAt(d, &move{copy: a.copied, endpoint: d.Endpoint})
-	}
-	return nil
-}
-
 // askFormer returns what the former endpoint says of the run, which it is to stop; it is asked now unless the silence timer has. Without an endpoint
 // where the run could continue it returns nil.
-func (x *execution) askFormer(d *Dispatch) *askedRun {
+func (x *execution) askFormer(d *Dispatch, cause error) *askedRun {
 	if a := x.asked; a != nil {
 		x.asked = nil
 		return a
 	}
-	slot, target, found := x.targetAfter(d)
-	if !found {
+	slot, target := x.targetForStop(d, cause)
+	if !target.Address.IsValid() {
 		return nil
 	}
-	copied, state, _ := x.stopFormer(x.ctx, d, target, x.dispatchEvents > 0 || d.Copy != nil)
+	copied, state, _ := x.stopFormer(x.ctx, d, target, x.hasBegun(d))
 	return &askedRun{slot: slot, target: target, copied: copied, state: state}
 }
 
+// mayBeAskedAgain reports whether another call, after so many, may tell more of the run.
+func (f FormerRun) mayBeAskedAgain(calls int) bool {
+	return f == FormerUnknown || f == FormerUnreachable && calls < stopAttempts
+}
+
 // endBeforeRepeat has the endpoint of a generation whose answer did not come end its run before the request runs again, as far as it can be asked.
 func (x *execution) endBeforeRepeat(d *Dispatch, err error) {
 	if x.request.Engine == nil || !x.request.Engine.Moves || isNotRun(err) || !x.mayRetry(err) {
@@ -96,7 +69,7 @@
 		return
 	}
 	slot.Release(routing.OutcomeCancelled, time.Now())
-	if copied, state, _ := x.stopFormer(x.ctx, d, target, x.dispatchEvents > 0 || d.Copy != nil); state == FormerStopped {
+	if copied, state, _ := x.stopFormer(x.ctx, d, target, x.hasBegun(d)); state == FormerStopped {
 		x.runner.background.Go(func() { x.dropCopy(copied) })
 	}
 }
@@ -108,34 +81,58 @@
 	if err != nil {
 		return nil, Endpoint{}, false
 	}
-	target, found := x.runner.Roster.At(x.request.Service, slot.Endpoint())
-	if !found {
-		slot.Release(routing.OutcomeCancelled, time.Now())
+	return x.lookUp(slot)
+}
+
+// targetForStop returns where the endpoint of a run whose stream has broken off is to copy the run's memory when it stops the run: an endpoint with
+// a slot, else one that is known to the run, since the call needs a target even if the run then continues at the endpoint itself. If there is
+// none it waits for one, but not while the endpoint goes on to send bytes that are wrong.
+func (x *execution) targetForStop(d *Dispatch, cause error) (*routing.Slot, Endpoint) {
+	latest := time.Now().Add(continuationWait)
+	for {
+		if slot, target, found := x.targetAfter(d); found {
+			return slot, target
+		}
+		if known := x.knownEndpoint(d); known.IsValid() {
+			return nil, Endpoint{Address: known}
+		}
+		if x.request.Route.Repeatable() || isSpoilt(cause) || !time.Now().Before(latest) || wait.For(x.ctx, continuationPollInterval) != nil {
+			return nil, Endpoint{}
+		}
 	}
-	return slot, target, found
+}
+
+// knownEndpoint returns another endpoint that has, or may have, a memory of the run; the zero value if there is none.
+func (x *execution) knownEndpoint(d *Dispatch) netip.AddrPort {
+	known := append([]netip.AddrPort{d.Backup}, x.backups...)
+	if x.paused != nil {
+		known = append(known, x.paused.addresses()...)
+	}
+	at := slices.IndexFunc(known, func(a netip.AddrPort) bool { return a.IsValid() && a != d.Endpoint.Address })
+	if at < 0 {
+		return netip.AddrPort{}
+	}
+	return known[at]
 }
 
 // stopFormer has the former endpoint stop the run and copy its memory to the target. It asks again while the endpoint does not say what has become
-// of the run, on a new connection each time. A run that may be repeated is not waited for long. The run
-// may be known to have begun there.
+// of the run, on a new connection each time. A run that may be repeated is not waited for long. The run may be known to have begun there.
 func (x *execution) stopFormer(ctx context.Context, d *Dispatch, target Endpoint, begun bool) (Copy, FormerRun, stopState) {
 	began := time.Now()
-	timeout, attempts := stopTimeout, stopAttempts
+	timeout, latest := stopTimeout, began.Add(stopWait)
 	if x.request.Route.Repeatable() {
-		timeout, attempts = repeatableStopTimeout, 1
+		timeout, latest = repeatableStopTimeout, began
 	}
-	var copied Copy
-	var err error
-	state, stop := FormerUnknown, stopNotAsked
-	for n := range attempts {
-		if n > 0 && wait.For(ctx, stopPause) != nil {
+	copied, err := x.askToStop(ctx, d, target, timeout)
+	state, stop := formerRunAfter(copied, err, begun), stopNotAsked.after(copied, err)
+	pause := stopPause
+	for n := 1; state.mayBeAskedAgain(n) && time.Now().Before(latest); n++ {
+		if wait.For(ctx, pause) != nil {
 			break
 		}
+		pause = min(2*pause, maximumStopPause)
 		copied, err = x.askToStop(ctx, d, target, timeout)
-		stop = stop.after(copied, err)
-		if state = formerRunAfter(copied, err, begun); state == FormerStopped || state == FormerEnded {
-			break
-		}
+		state, stop = formerRunAfter(copied, err, begun), stop.after(copied, err)
 	}
 	x.runner.Observer.FormerRunAsked(d, state, began, err)
 	if err == nil {
@@ -144,6 +141,12 @@
 	return copied, state, stop
 }
 
+// hasBegun reports whether the run has begun at the endpoint of the latest dispatch if the request has arrived there. An endpoint that has the complete
+// copy of a move has kept room for the run; at any other one a request that continues a run may wait.
+func (x *execution) hasBegun(d *Dispatch) bool {
+	return x.dispatchEvents > 0 || d.Copy != nil && (x.dispatchBegun || d.Origin == OriginCopy)
+}
+
 // askToStop makes one call that is to stop the run at its former endpoint.
 func (x *execution) askToStop(ctx context.Context, d *Dispatch, target Endpoint, timeout time.Duration) (Copy, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/protocol/relay/missing.go
+++ b/protocol/relay/missing.go
@@ -28,7 +28,7 @@
 
 // drop releases the slot, and the copy if there is one.
 func (a *askedRun) drop(x *execution) {
-	a.slot.Release(routing.OutcomeCancelled, time.Now())
+	releaseSlot(a.slot, routing.OutcomeCancelled)
 	if a.state == FormerStopped {
 		x.runner.background.Go(func() { x.dropCopy(a.copied) })
 	}
@@ -80,10 +80,10 @@
 	return true
 }
 
-// continueSilent returns a dispatch that continues a run elsewhere whose connection went silent before the head of the answer; nil if there is none.
-func (x *execution) continueSilent(d *Dispatch) *Dispatch {
-	if x.asked == nil {
-		return nil
+// finishSilence closes the silence timer of a stream that has ended. A run that a check may have stopped is at no endpoint.
+func (x *execution) finishSilence(s *silenceTimer, complete bool) {
+	s.finish(complete)
+	if s.runStop != stopNotAsked {
+		x.result.Phase = PhaseBetween
 	}
-	return x.continueElsewhere(d, stopNotAsked)
 }
--- a/protocol/relay/repeat.go
+++ b/protocol/relay/repeat.go
@@ -67,6 +67,7 @@
 	defer cancel()
 	spec := x.spec
 	spec.Exclude = r.exclude
+	spec.Begun = false // the attempt goes on if the repeat is refused
 	slot, err := x.runner.Router.Acquire(ctx, &spec)
 	if err != nil {
 		return nil, err
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -67,6 +67,9 @@
 	LongestPause time.Duration // longest time between two events
 	Begun        bool          // the head of the answer was forwarded
 	End          End           // of the latest answer that ended without an error of its connection
+	Phase        Phase         // in which the request ended
+	LastEventAt  time.Time     // when the latest event was forwarded, or a buffered answer was whole; zero if neither has come
+	UnsentBytes  int           // bytes of the answer that were held, or being sent, when the request ended
 	Err          error         // error that ended the request; nil if there was none
 }
 
@@ -91,6 +94,8 @@
 		return ReasonNone
 	case errors.Is(err, errCallerLeft):
 		return ReasonCallerLeft
+	case errors.Is(err, errClosing):
+		return ReasonClosing
 	case errors.Is(err, errInvalidAnswer):
 		return ReasonInvalidAnswer
 	case errors.Is(err, errGap), errors.Is(err, errUnnumbered):
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -58,6 +57,8 @@
 	Memory        *memory.Budget // of answers that callers have not read yet; nil: no limit
 	Observer      Observer
 	Closing       context.Context // done when requests without an answer must get one, since the instance closes
+	Ending        context.Context // done when endpoints' answers that have begun are ended as well
+	Closed        context.Context // done when callers' connections are about to be closed, also of callers who have not taken the whole answer
 
 	background conc.WaitGroup // cleanup that continues after an answer, for at most dropTimeout each
 }
@@ -78,14 +79,17 @@
 	notRun         int          // dispatches that endpoints refused to run
 	mayHaveRun     int          // dispatches that may have run
 	lastEvent      int64        // id of the last event that was put into the outbox, or that the caller had before; zero if there is none
-	lastEventAt    time.Time    // when the latest event was forwarded
+	lastEventAt    time.Time    // when the latest event was forwarded, or a buffered answer was whole
 	passedTokens   atomic.Int32 // tokens forwarded to the caller
 	receivedEvent  atomic.Int64 // lastEvent, for the silence timer
-	begun          atomic.Bool  // the head of the answer was forwarded
+	beginning      atomic.Int32 // whether the answer has begun, or may not begin any more
+	dispatchBegun  bool         // the head of the latest dispatch's answer has come
 	dispatchEvents int          // events that the latest dispatch has received
 	screening      *quarantine.Screening
-	held           int         // bytes of buffered answers that the memory budget counts
-	kept           *keptAnswer // latest answer with an error status; nil if there is none
+	held           int              // bytes of buffered answers that the memory budget counts
+	kept           *keptAnswer      // latest answer with an error status; nil if there is none
+	paused         *pausedRun       // the run from when no endpoint works on it until one has made an event of it; else nil
+	backups        []netip.AddrPort // endpoints that may have a backup of the run, the newest first
 }
 
 // Run runs a request and sends its answer to the sink; the context must be done when the caller disconnects.
@@ -102,6 +106,8 @@
 	x.receivedEvent.Store(request.After)
 	withdraw := context.AfterFunc(r.Closing, func() { x.endUnbegun(end) })
 	defer withdraw()
+	interrupt := context.AfterFunc(r.Ending, func() { end(errClosing) })
+	defer interrupt()
 	x.screening = r.Quarantine.Screen(promptOf(request), request.Whole)
 	x.spec = routing.RequestSpec{
 		ID:            request.ID,
@@ -127,23 +133,6 @@
 	return x.result
 }
 
-// endUnbegun ends the request unless its answer has begun, so that its caller gets an answer while that can still be sent.
-func (x *execution) endUnbegun(end context.CancelCauseFunc) {
-	if !x.begun.Load() {
-		end(errClosing)
-	}
-}
-
-// finish waits until the caller has the answer, and returns the bytes that were held for it.
-func (x *execution) finish() {
-	ctx, cancel := context.WithDeadline(x.caller, x.request.Deadline.Add(lateDelivery))
-	defer cancel()
-	if err := x.outbox.close(ctx); err != nil {
-		x.result.Outcome, x.result.Reason, x.result.Err = OutcomeCallerLeft, ReasonCallerLeft, err
-	}
-	x.runner.Memory.Return(x.held)
-}
-
 // Wait waits for the cleanup that continues after answers.
 func (r *Runner) Wait() { r.background.Wait() }
 
@@ -172,6 +161,7 @@
 func (x *execution) run() {
 	defer x.screening.End()
 	for {
+		x.result.Phase = x.pendingPhase()
 		if err := x.screening.Admit(x.ctx, x.spec.Deadline); err != nil {
 			x.endUnadmitted(err)
 			return
@@ -188,6 +178,7 @@
 		if err == nil {
 			return
 		}
+		err = x.causeOf(err)
 		if !x.shouldRetry(err) {
 			x.endFailed(err)
 			return
@@ -202,6 +193,7 @@
 		x.slot, x.repeat = x.repeat, nil
 		return nil
 	}
+	x.spec.Begun = x.result.Begun || x.mayHaveRun > 0 && x.kept == nil
 	slot, err := x.runner.Router.Acquire(x.ctx, &x.spec)
 	if refusal, ok := errors.AsType[*routing.RefusalError](err); ok && refusal.MayPassWithoutExclusions() && len(x.spec.Exclude) > 0 {
 		if err := wait.For(x.ctx, x.refusalPause()); err != nil {
@@ -246,11 +238,15 @@
 func (x *execution) send(ctx context.Context, d *Dispatch) (*Reply, error) {
 	x.result.Endpoint = d.Endpoint
 	x.result.Dispatches++
+	if x.result.Phase != PhaseBetween {
+		x.result.Phase = PhaseSent
+	}
 	x.runner.Observer.Dispatched(d, x.result.Dispatches)
 	reply, err := x.runner.Endpoints.Send(ctx, d)
 	if err == nil {
 		x.mayHaveRun++
 		x.result.Status = reply.Status
+		x.result.Phase = PhaseStreaming
 		return reply, nil
 	}
 	switch {
@@ -282,27 +278,3 @@
 	}
 	return isNotRun(err) && x.mayHaveRun == 0 || x.request.Route.Repeatable() && x.mayHaveRun < x.request.Route.Attempts
 }
-
-// exclude keeps the router from choosing an endpoint again.
-func (x *execution) exclude(address netip.AddrPort) {
-	x.spec.Exclude = append(x.spec.Exclude, address)
-}
-
-// release releases the slot if the request has one.
-func (x *execution) release(outcome routing.Outcome) {
-	if x.slot != nil {
-		x.slot.Release(outcome, time.Now())
-		x.slot = nil
-	}
-}
-
-// passHead has the head of the answer sent to the caller unless that has been done.
-func (x *execution) passHead(status int, header http.Header) {
-	if x.result.Begun {
-		return
-	}
-	x.result.Begun = true
-	x.begun.Store(true)
-	x.result.BegunAt = time.Now()
-	x.outbox.begin(status, header)
-}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -12,6 +12,7 @@
 // sendStream dispatches a request whose events are forwarded as they are received, and continues its run at other endpoints if it is
 // moved or restored.
 func (x *execution) sendStream(d *Dispatch) error {
+	defer x.settle(false)
 	for {
 		d.ExpectedTokens = x.slot.Decision().ExpectedTokens
 		d.Backup = x.chooseBackup()
@@ -21,7 +22,6 @@
 		}
 		d = next
 		x.dropReserved()
-		x.result.Moves++
 	}
 }
 
@@ -32,13 +32,13 @@
 	defer cancel()
 	silence := x.startSilenceTimer(d, cancel)
 	defer silence.close()
-	x.dispatchEvents = 0
+	x.dispatchBegun, x.dispatchEvents = false, 0
 	reply, err := x.send(ctx, d)
 	if err != nil {
-		silence.close()
+		x.finishSilence(silence, false)
 		err = silence.cause(err)
 		x.noteCrash(d, err, 0)
-		if next := x.continueSilent(d); next != nil {
+		if next := x.continueUntaken(d, err); next != nil {
 			return next, nil
 		}
 		x.endBeforeRepeat(d, err)
@@ -47,17 +47,26 @@
 	defer func() { _ = reply.Body.Close() }()
 	if !IsSuccess(reply.Status) || !reply.Signed || reply.Encoded {
 		silence.close()
+		if next := x.continueUntaken(d, invalidAnswer(reply)); next != nil {
+			return next, nil
+		}
 		return nil, x.handleInvalidStream(d, reply)
 	}
+	x.dispatchBegun = true
 	m := x.startMover(d)
 	err = x.relayEvents(reply, silence)
-	silence.finish(err == nil && !reply.Unframed)
-	move, stop := m.finish(err == nil && !reply.Unframed)
+	complete := err == nil && !reply.Unframed
+	x.finishSilence(silence, complete)
+	if !complete && x.ctx.Err() == nil {
+		x.result.Phase = PhaseBetween
+	}
+	move, stop := m.finish(complete)
 	if err == nil && move == nil {
 		err = x.checkStop(reply, max(stop, silence.runStop))
 	}
 	switch {
 	case err == nil && move == nil:
+		x.settle(true)
 		x.release(routing.OutcomeFinished)
 		x.result.Outcome = OutcomeServed
 		x.screening.Answered(time.Now())
@@ -67,11 +76,14 @@
 		x.release(routing.OutcomeCancelled)
 		return nil, errCallerLeft
 	case move != nil:
-		return x.continueAt(d, move), nil
+		if next := x.continueMoved(d, move); next != nil {
+			return next, nil
+		}
+		return nil, x.handleStreamFailure(d, errStopped)
 	}
 	err = silence.cause(err)
 	x.noteCrash(d, err, x.dispatchEvents)
-	if next := x.continueElsewhere(d, stop); next != nil {
+	if next := x.continueElsewhere(d, err, stop, m.part); next != nil {
 		return next, nil
 	}
 	return nil, x.handleStreamFailure(d, err)
@@ -89,8 +101,7 @@
 		}
 		if err == nil && found.data == nil {
 			// Even a caller that resumes after the last event needs the head of the answer to see the stream end.
-			x.passHead(reply.Status, reply.Header)
-			return nil
+			return x.passHead(reply.Status, reply.Header)
 		}
 		if err != nil {
 			return err
@@ -104,7 +115,9 @@
 		if found.hasID && x.lastEvent > 0 && found.id != x.lastEvent+1 {
 			return errGap
 		}
-		x.passHead(reply.Status, reply.Header)
+		if err := x.passHead(reply.Status, reply.Header); err != nil {
+			return err
+		}
 		if err := x.outbox.put(x.ctx, found.data); err != nil {
 			return err
 		}
@@ -129,6 +142,7 @@
 	}
 	x.lastEventAt = now
 	x.result.Events++
+	x.settle(true)
 	if x.dispatchEvents++; x.dispatchEvents == answeredEvents {
 		x.screening.Begun(now)
 	}
@@ -139,12 +153,10 @@
 // handleInvalidStream handles an answer that is not a signed and unencoded stream with a success status. An answer with an error status
 // is forwarded if no retry is allowed.
 func (x *execution) handleInvalidStream(d *Dispatch, reply *Reply) error {
+	x.settle(false)
 	x.exclude(d.Endpoint.Address)
 	x.release(routing.OutcomeFailed)
-	failure := error(&statusError{reply.Status})
-	if IsSuccess(reply.Status) {
-		failure = errInvalidAnswer
-	}
+	failure := invalidAnswer(reply)
 	if x.result.Begun || IsSuccess(reply.Status) {
 		return failure
 	}
@@ -162,9 +174,17 @@
 	return nil
 }
 
+// invalidAnswer returns the error for an answer that is not a signed and unencoded stream with a success status.
+func invalidAnswer(reply *Reply) error {
+	if IsSuccess(reply.Status) {
+		return errInvalidAnswer
+	}
+	return &statusError{reply.Status}
+}
+
 // handleStreamFailure releases the slot after a stream that broke off, and returns the cause.
 func (x *execution) handleStreamFailure(d *Dispatch, err error) error {
-	if x.caller.Err() != nil {
+	if x.callerLeft() {
 		x.release(routing.OutcomeCancelled)
 		return errCallerLeft
 	}
