Soak: an event holds four tokens, as its catalogue says; correction of what was found before

The stand-in made one event a token, while its catalogue says that an event holds 4. Instances so took each stream for four times shorter than it was: an event's 44 ms were 11 ms a token.

--- a/experiment/soak/caller.go
+++ b/experiment/soak/caller.go
@@ -82,6 +82,7 @@
 	case routeLong:
 		d.events = leastEvents + c.random.IntN(mostEvents-leastEvents)
 	}
+	d.tokens = d.events
 	return d
 }
 
@@ -135,7 +136,7 @@
 	request.Header.Set(standin.HeaderDeadline, strconv.FormatInt(c.patience.Milliseconds(), 10))
 	request.Header.Set(standin.HeaderKey, standin.Key)
 	if d.events > 0 {
-		request.Header.Set(standin.HeaderTokens, fmt.Sprint(promptTokens, ",", d.events))
+		request.Header.Set(standin.HeaderTokens, fmt.Sprint(promptTokens, ",", d.tokens))
 		request.Header.Set(standin.HeaderParts, c.parts(r))
 	}
 	response, err := c.client.Do(request)
--- a/experiment/soak/run.go
+++ b/experiment/soak/run.go
@@ -107,7 +107,8 @@
 		for _, route := range []string{routeRead, routeWrite, routeShort, routeLong} {
 			d := c.demand(n, route)
 			if s.options.Planned != nil {
-				d.events = min(d.events, shortEvents) // events take longer there
+				d.events = min(d.events, shortEvents) // events take longer there, and hold more
+				d.tokens = d.events * eventTokens
 			}
 			c.call(d)
 		}
