The copy by which a silent run was looked at is freed if its connection is kept

What operators saw: nothing; the target of the copy held the run's memory until it ended. Cause: only a run that misses no events had its copy freed; since the connection is kept until the run can continue without it, one that does as well. TestCopyOfSilentRunIsLeft failed before (a copy that is not dropped).

--- a/protocol/relay/missing.go
+++ b/protocol/relay/missing.go
@@ -45,7 +45,11 @@
 	if !found {
 		return false
 	}
-	if s.runStop == stopNotAsked && !x.hasMade(ctx, d, s, target) {
+	part, missing := Copy{}, true
+	if s.runStop == stopNotAsked {
+		part, missing = x.hasMade(ctx, d, s, target)
+	}
+	if !missing {
 		slot.Release(routing.OutcomeCancelled, time.Now())
 		return false
 	}
@@ -54,30 +58,32 @@
 	a.copied, a.state, stop = x.stopFormer(s.stopping, d, target, true)
 	if s.runStop = max(s.runStop, stop); !a.mayGoOn(d) {
 		a.drop(x)
+		x.runner.background.Go(func() { x.dropCopy(part) })
 		return false
 	}
 	x.asked = a
 	return true
 }
 
-// hasMade reports whether the endpoint has made events of the run that do not arrive. It is asked by a copy, which the run survives.
-func (x *execution) hasMade(ctx context.Context, d *Dispatch, s *silenceTimer, target Endpoint) bool {
+// hasMade reports whether the endpoint has made events of the run that do not arrive. It is asked by a copy, which the run survives and which is returned
+// then.
+func (x *execution) hasMade(ctx context.Context, d *Dispatch, s *silenceTimer, target Endpoint) (Copy, bool) {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	began := time.Now()
 	copied, err := x.runner.Endpoints.Move(ctx, x.request.ID, d.Endpoint, target.Address, false)
 	x.runner.Observer.Moved(x.request, d.Endpoint.Address, target.Address, copied, false, began, err)
 	if err != nil {
-		return false
+		return Copy{}, false
 	}
 	read := s.reads.Load()
 	missing := int64(copied.Created) > x.receivedEvent.Load() && wait.For(ctx, silenceConfirmation) == nil && s.reads.Load() == read
 	if !missing {
 		x.runner.background.Go(func() { x.dropCopy(copied) })
-		return false
+		return Copy{}, false
 	}
 	x.runner.Observer.StreamSilent(d, copied.Created, x.receivedEvent.Load())
-	return true
+	return copied, true
 }
 
 // finishSilence closes the silence timer of a stream that has ended. A run that a check may have stopped is at no endpoint.
--- a/protocol/relay/missing_test.go
+++ b/protocol/relay/missing_test.go
@@ -148,3 +148,27 @@
 		}
 	}
 }
+
+// The copy by which an endpoint was asked for the events that it has made must be freed if the connection is kept: it held memory of the target until
+// that ended.
+func TestCopyOfSilentRunIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, 3, 600)
+		f.silences = func(address netip.AddrPort) int64 { return f.onlyFirst(address, 100) }
+		f.returns = func(netip.AddrPort) time.Duration { return 9 * time.Second }
+		f.answerMoves(func(_ context.Context, from, to netip.AddrPort, last bool, _ func()) (Copy, error) {
+			if last {
+				return Copy{}, errFakeNoAnswer
+			}
+			return f.copyRun(from, to, false)
+		})
+		r := f.runner()
+		result := r.Run(t.Context(), f.request(false), &recordingSink{})
+		r.Wait()
+		f.is.Equal(result.Outcome, OutcomeServed)
+		f.is.True(len(f.memories) > 0)
+		for _, m := range f.memories {
+			f.is.True(m.dropped)
+		}
+	})
+}
