A request read together with the one before is answered before its connection closes

A caller that had sent a second request behind the first, on a connection whose answer had begun before the notice, had it dropped: the answer's head had not said that the connection would close.

Cause: a stop closed a connection as soon as its answer had ended, with the next request read already.

Change: such a connection counts as idle 0.1 s after its answer; a request that begins until then is served, and its answer says Connection: close.

--- a/instance/hosted/connection.go
+++ b/instance/hosted/connection.go
@@ -24,6 +24,7 @@
 	connections *connections
 	accepted    time.Time
 	state       atomic.Int32
+	answeredAt  atomic.Int64 // time of the latest answer, in nanoseconds since the connection was accepted
 }
 
 // Read reads from the connection. What has come on a connection that has been closed as idle meanwhile is not returned, so that it is not acted on.
@@ -49,12 +50,16 @@
 }
 
 // answered notes that the latest request has its whole answer.
-func (c *callerConnection) answered() { c.state.CompareAndSwap(connectionBusy, connectionAnswered) }
+func (c *callerConnection) answered(now time.Time) {
+	c.answeredAt.Store(int64(now.Sub(c.accepted)))
+	c.state.CompareAndSwap(connectionBusy, connectionAnswered)
+}
 
-// closeIdle closes the connection unless a request is in progress, or may be expected since the connection was accepted lately.
+// closeIdle closes the connection unless a request is in progress, or may be expected: the first one, since the connection was accepted lately, or one
+// that was read together with the one before.
 func (c *callerConnection) closeIdle(now time.Time) {
-	state := c.state.Load()
-	if state == connectionSilent && now.Sub(c.accepted) < firstRequestTime {
+	state, age := c.state.Load(), now.Sub(c.accepted)
+	if state == connectionSilent && age < firstRequestTime || state == connectionAnswered && age-time.Duration(c.answeredAt.Load()) < nextRequestTime {
 		return
 	}
 	if state != connectionBusy && c.state.CompareAndSwap(state, connectionClosed) {
--- a/instance/hosted/connections.go
+++ b/instance/hosted/connections.go
@@ -58,9 +58,9 @@
 	connection := changed.(*callerConnection)
 	switch state {
 	case http.StateIdle:
-		connection.answered()
+		connection.answered(time.Now())
 		if c.stopping.Load() {
-			connection.closeIdle(time.Now())
+			time.AfterFunc(nextRequestTime, func() { connection.closeIdle(time.Now()) })
 		}
 	case http.StateClosed:
 		c.mutex.Lock()
--- a/instance/hosted/constants.go
+++ b/instance/hosted/constants.go
@@ -7,8 +7,9 @@
 	idleTimeout        = 90 * time.Second
 	maximumHeaderBytes = 64 << 10
 
-	firstRequestTime       = 5 * time.Second       // for which an instance that is stopped waits for the first request on a connection
-	connectionPollInterval = 20 * time.Millisecond // between checks whether requests are in progress, of an instance that is stopped
+	firstRequestTime       = 5 * time.Second        // for which an instance that is stopped waits for the first request on a connection
+	nextRequestTime        = 100 * time.Millisecond // after an answer of an instance that is stopped, in which a request that was read with the one before begins
+	connectionPollInterval = 20 * time.Millisecond  // between checks whether requests are in progress, of an instance that is stopped
 
 	lingerTime      = 500 * time.Millisecond // for which the close of a connection waits for its caller's
 	maximumDiscards = 256                    // reads of bytes that are discarded before a connection is closed without waiting
