An unfinished answer in HTTP/1.0 does not look whole

A caller that speaks HTTP/1.0 took a stream that broke off, or that the end of a stop cut, for whole: its end is marked by the end of the connection only.

Cause: a broken answer ended its connection in order.

Change: while such an answer is not whole, its connection is reset when it closes. HTTP/1.1 marks the end by length or chunks.

--- a/instance/hosted/connection.go
+++ b/instance/hosted/connection.go
@@ -24,6 +24,7 @@
 	connections *connections
 	accepted    time.Time
 	state       atomic.Int32
+	unfinished  atomic.Bool  // the latest answer is not whole, and only a reset tells that
 	answeredAt  atomic.Int64 // time of the latest answer, in nanoseconds since the connection was accepted
 }
 
@@ -70,6 +71,10 @@
 // Close closes the connection in order: what the caller has sent behind its request is read and discarded, for some time if an answer has just been sent,
 // since the kernel would drop what the caller has not taken of the answer if anything remained unread.
 func (c *callerConnection) Close() error {
+	if c.unfinished.Load() {
+		_ = c.SetLinger(0) // fails only if the connection is closed already
+		return c.TCPConn.Close()
+	}
 	_ = c.CloseWrite() // it may be closed already
 	if c.state.Swap(connectionClosed) == connectionBusy {
 		if err := c.SetReadDeadline(c.connections.latestClose(time.Now())); err == nil {
--- a/instance/hosted/connections.go
+++ b/instance/hosted/connections.go
@@ -78,13 +78,22 @@
 	return context.WithValue(ctx, connectionKey{}, connection)
 }
 
-// guard returns a handler that passes on no request whose connection has been closed, since its caller would get no answer.
+// guard returns a handler that passes on no request whose connection has been closed, since its caller would get no answer. While an answer is not
+// whole, a close resets its connection if nothing else tells that, as in HTTP/1.0.
 func (c *connections) guard(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if connection, ok := r.Context().Value(connectionKey{}).(*callerConnection); ok && !connection.begin() {
+		connection, ok := r.Context().Value(connectionKey{}).(*callerConnection)
+		if ok && !connection.begin() {
 			panic(http.ErrAbortHandler)
 		}
+		unmarked := ok && !r.ProtoAtLeast(1, 1)
+		if unmarked {
+			connection.unfinished.Store(true)
+		}
 		handler.ServeHTTP(w, r)
+		if unmarked {
+			connection.unfinished.Store(false)
+		}
 	})
 }
 
--- a/instance/hosted/connections_test.go
+++ b/instance/hosted/connections_test.go
@@ -144,6 +144,42 @@
 	is.Equal(err, io.EOF) // the connection closes by itself after that
 }
 
+// A broken answer must not look whole, also where its end is marked by nothing but the end of the connection.
+func TestBrokenAnswerLooksWhole(t *testing.T) {
+	for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		t.Run(version, func(t *testing.T) {
+			is := is.New(t)
+			var s *callerServer
+			s = startCallerServer(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.WriteString(w, "part")
+				is.NoErr(http.NewResponseController(w).Flush())
+				switch r.URL.Path {
+				case "/broken":
+					panic(http.ErrAbortHandler)
+				case "/closed":
+					s.cut(time.Now())
+					_ = s.server.Close()
+				}
+			})
+			read := func(path string) error {
+				c := s.dial(t)
+				_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+				_, err := io.WriteString(c, "GET "+path+" "+version+"\r\nHost: x\r\nConnection: close\r\n\r\n")
+				is.NoErr(err)
+				response, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					return err
+				}
+				_, err = io.ReadAll(response.Body)
+				return err
+			}
+			is.NoErr(read("/whole"))
+			is.True(read("/broken") != nil)
+			is.True(read("/closed") != nil)
+		})
+	}
+}
+
 // What decides is what has been read since the latest answer: a connection that is closed as idle is read no more, and one that is read is not closed.
 func TestConnectionIsReadOrClosed(t *testing.T) {
 	now := time.Unix(1000, 0)
