A late attempt is not repeated at its own endpoint with less time than it had

What callers saw: with one endpoint and a deadline of less than 3.2 times the route's target, an attempt that was about to be answered was given up for one at the same endpoint that the deadline cut. Cause: from the moment at which a repeat there would otherwise be too late, it was allowed for good; that moment may lie before the attempt is late. Change: it is allowed in that moment only. Failing before (TestSilentAttemptRepeatedTooLateAtItsEndpoint, whole answer, target 1 s, deadline 3 s, answer after 2.7 s): 2 sends != 1.

--- a/protocol/relay/repeat.go
+++ b/protocol/relay/repeat.go
@@ -14,18 +14,17 @@
 type reserver struct {
 	execution *execution
 	former    Endpoint         // at which the request is
-	own       time.Time        // from which a repeat may go to the former endpoint as well
+	latest    time.Time        // until which a repeat may go to the former endpoint as well, if that is the last moment
 	exclude   []netip.AddrPort // endpoints that the next ask excludes
 }
 
-// newReserver returns a reserver for a dispatch that is late after the timeout. A repeat may go to the endpoint itself only when it would be late
-// otherwise: what the endpoint has done until then is lost.
+// newReserver returns a reserver for a dispatch that is late after the timeout. What the endpoint has done is lost if a repeat goes to the endpoint itself.
+// It does so only in the last moment in which the repeat has as much time until it is late.
 func (x *execution) newReserver(d *Dispatch, timeout time.Duration) *reserver {
-	own := x.request.Deadline.Add(-timeout)
-	if x.spec.Deadline.Before(own) {
-		own = x.spec.Deadline
+	r := &reserver{execution: x, former: d.Endpoint, latest: x.request.Deadline.Add(-timeout)}
+	if x.spec.Deadline.Before(r.latest) {
+		r.latest = x.spec.Deadline
 	}
-	r := &reserver{execution: x, former: d.Endpoint, own: own.Add(-2 * repeatPause)}
 	r.exclude = append(x.spec.Exclude[:len(x.spec.Exclude):len(x.spec.Exclude)], d.Endpoint.Address)
 	return r
 }
@@ -41,9 +40,9 @@
 	read := s.reads.Load()
 	slot, err := r.ask(ctx)
 	if refusal, ok := errors.AsType[*routing.RefusalError](err); ok && refusal.MayPassWithoutExclusions() {
-		r.exclude = nil
-		if time.Now().Before(r.own) {
-			r.exclude = []netip.AddrPort{r.former.Address}
+		r.exclude = []netip.AddrPort{r.former.Address}
+		if left := time.Until(r.latest) - repeatPause; left >= 0 && left <= 2*repeatPause {
+			r.exclude = nil // the next ask is one of the last in time
 		}
 	}
 	if slot == nil {
--- a/protocol/relay/repeat_test.go
+++ b/protocol/relay/repeat_test.go
@@ -160,6 +160,19 @@
 	})
 }
 
+// A repeat at the endpoint itself must have as much time as the attempt that is given up for it: one that began later was cut by the deadline, and the
+// answer of the first attempt was lost.
+func TestSilentAttemptRepeatedTooLateAtItsEndpoint(t *testing.T) {
+	forRepeatables(t, 1, func(t *testing.T, f *fakeFleet, request *Request, _ time.Duration) {
+		f.events = 5
+		f.delays = func(netip.AddrPort) time.Duration { return 2700 * time.Millisecond }
+		request.Deadline = request.Arrived.Add(3 * time.Second)
+		result, _ := f.serveRequest(t, request)
+		f.is.Equal(len(f.sends), 1)
+		f.is.Equal(result.Outcome, OutcomeServed)
+	})
+}
+
 // What was reserved for a repeat must be given back if the answer comes all the same: the place was taken for good then, and the permit lost.
 func TestReservedRepeatIsLost(t *testing.T) {
 	forRepeatables(t, 3, func(t *testing.T, f *fakeFleet, request *Request, late time.Duration) {
