--- a/experiment/soak/loss.go
+++ b/experiment/soak/loss.go
@@ -116,7 +116,7 @@
 
 // describe tells a lost request's times, in seconds from the stop of its instance, or from its own begin if there was none.
 func (j *losses) describe(r *record) string {
-	origin, around, cut := r.began, "in calm", j.cutAt(r)
+	origin, around, cut := r.began, "in calm, begun at "+r.began.Format("05.000"), j.cutAt(r)
 	for _, t := range j.others {
 		own := t.step.kind == kindCatalogue || t.step.target%j.instances == r.instance
 		if own && cut.After(t.began) && cut.Before(t.began.Add(changeTime)) {
