An answer that its caller reads slowly is not reset by what the caller sends after a stop

Callers: an answer that had begun before the stop, so that its head had no "Connection: close", was reset if the caller sent anything after the instance had closed the connection as idle: TestStreamReadSlowlyIsReset: 5438 read tcp ...: connection reset by peer (of 153,601 bytes).

Cause: closeIdle closed an answered connection at once, without lingering. Change: closeIdle closes it for writing and sets its read deadline to that of a lingering close; the final close is left to the goroutine of the server, which reads and discards until the caller closes or the deadline. Silent connections are closed at once as before. A Read that begins after that returns at once, so that a later read deadline of the server does not matter.

Measured: with -race the test and TestRequestBehindAnotherIsDropped, TestRequestReadWhileIdleConnectionsClose pass 10 of 10 times. A run with -run Connection|Request|Answer|Stop|Stream passed what it reached, and ended by its timeout of 100 s (load 20 to 30) in a test of leaving endpoints.

--- a/instance/hosted/connection.go
+++ b/instance/hosted/connection.go
@@ -15,7 +15,8 @@
 	connectionSilent   connectionState = iota // nothing yet
 	connectionBusy                            // a part of a request, or a request that has no whole answer yet
 	connectionAnswered                        // nothing since the latest answer
-	connectionClosed                          // nothing will be read any more
+	connectionEnding                          // nothing will be acted on any more; the server's goroutine closes it
+	connectionClosed                          // the same, and it is closed
 )
 
 // callerConnection is a caller's connection, which is either read or closed as idle, never both.
@@ -24,12 +25,16 @@
 	connections *connections
 	accepted    time.Time
 	state       atomic.Int32
-	unfinished  atomic.Bool  // the latest answer is not whole, and only a reset tells that
-	answeredAt  atomic.Int64 // time of the latest answer, in nanoseconds since the connection was accepted
+	unfinished  atomic.Bool               // the latest answer is not whole, and only a reset tells that
+	answeredAt  atomic.Int64              // time of the latest answer, in nanoseconds since the connection was accepted
+	ending      atomic.Pointer[time.Time] // until when it lingers after it has been closed as idle
 }
 
 // Read reads from the connection. What has come on a connection that has been closed as idle meanwhile is not returned, so that it is not acted on.
 func (c *callerConnection) Read(p []byte) (int, error) {
+	if c.state.Load() >= connectionEnding { // the server may have set another read deadline since
+		return 0, net.ErrClosed
+	}
 	n, err := c.TCPConn.Read(p)
 	if n > 0 && !c.begin() {
 		return 0, net.ErrClosed
@@ -41,7 +46,7 @@
 func (c *callerConnection) begin() bool {
 	for {
 		state := c.state.Load()
-		if state == connectionBusy || state == connectionClosed {
+		if state == connectionBusy || state >= connectionEnding {
 			return state == connectionBusy
 		}
 		if c.state.CompareAndSwap(state, connectionBusy) {
@@ -59,12 +64,27 @@
 // closeIdle closes the connection unless a request is in progress, or may be expected: the first one, since the connection was accepted lately, or one
 // that was read together with the one before.
 func (c *callerConnection) closeIdle(now time.Time) {
-	state, age := c.state.Load(), now.Sub(c.accepted)
-	if state == connectionSilent && age < firstRequestTime || state == connectionAnswered && age-time.Duration(c.answeredAt.Load()) < nextRequestTime {
-		return
+	age := now.Sub(c.accepted)
+	switch c.state.Load() {
+	case connectionSilent:
+		if age >= firstRequestTime && c.state.CompareAndSwap(connectionSilent, connectionClosed) {
+			_ = c.Close() // its caller may have closed it
+		}
+	case connectionAnswered:
+		if age-time.Duration(c.answeredAt.Load()) >= nextRequestTime {
+			c.endAnswered(now)
+		}
 	}
-	if state != connectionBusy && c.state.CompareAndSwap(state, connectionClosed) {
-		_ = c.Close() // its caller may have closed it
+}
+
+// endAnswered ends an answered connection without waiting. Its caller may not have read the whole answer and may still send, so that the close, which
+// the server's goroutine makes once its read returns, lingers.
+func (c *callerConnection) endAnswered(now time.Time) {
+	deadline := c.connections.latestClose(now)
+	c.ending.Store(&deadline)
+	if c.state.CompareAndSwap(connectionAnswered, connectionEnding) {
+		_ = c.CloseWrite() // its caller may have closed it
+		_ = c.SetReadDeadline(deadline)
 	}
 }
 
@@ -76,15 +96,26 @@
 		return c.TCPConn.Close()
 	}
 	_ = c.CloseWrite() // it may be closed already
-	if c.state.Swap(connectionClosed) == connectionBusy {
-		if err := c.SetReadDeadline(c.connections.latestClose(time.Now())); err == nil {
-			_, _ = io.Copy(io.Discard, reader{c.TCPConn}) // until the caller has closed it too
+	switch deadline := c.connections.latestClose(time.Now()); c.state.Swap(connectionClosed) {
+	case connectionBusy:
+		c.linger(deadline)
+	case connectionEnding:
+		if ending := *c.ending.Load(); ending.Before(deadline) {
+			deadline = ending
 		}
+		c.linger(deadline)
 	}
 	c.discard()
 	return c.TCPConn.Close()
 }
 
+// linger reads and discards what comes until the caller has closed the connection too, or until the deadline.
+func (c *callerConnection) linger(deadline time.Time) {
+	if err := c.SetReadDeadline(deadline); err == nil {
+		_, _ = io.Copy(io.Discard, reader{c.TCPConn})
+	}
+}
+
 // reader hides all methods of a connection but Read.
 type reader struct{ io.Reader }
 
--- a/instance/hosted/unread_test.go
+++ b/instance/hosted/unread_test.go
@@ -99,3 +99,35 @@
 		})
 	}
 }
+
+// An answer that began before the stop, and that its caller reads slowly, was reset by what the caller sent after the connection had been closed as idle.
+func TestStreamReadSlowlyIsReset(t *testing.T) {
+	const size = 150 << 10
+	is := is.New(t)
+	began, goOn := make(chan *callerConnection, 1), make(chan struct{})
+	s := startCallerServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "x")
+		is.NoErr(http.NewResponseController(w).Flush())
+		began <- r.Context().Value(connectionKey{}).(*callerConnection)
+		<-goOn
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	})
+	caller := dialNarrow(t, s.listener.Addr().String())
+	caller.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	connection := <-began
+	s.stop(time.Now().Add(time.Minute))
+	s.widen()
+	close(goOn)
+	for connection.state.Load() <= connectionAnswered { // it is closed as idle after that
+		time.Sleep(time.Millisecond)
+	}
+	caller.write("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+	time.Sleep(50 * time.Millisecond)
+	_ = caller.SetReadDeadline(time.Now().Add(20 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	t.Log(len(body), err)
+	is.NoErr(err)
+	is.Equal(len(body), size+1)
+}
