A half-sent head does not hold up the end of a stop

Operators: after a planned stop with a caller that had sent a part of a head, the lines said "requests have not ended" inFlight=0 and complete=false. TestHalfSentHeadHoldsStopUp: stop_test.go:209: false != true (complete)

Cause: answering counted each connection on which anything had been read, so that both waits of endRequests ran out. Change: only connections count whose handler has begun, set in guard, and whose answer is not whole.

--- a/instance/hosted/connection.go
+++ b/instance/hosted/connection.go
@@ -25,6 +25,7 @@
 	connections *connections
 	accepted    time.Time
 	state       atomic.Int32
+	served      atomic.Bool               // a handler has begun the latest request, whose answer is not whole
 	unfinished  atomic.Bool               // the latest answer is not whole, and only a reset tells that
 	answeredAt  atomic.Int64              // time of the latest answer, in nanoseconds since the connection was accepted
 	ending      atomic.Pointer[time.Time] // until when it lingers after it has been closed as idle
@@ -57,6 +58,7 @@
 
 // answered notes that the latest request has its whole answer.
 func (c *callerConnection) answered(now time.Time) {
+	c.served.Store(false)
 	c.answeredAt.Store(int64(now.Sub(c.accepted)))
 	c.state.CompareAndSwap(connectionBusy, connectionAnswered)
 }
--- a/instance/hosted/connections.go
+++ b/instance/hosted/connections.go
@@ -86,6 +86,9 @@
 		if ok && !connection.begin() {
 			panic(http.ErrAbortHandler)
 		}
+		if ok {
+			connection.served.Store(true)
+		}
 		unmarked := ok && !r.ProtoAtLeast(1, 1)
 		if unmarked {
 			connection.unfinished.Store(true)
@@ -136,19 +139,19 @@
 	}
 }
 
-// answering reports whether a request is in progress on a connection.
+// answering reports whether a handler serves a request of a connection, or its answer is not whole. A part of a head is no such request.
 func (c *connections) answering() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for connection := range c.open {
-		if connection.state.Load() == connectionBusy {
+		if connection.served.Load() && connection.state.Load() == connectionBusy {
 			return true
 		}
 	}
 	return false
 }
 
-// awaitAnswers waits until no request is in progress. It returns the context's error if that ends first.
+// awaitAnswers waits until no request is being served. It returns the context's error if that ends first.
 func (c *connections) awaitAnswers(ctx context.Context) error {
 	for c.answering() {
 		if err := wait.For(ctx, answerPollInterval); err != nil {
--- a/instance/hosted/stop_test.go
+++ b/instance/hosted/stop_test.go
@@ -180,3 +180,32 @@
 		})
 	}
 }
+
+// A head that its caller never finishes held the end of a stop up until its time was over, which was logged as a fault of the instance.
+func TestHalfSentHeadHoldsStopUp(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t)
+	f.grace = 2 * time.Second
+	output := &logLines{}
+	f.output = output
+	f.publishCatalogue(1, "desk")
+	f.startEngine("d-1", "desk")
+	i := f.startInstance()
+	f.awaitReady(i)
+	f.connect(i).write("GET /read/x HTTP/1.1\r\nHost: ")
+	f.eventually("part of a head", func() bool {
+		i.connections.mutex.Lock()
+		defer i.connections.mutex.Unlock()
+		for c := range i.connections.open {
+			if c.state.Load() == connectionBusy {
+				return true
+			}
+		}
+		return false
+	})
+	i.Drain()
+	i.Close()
+	is.Equal(output.one(f, "stopped", "")["complete"], true)
+	is.Equal(len(output.of("requests have not ended", "")), 0)
+}
