Connections that are closed during a stop linger until plan.Close

Callers: the close of a connection waited for its caller until plan.End only, though answers are delivered until plan.Close. TestStopLingersNotUntilClose: ...29.455 != ...29.517 (grace 2 s)

Cause: Drain passed plan.End to connections.stop. Change: plan.Close. Measured: with -race the test, TestHalfSentHeadHoldsStopUp and TestStreamReadSlowlyIsReset pass.

--- a/instance/hosted/drain.go
+++ b/instance/hosted/drain.go
@@ -24,7 +24,7 @@
 		i.connections.widen()
 	})
 	defer answers.Stop()
-	i.connections.stop(plan.End)
+	i.connections.stop(plan.Close)
 	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
 	_ = wait.For(ctx, plan.Listen.Sub(now)) // it ends before the context
--- a/instance/hosted/stop_test.go
+++ b/instance/hosted/stop_test.go
@@ -209,3 +209,14 @@
 	is.Equal(output.one(f, "stopped", "")["complete"], true)
 	is.Equal(len(output.of("requests have not ended", "")), 0)
 }
+
+// A connection that is closed during a stop waits for its caller as long as answers are delivered, not only until requests are ended.
+func TestStopLingersNotUntilClose(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t)
+	f.grace = 2 * time.Second
+	i := f.startInstance()
+	i.Drain()
+	is.Equal(*i.connections.until.Load(), i.plan.Load().Close)
+}
