--- a/instance/hosted/close.go
+++ b/instance/hosted/close.go
@@ -61,7 +61,7 @@
 			i.logger.Warn("requests have not ended", "inFlight", i.front.InFlight())
 		}
 	}
-	i.connections.cut(time.Now())
+	i.connections.endLinger(time.Now())
 	_ = i.callerServer.Close()
 }
 
--- a/instance/hosted/connection.go
+++ b/instance/hosted/connection.go
@@ -82,7 +82,7 @@
 // endAnswered ends an answered connection without waiting. Its caller may not have read the whole answer and may still send, so that the close, which
 // the server's goroutine makes once its read returns, lingers.
 func (c *callerConnection) endAnswered(now time.Time) {
-	deadline := c.connections.latestClose(now)
+	deadline := c.connections.lingerDeadline(now)
 	c.ending.Store(&deadline)
 	if c.state.CompareAndSwap(connectionAnswered, connectionEnding) {
 		_ = c.CloseWrite() // its caller may have closed it
@@ -98,7 +98,7 @@
 		return c.TCPConn.Close()
 	}
 	_ = c.CloseWrite() // it may be closed already
-	switch deadline := c.connections.latestClose(time.Now()); c.state.Swap(connectionClosed) {
+	switch deadline := c.connections.lingerDeadline(time.Now()); c.state.Swap(connectionClosed) {
 	case connectionBusy:
 		c.linger(deadline)
 	case connectionEnding:
@@ -137,8 +137,9 @@
 	})
 }
 
-// widen has the kernel take more of an answer that the caller reads slowly. It goes on sending that once the process has ended.
-func (c *callerConnection) widen() {
+// growSendBuffer grows the send buffer of a connection with a request in progress, so that the kernel sends the rest of the answer to a slow caller after
+// the process has ended.
+func (c *callerConnection) growSendBuffer() {
 	if c.state.Load() != connectionBusy {
 		return
 	}
--- a/instance/hosted/connections.go
+++ b/instance/hosted/connections.go
@@ -108,8 +108,8 @@
 	c.closeIdle(time.Now())
 }
 
-// latestClose returns the time until which the close of a connection waits for its caller.
-func (c *connections) latestClose(now time.Time) time.Time {
+// lingerDeadline returns the time until which a connection that is closed now is read, for its caller to close it too.
+func (c *connections) lingerDeadline(now time.Time) time.Time {
 	latest := now.Add(lingerTime)
 	if until := c.until.Load(); until != nil && until.Before(latest) {
 		return *until
@@ -117,8 +117,8 @@
 	return latest
 }
 
-// cut has no close of a connection wait any more.
-func (c *connections) cut(now time.Time) { c.until.Store(&now) }
+// endLinger sets the linger deadline of connections that are closed from now on to the given time.
+func (c *connections) endLinger(now time.Time) { c.until.Store(&now) }
 
 // closeIdle closes the connections on which no request is in progress or expected, and reports whether none is left.
 func (c *connections) closeIdle(now time.Time) bool {
@@ -130,12 +130,12 @@
 	return len(c.open) == 0
 }
 
-// widen has the kernel take what it can of the answers that callers have not read.
-func (c *connections) widen() {
+// growSendBuffers grows the send buffers of all connections with a request in progress.
+func (c *connections) growSendBuffers() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for connection := range c.open {
-		connection.widen()
+		connection.growSendBuffer()
 	}
 }
 
--- a/instance/hosted/connections_test.go
+++ b/instance/hosted/connections_test.go
@@ -38,7 +38,7 @@
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = s.server.Serve(s.listener) })
 	t.Cleanup(func() {
-		c.cut(time.Now())
+		c.endLinger(time.Now())
 		_ = s.server.Close()
 		serving.Wait()
 	})
@@ -157,7 +157,7 @@
 				case "/broken":
 					panic(http.ErrAbortHandler)
 				case "/closed":
-					s.cut(time.Now())
+					s.endLinger(time.Now())
 					_ = s.server.Close()
 				}
 			})
--- a/instance/hosted/drain.go
+++ b/instance/hosted/drain.go
@@ -21,7 +21,7 @@
 		i.lines.Extend()
 		i.logger.Info("requests without an answer are ended", "inFlight", i.front.InFlight(), "queued", i.router.QueueSize())
 		i.close()
-		i.connections.widen()
+		i.connections.growSendBuffers()
 	})
 	defer answers.Stop()
 	i.connections.stop(plan.Close)
--- a/instance/hosted/unread_test.go
+++ b/instance/hosted/unread_test.go
@@ -116,7 +116,7 @@
 	caller.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	connection := <-began
 	s.stop(time.Now().Add(time.Minute))
-	s.widen()
+	s.growSendBuffers()
 	close(goOn)
 	for connection.state.Load() <= connectionAnswered { // it is closed as idle after that
 		time.Sleep(time.Millisecond)
