--- a/instance/hosted/connections.go
+++ b/instance/hosted/connections.go
@@ -86,6 +86,9 @@
 		if ok && !connection.begin() {
 			panic(http.ErrAbortHandler)
 		}
+		if ok {
+			connection.served.Store(true)
+		}
 		unmarked := ok && !r.ProtoAtLeast(1, 1)
 		if unmarked {
 			connection.unfinished.Store(true)
@@ -105,8 +108,8 @@
 	c.closeIdle(time.Now())
 }
 
-// latestClose returns the time until which the close of a connection waits for its caller.
-func (c *connections) latestClose(now time.Time) time.Time {
+// lingerDeadline returns the time until which a connection that is closed now is read, for its caller to close it too.
+func (c *connections) lingerDeadline(now time.Time) time.Time {
 	latest := now.Add(lingerTime)
 	if until := c.until.Load(); until != nil && until.Before(latest) {
 		return *until
@@ -114,8 +117,8 @@
 	return latest
 }
 
-// cut has no close of a connection wait any more.
-func (c *connections) cut(now time.Time) { c.until.Store(&now) }
+// endLinger sets the linger deadline of connections that are closed from now on to the given time.
+func (c *connections) endLinger(now time.Time) { c.until.Store(&now) }
 
 // closeIdle closes the connections on which no request is in progress or expected, and reports whether none is left.
 func (c *connections) closeIdle(now time.Time) bool {
@@ -127,28 +130,28 @@
 	return len(c.open) == 0
 }
 
-// widen has the kernel take what it can of the answers that callers have not read.
-func (c *connections) widen() {
+// growSendBuffers grows the send buffers of all connections with a request in progress.
+func (c *connections) growSendBuffers() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for connection := range c.open {
-		connection.widen()
+		connection.growSendBuffer()
 	}
 }
 
-// answering reports whether a request is in progress on a connection.
+// answering reports whether a handler serves a request of a connection, or its answer is not whole. A part of a head is no such request.
 func (c *connections) answering() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for connection := range c.open {
-		if connection.state.Load() == connectionBusy {
+		if connection.served.Load() && connection.state.Load() == connectionBusy {
 			return true
 		}
 	}
 	return false
 }
 
-// awaitAnswers waits until no request is in progress. It returns the context's error if that ends first.
+// awaitAnswers waits until no request is being served. It returns the context's error if that ends first.
 func (c *connections) awaitAnswers(ctx context.Context) error {
 	for c.answering() {
 		if err := wait.For(ctx, answerPollInterval); err != nil {
--- a/instance/hosted/drain.go
+++ b/instance/hosted/drain.go
@@ -21,10 +21,10 @@
 		i.lines.Extend()
 		i.logger.Info("requests without an answer are ended", "inFlight", i.front.InFlight(), "queued", i.router.QueueSize())
 		i.close()
-		i.connections.widen()
+		i.connections.growSendBuffers()
 	})
 	defer answers.Stop()
-	i.connections.stop(plan.End)
+	i.connections.stop(plan.Close)
 	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
 	_ = wait.For(ctx, plan.Listen.Sub(now)) // it ends before the context
