--- a/experiment/soak/loss.go
+++ b/experiment/soak/loss.go
@@ -114,7 +114,7 @@
 	})
 }
 
-// describe tells a lost request's times, in seconds from the stop of its instance, or from its own begin if there was none.
+// describe returns a lost request's times, in seconds from the stop of its instance, or from its own begin if there was none.
 func (j *losses) describe(r *record) string {
 	origin, around, cut := r.began, "in calm, begun at "+r.began.Format("05.000"), j.cutAt(r)
 	for _, t := range j.others {
--- a/instance/hosted/connection.go
+++ b/instance/hosted/connection.go
@@ -26,7 +26,7 @@
 	accepted    time.Time
 	state       atomic.Int32
 	served      atomic.Bool               // a handler has begun the latest request, whose answer is not whole
-	unfinished  atomic.Bool               // the latest answer is not whole, and only a reset tells that
+	unfinished  atomic.Bool               // the latest answer is not whole, and only a reset shows that
 	answeredAt  atomic.Int64              // time of the latest answer, in nanoseconds since the connection was accepted
 	ending      atomic.Pointer[time.Time] // until when it lingers after it has been closed as idle
 }
--- a/instance/hosted/connections.go
+++ b/instance/hosted/connections.go
@@ -79,7 +79,7 @@
 }
 
 // guard returns a handler that passes on no request whose connection has been closed, since its caller would get no answer. While an answer is not
-// whole, a close resets its connection if nothing else tells that, as in HTTP/1.0.
+// whole, a close resets its connection if nothing else shows that, as in HTTP/1.0.
 func (c *connections) guard(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		connection, ok := r.Context().Value(connectionKey{}).(*callerConnection)
--- a/internal/lines/writer.go
+++ b/internal/lines/writer.go
@@ -60,7 +60,7 @@
 // Dropped returns the number of dropped lines plus the number of failed writes.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Close returns once all queued lines are written. It returns the context's error if that ends first, as it does when nobody reads the lines.
+// Close returns once all queued lines are written. It returns the context's error if that ends first, as it does when the lines are not read.
 func (w *Writer) Close(ctx context.Context) error {
 	w.mutex.Lock()
 	if !w.closed {
--- a/protocol/relay/continuation.go
+++ b/protocol/relay/continuation.go
@@ -13,7 +13,7 @@
 
 // continueMoved returns the dispatch with which a run continues that was stopped to be moved; nil if nothing takes it.
 func (x *execution) continueMoved(d *Dispatch, m *move) *Dispatch {
-	x.letGo(x.paused)
+	x.releaseUnused(x.paused)
 	p := x.pause(d)
 	if m.slot != nil {
 		p.memories = append(p.memories, newCopyMemory(m))
@@ -108,13 +108,13 @@
 		releaseSlot(a.slot, routing.OutcomeCancelled)
 		x.release(routing.OutcomeFailed)
 		if earlier != nil { // the endpoint may not have used the copy
-			earlier.useCurrent()
+			earlier.markCurrentUsed()
 			p.memories, p.source = slices.DeleteFunc(earlier.memories, func(m *runMemory) bool { return m.origin == OriginBackup }), earlier.source
 		}
 		p.memories = append(p.memories, x.backupMemories(d)...)
 		return
 	}
-	x.letGo(earlier)
+	x.releaseUnused(earlier)
 	outcome := routing.OutcomeFailed
 	if a.isCopied() {
 		p.memories = append(p.memories, newCopyMemory(&move{copy: a.copied, slot: a.slot, endpoint: a.target}))
@@ -141,14 +141,14 @@
 	return p
 }
 
-// settle ends the pause of a run: it continues from the current memory, or not at all. What is not used is let go.
-func (x *execution) settle(taken bool) {
+// endPause ends the pause of a run: it continues from the current memory, or not at all. What is not used is let go.
+func (x *execution) endPause(taken bool) {
 	p := x.paused
 	if p == nil {
 		return
 	}
 	x.paused = nil
-	x.letGo(p)
+	x.releaseUnused(p)
 	if !taken {
 		return
 	}
@@ -158,8 +158,8 @@
 	}
 }
 
-// letGo releases the slots and frees the copies of a paused run that are not used.
-func (x *execution) letGo(p *pausedRun) {
+// releaseUnused releases the slots and frees the copies of a paused run that are not used.
+func (x *execution) releaseUnused(p *pausedRun) {
 	if p == nil {
 		return
 	}
--- a/protocol/relay/failure.go
+++ b/protocol/relay/failure.go
@@ -27,8 +27,8 @@
 	return ok && n.Cause != nil
 }
 
-// isSpoilt reports whether the bytes of an answer are wrong, rather than missing.
-func isSpoilt(err error) bool {
+// isCorrupt reports whether the bytes of an answer are wrong, rather than missing.
+func isCorrupt(err error) bool {
 	reason := reasonOf(err)
 	return reason == ReasonGap || reason == ReasonInvalidAnswer || errors.Is(err, errEventSize)
 }
--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -99,7 +99,7 @@
 			}
 			return nil, Endpoint{Address: known} // takes the copy, and no run
 		}
-		if x.request.Route.Repeatable() || isSpoilt(cause) || !time.Now().Before(latest) || wait.For(x.ctx, continuationPollInterval) != nil {
+		if x.request.Route.Repeatable() || isCorrupt(cause) || !time.Now().Before(latest) || wait.For(x.ctx, continuationPollInterval) != nil {
 			return nil, Endpoint{}
 		}
 	}
--- a/protocol/relay/missing.go
+++ b/protocol/relay/missing.go
@@ -21,8 +21,8 @@
 	return a.state == FormerStopped && a.copied.Target == a.target.Address && a.target.ID != ""
 }
 
-// mayGoOn reports whether the run can continue without its connection: its endpoint has stopped it, or works on it no more and the target has its backup.
-func (a *askedRun) mayGoOn(d *Dispatch) bool {
+// canContinue reports whether the run can continue without its connection: its endpoint has stopped it, or works on it no more and the target has its backup.
+func (a *askedRun) canContinue(d *Dispatch) bool {
 	return a.state == FormerStopped || a.state != FormerUnknown && a.target.Address == d.Backup
 }
 
@@ -56,7 +56,7 @@
 	a := &askedRun{slot: slot, target: target}
 	var stop stopState
 	a.copied, a.state, stop = x.stopFormer(s.stopping, d, target, true)
-	if s.runStop = max(s.runStop, stop); !a.mayGoOn(d) {
+	if s.runStop = max(s.runStop, stop); !a.canContinue(d) {
 		a.drop(x)
 		x.runner.background.Go(func() { x.dropCopy(part) })
 		return false
--- a/protocol/relay/paused.go
+++ b/protocol/relay/paused.go
@@ -83,8 +83,8 @@
 	return givenUp
 }
 
-// useCurrent notes that the endpoint of the latest dispatch, which works on the run no more, may have used the memory.
-func (p *pausedRun) useCurrent() {
+// markCurrentUsed notes that the endpoint of the latest dispatch, which works on the run no more, may have used the memory.
+func (p *pausedRun) markCurrentUsed() {
 	p.remove(p.current)
 	for _, m := range p.memories {
 		m.mayBeUsed = m.mayBeUsed || m.copy.Source == p.current.copy.Source && m.copy.Handle == p.current.copy.Handle
--- a/protocol/relay/silence.go
+++ b/protocol/relay/silence.go
@@ -68,21 +68,21 @@
 // start starts the timer, which calls cancel.
 func (s *silenceTimer) start(timeout time.Duration, cancel func()) {
 	s.held = make(chan struct{}, 1)
-	s.hold()
-	defer s.free()
+	s.lock()
+	defer s.unlock()
 	s.timeout, s.cancel = timeout, cancel
 	s.timer = time.AfterFunc(timeout, s.expire)
 }
 
-// hold waits for the end of a check in progress.
-func (s *silenceTimer) hold() { s.held <- struct{}{} }
+// lock waits for the end of a check in progress. It is a channel so that virtual time goes on in tests while a check holds it.
+func (s *silenceTimer) lock() { s.held <- struct{}{} }
 
-func (s *silenceTimer) free() { <-s.held }
+func (s *silenceTimer) unlock() { <-s.held }
 
 // expire cancels the read if the check allows it, and else checks again after the pause.
 func (s *silenceTimer) expire() {
-	s.hold()
-	defer s.free()
+	s.lock()
+	defer s.unlock()
 	if s.closed || s.paused.Load() {
 		return
 	}
@@ -130,8 +130,8 @@
 	if s.endStop != nil && complete {
 		s.endStop()
 	}
-	s.hold()
-	defer s.free()
+	s.lock()
+	defer s.unlock()
 	s.closed = true
 	s.timer.Stop()
 	if s.endStop != nil {
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -12,7 +12,7 @@
 // sendStream dispatches a request whose events are forwarded as they are received, and continues its run at other endpoints if it is
 // moved or restored.
 func (x *execution) sendStream(d *Dispatch) error {
-	defer x.settle(false)
+	defer x.endPause(false)
 	for {
 		d.ExpectedTokens = x.slot.Decision().ExpectedTokens
 		d.Backup = x.chooseBackup()
@@ -75,7 +75,7 @@
 	}
 	switch {
 	case err == nil && move == nil:
-		x.settle(true)
+		x.endPause(true)
 		x.release(routing.OutcomeFinished)
 		x.result.Outcome = OutcomeServed
 		x.screening.Answered(time.Now())
@@ -151,7 +151,7 @@
 	}
 	x.lastEventAt = now
 	x.result.Events++
-	x.settle(true)
+	x.endPause(true)
 	if x.dispatchEvents++; x.dispatchEvents == answeredEvents {
 		x.screening.Begun(now)
 	}
@@ -162,7 +162,7 @@
 // handleInvalidStream handles an answer that is not a signed and unencoded stream with a success status. An answer with an error status
 // is forwarded if no retry is allowed.
 func (x *execution) handleInvalidStream(d *Dispatch, reply *Reply) error {
-	x.settle(false)
+	x.endPause(false)
 	x.exclude(d.Endpoint.Address)
 	x.release(routing.OutcomeFailed)
 	failure := invalidAnswer(reply)
