--- a/coordination/routing/late_test.go
+++ b/coordination/routing/late_test.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// report tells each instance what the others have in progress.
+// report sets at each instance what the others have in progress.
 func (f *lateFleet) report(now time.Time) {
 	for _, c := range f.cores {
 		for n, e := range f.engines {
--- a/protocol/relay/paused_test.go
+++ b/protocol/relay/paused_test.go
@@ -12,7 +12,7 @@
 	"dogwooddyke/coordination/routing"
 )
 
-// The stream of a run breaks off. Its endpoint may go on with it if nobody else can, and the other way round.
+// When the stream of a run has broken off, the run must continue from any memory that is left, whether at its endpoint or elsewhere.
 func TestBrokenRunIsCutBetweenEndpoints(t *testing.T) {
 	const soon, refused = 250 * time.Millisecond, 2 * time.Second
 	breaks := func(worksOn bool) func(f *fakeFleet) {
--- a/protocol/relay/repeat.go
+++ b/protocol/relay/repeat.go
@@ -78,7 +78,7 @@
 	return slot, nil
 }
 
-// dropRepeat gives back what was reserved for a repeat that is not made.
+// dropRepeat releases the slot and the permit of the retry budget that are reserved for a repeat.
 func (x *execution) dropRepeat() {
 	if x.repeat == nil {
 		return
@@ -88,13 +88,13 @@
 	x.runner.Budgets.Of(x.request.Service).Return()
 }
 
-// dropReserved gives back what was reserved to give up a silent attempt, and is not used.
+// dropReserved releases what is reserved for going on after a silent attempt.
 func (x *execution) dropReserved() {
 	x.dropRepeat()
 	x.dropAsked()
 }
 
-// dropAsked gives back what a silent run was copied with, if it does not continue from that.
+// dropAsked releases the slot and frees the copy of a silent run that does not continue from them.
 func (x *execution) dropAsked() {
 	if x.asked != nil {
 		x.asked.drop(x)
