--- a/review/driver-2/engine.go
+++ b/review/driver-2/engine.go
@@ -32,8 +32,8 @@
 
 	mutex    sync.Mutex
 	arrivals []arrival
-	answers  int
-	fault    func(n int, a *arrival, answer []byte) []byte // returns the bytes that are sent in place of the n-th answer
+	answers  int                                           // since the present fault began, or since the start
+	fault    func(n int, a *arrival, answer []byte) []byte // returns the bytes that are sent in place of the n-th answer since it began
 }
 
 func newEngine(id, service, zone string) (*engine, error) {
@@ -69,6 +69,9 @@
 func (e *engine) setFault(fault func(n int, a *arrival, answer []byte) []byte) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	if e.fault == nil {
+		e.answers = 0
+	}
 	e.fault = fault
 }
 
@@ -112,7 +115,7 @@
 	return answer
 }
 
-// note records an arrival, and returns its number among those that ran and the engine's present fault.
+// note records an arrival, and returns its number among those that ran since the engine's present fault began, and that fault.
 func (e *engine) note(a arrival) (int, func(int, *arrival, []byte) []byte) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/review/driver-2/generator.go
+++ b/review/driver-2/generator.go
@@ -18,8 +18,7 @@
 )
 
 const (
-	unframedEvery = 20                    // one answer in 20 of a generator has no length: x = 0.05
-	unframers     = 3                     // of five generators, the first that are used, send such answers: a share of 0.6
+	unframedEvery = 20                    // the 20th answer of one generator has no length: x = 0.05
 	eventTime     = 10 * time.Millisecond // for one event
 	eventTokens   = 4
 )
@@ -27,7 +26,7 @@
 // generator is a stand-in of a model engine, which runs as a process of its own so that it can be killed.
 type generator struct {
 	id      string
-	folder  string // in which the generators note which of them send answers without a length
+	folder  string // in which the generators note that one of them has sent an answer without a length
 	answers atomic.Int64
 
 	mutex   sync.Mutex
@@ -94,15 +93,10 @@
 	return err == nil
 }
 
-// isUnframer reports whether the generator is one of the first that come to send an answer without a length.
+// isUnframer reports whether the generator is the first that comes to send an answer without a length; no other one is sent.
 func (g *generator) isUnframer() bool {
-	for n := range unframers {
-		file, err := os.OpenFile(filepath.Join(g.folder, fmt.Sprint("unframer-", n)), os.O_CREATE|os.O_EXCL, 0o600)
-		if err == nil {
-			return file.Close() == nil
-		}
-	}
-	return false
+	file, err := os.OpenFile(filepath.Join(g.folder, "unframer"), os.O_CREATE|os.O_EXCL, 0o600)
+	return err == nil && file.Close() == nil
 }
 
 // move refuses to copy a run, since there is no room; with last it stops the run first.
--- a/review/driver-2/reborn.go
+++ b/review/driver-2/reborn.go
@@ -109,10 +109,10 @@
 		address := port.Addr().String()
 		_ = port.Close()
 		p := &process{number: n, address: address, link: l, begun: make(chan string, 64), record: s.record, folder: s.directory}
+		f.processes = append(f.processes, p)
 		if err := p.start(); err != nil {
 			return f, err
 		}
-		f.processes = append(f.processes, p)
 	}
 	f.beat()
 	go func() {
@@ -140,6 +140,9 @@
 
 func (f *fleet) close() {
 	for _, p := range f.processes {
+		if p.command == nil || p.command.Process == nil {
+			continue
+		}
 		_ = p.command.Process.Kill()
 		_ = p.command.Wait()
 	}
