--- a/instance/hosted/fleet_test.go
+++ b/instance/hosted/fleet_test.go
@@ -148,6 +148,15 @@
 }
 
 func (f *fleet) send(spec requestSpec) *http.Response {
+	f.t.Helper()
+	response, err := http.DefaultTransport.RoundTrip(f.newRequest(spec))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return response
+}
+
+func (f *fleet) newRequest(spec requestSpec) *http.Request {
 	f.t.Helper()
 	request, err := http.NewRequest(spec.method, "http://"+spec.instance.settings.Callers.String()+spec.path, strings.NewReader(spec.body))
 	if err != nil {
@@ -163,11 +172,7 @@
 	for name, value := range spec.headers {
 		request.Header.Set(name, value)
 	}
-	response, err := http.DefaultTransport.RoundTrip(request)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return response
+	return request
 }
 
 // assertEvents checks that a stream contains each event once and in order.
--- a/protocol/relay/failure.go
+++ b/protocol/relay/failure.go
@@ -38,12 +38,14 @@
 	return isUnreached(err) && errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// Errors of calls that copy a run.
+// Errors of dispatches and of calls that copy a run.
 var (
 	// ErrNoRun reports that the endpoint does not know a run, because the run has not started or has ended.
 	ErrNoRun = errors.New("endpoint does not know the run")
 	// ErrMoveInProgress reports that another call which copies the run is in progress.
 	ErrMoveInProgress = errors.New("run is being copied already")
+	// ErrMalformed reports bytes that are no answer at all.
+	ErrMalformed = errors.New("bytes of the endpoint are no answer")
 	// ErrUnreached reports that no connection to the endpoint was established.
 	ErrUnreached = errors.New("endpoint was not reached")
 )
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -29,7 +29,7 @@
 	ReasonUnreached      Reason = "unreached"   // every endpoint that was tried was unreachable
 	ReasonConnectionLost Reason = "broken"      // the connection to the endpoint failed
 	ReasonSilent         Reason = "silent"      // the endpoint sent nothing in time
-	ReasonInvalidAnswer  Reason = "spoiled"     // the answer was not signed by the endpoint, or was content-encoded
+	ReasonInvalidAnswer  Reason = "spoiled"     // the bytes that came are no answer, or one that was not signed by the endpoint or was content-encoded
 	ReasonGap            Reason = "gap"         // the events of the stream are not numbered consecutively
 	ReasonStopped        Reason = "stopped"     // the run was stopped at its endpoint and could not continue
 	ReasonClosing        Reason = "closing"     // the instance was stopped
@@ -96,7 +96,7 @@
 		return ReasonCallerLeft
 	case errors.Is(err, errClosing):
 		return ReasonClosing
-	case errors.Is(err, errInvalidAnswer):
+	case errors.Is(err, errInvalidAnswer), errors.Is(err, ErrMalformed):
 		return ReasonInvalidAnswer
 	case errors.Is(err, errGap), errors.Is(err, errUnnumbered):
 		return ReasonGap
--- /dev/null
+++ b/transport/response/conn.go
@@ -0,0 +1,65 @@
+package response
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// errLargeHead reports a head that exceeds the size limit.
+var errLargeHead = &MalformedError{Reason: "head exceeds the size limit"}
+
+// conn is a connection that requests are sent on one after the other. What is read after a request begins with heads that HTTP allows, or reading fails;
+// no byte of a head is passed on before it is whole. One goroutine reads at a time, and one writes.
+type conn struct {
+	net.Conn
+	limit  int         // largest size of the heads of one response
+	awaits atomic.Bool // the head of a response comes next
+	head   head        // that comes
+	came   []byte      // of it
+	passed []byte      // checked, and not read yet
+	failed error       // with which reading has failed for good
+}
+
+func newConn(c net.Conn, limit int) *conn {
+	wrapped := &conn{Conn: c, limit: limit}
+	wrapped.begin()
+	return wrapped
+}
+
+// begin expects a response.
+func (c *conn) begin() { c.awaits.Store(true) }
+
+// Read returns what has come, once the heads have been checked.
+func (c *conn) Read(p []byte) (int, error) {
+	for len(c.passed) == 0 {
+		if c.failed != nil {
+			return 0, c.failed
+		}
+		n, err := c.Conn.Read(p)
+		if !c.awaits.Load() {
+			return n, err
+		}
+		if c.failed = c.take(p[:n]); c.failed == nil {
+			c.failed = err
+		}
+	}
+	n := copy(p, c.passed)
+	c.passed = c.passed[n:]
+	return n, nil
+}
+
+// take checks bytes of a head, and passes them on once it is whole.
+func (c *conn) take(data []byte) error {
+	c.came = append(c.came, data...)
+	whole, err := c.head.check(c.came)
+	switch {
+	case err != nil:
+		return err
+	case whole:
+		c.passed, c.came, c.head = c.came, nil, head{}
+		c.awaits.Store(false)
+	case len(c.came) > c.limit:
+		return errLargeHead
+	}
+	return nil
+}
