Endpoints' bytes with a line that is no field of HTTP are no answer

What callers saw: an answer with a blank in or behind the name of a field, a folded line, or a line without a carriage return came through as a success or as the endpoint's failure, without that line. "Content-Length : 3" was so left out, and a body of another length was passed on; a coding was overlooked in the same way, and in an answer of HTTP/1.0.

Cause: as for the status line, net/http accepts more than RFC 9112 allows, and nothing else looks at the bytes.

Change: transport/response checks each field line (name, value, no folding), and that a head says at most once where its body ends; a trailer's names are checked behind the body.

--- a/instance/hosted/malformed_test.go
+++ b/instance/hosted/malformed_test.go
@@ -80,3 +80,25 @@
 	}
 	assertNoAnswer(t, heads...)
 }
+
+// A field that is none came through with a success: it was left out, and where it said how long the body is, another body was passed on.
+func TestMalformedFieldIsTakenForAnAnswer(t *testing.T) {
+	var heads []malformedHead
+	for _, field := range []string{
+		"Content-Length : 3", "Content Length: 3", "Transfer-Encoding : chunked", "X Part: a", "X-Part : a", " X-Part: a", "X-Part: a\r\n b", "X-P\x01art: a",
+		"X-Part: a\x00b", "X-Part: a\x7fb", "X-Part: a\rb", "X-Part\x00: a", "X-P\xe4rt: a", "X-P(art): a", "X-P/art: a", "\tX-Part: a", "X-Part", ": a", "X-Part\t: a",
+		"Content-Length: +6", "Content-Length: 6, 6", "Content-Length: 0x6", "Content-Length:", "Content-Length: 6\r\nTransfer-Encoding: chunked",
+		"Content-Length: 6\r\nContent-Length: 6", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: identity", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+	} {
+		heads = append(heads, malformedHead{first: "HTTP/1.1 200 OK", fields: []string{field}})
+	}
+	heads = append(heads,
+		malformedHead{first: "HTTP/1.0 200 OK", fields: []string{"Transfer-Encoding: chunked"}},
+		malformedHead{first: "HTTP/1.1 204 No Content", fields: []string{"Transfer-Encoding: chunked"}},
+		malformedHead{first: "HTTP/1.1 204 No Content", fields: []string{"Content-Length: 6"}},
+		malformedHead{first: "HTTP/1.1 200 OK", fields: []string{"X-Part: a\nX-More: b"}},
+		malformedHead{first: "HTTP/1.1 500 Error", fields: []string{"X-Part : a"}},
+		malformedHead{first: "HTTP/1.1 103 Early Hints", fields: []string{"X-Part : a\r\n\r\nHTTP/1.1 200 OK"}},
+	)
+	assertNoAnswer(t, heads...)
+}
--- a/transport/response/head.go
+++ b/transport/response/head.go
@@ -24,6 +24,12 @@
 	checked int  // bytes that have been checked
 	inside  bool // the status line has been checked, the empty line has not come
 	final   bool // the current head is not that of an informational response
+	bodied  bool // its status allows a body
+	empty   bool // its status allows no length other than zero
+	one     bool // its version is HTTP/1.1, so it may be sent in chunks
+
+	lengths, codings int    // fields that say where the body ends
+	length           string // value of the latest of them
 }
 
 // check checks the lines that have come, and reports whether the head of the final response is whole. The data are all bytes of the heads so far.
@@ -41,7 +47,10 @@
 			return false, &MalformedError{Reason: "line of a head ends without a carriage return", Text: line}
 		case !h.inside:
 			err = h.begin(text)
-		case text == "":
+		case text != "":
+			err = h.field(text)
+		default:
+			err = h.end()
 			h.inside = false
 		}
 		if err != nil {
@@ -69,7 +78,9 @@
 	if code == "101" {
 		return &MalformedError{Reason: "change of protocol that was not asked for", Text: line}
 	}
-	*h = head{checked: h.checked, inside: true, final: code[0] != '1'}
+	final := code[0] != '1'
+	empty := !final || code == "204"
+	*h = head{checked: h.checked, inside: true, one: version == "HTTP/1.1", final: final, empty: empty, bodied: !empty && code != "304"}
 	return nil
 }
 
@@ -80,3 +91,43 @@
 	}
 	return strings.Trim(code, "0123456789") == ""
 }
+
+// field checks a field line.
+func (h *head) field(line string) error {
+	name, value, found := strings.Cut(line, ":")
+	if !found || !httpguts.ValidHeaderFieldName(name) {
+		return &MalformedError{Reason: "line of a head names no field", Text: line}
+	}
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return &MalformedError{Reason: "value of a field has a control character", Text: line}
+	}
+	value = strings.Trim(value, " \t")
+	switch strings.ToLower(name) {
+	case "content-length":
+		h.lengths++
+		h.length = value
+		if value == "" || strings.Trim(value, "0123456789") != "" {
+			return &MalformedError{Reason: "length of the body is no number", Text: line}
+		}
+	case "transfer-encoding":
+		h.codings++
+		if !strings.EqualFold(value, "chunked") {
+			return &MalformedError{Reason: "transfer coding is unknown", Text: line}
+		}
+	}
+	return nil
+}
+
+// end checks that a head says at most once where its body ends.
+func (h *head) end() error {
+	switch {
+	case h.lengths+h.codings > 1:
+		return &MalformedError{Reason: "head says more than once where its body ends"}
+	case h.codings > 0 && !(h.one && h.bodied):
+		return &MalformedError{Reason: "response may not be sent in chunks"}
+	case h.empty && strings.Trim(h.length, "0") != "":
+		return &MalformedError{Reason: "response has a length though its status allows no body", Text: h.length}
+	default:
+		return nil
+	}
+}
--- a/transport/response/head_test.go
+++ b/transport/response/head_test.go
@@ -27,6 +27,19 @@
 	{"\r\n", "status line names no version of HTTP/1"},
 	{"HTTP/1.1 200 OK\n", "line of a head ends without a carriage return"},
 	{"HTTP/1.1 200 O\rK\r\n", "reason phrase has a control character"},
+	{"HTTP/1.1 200 OK\r\nContent-Length : 3\r\n", "line of a head names no field"},
+	{"HTTP/1.1 200 OK\r\nX-Part: a\r\n b\r\n", "line of a head names no field"},
+	{"HTTP/1.1 200 OK\r\nX-Part\r\n", "line of a head names no field"},
+	{"HTTP/1.1 103 Early Hints\r\nX Part: a\r\n", "line of a head names no field"},
+	{"HTTP/1.1 200 OK\r\nX-Part: a\x00b\r\n", "value of a field has a control character"},
+	{"HTTP/1.1 200 OK\r\nContent-Length: +6\r\n", "length of the body is no number"},
+	{"HTTP/1.1 200 OK\r\nContent-Length:\r\n", "length of the body is no number"},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n", "transfer coding is unknown"},
+	{"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n", "head says more than once where its body ends"},
+	{"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nContent-Length: 6\r\n\r\n", "head says more than once where its body ends"},
+	{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "response may not be sent in chunks"},
+	{"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n", "response may not be sent in chunks"},
+	{"HTTP/1.1 204 No Content\r\nContent-Length: 6\r\n\r\n", "response has a length though its status allows no body"},
 }
 
 func TestHead(t *testing.T) {
--- a/transport/response/transport.go
+++ b/transport/response/transport.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // defaultHeadBytes limits the heads of a response if the transport sets no limit.
@@ -45,5 +48,29 @@
 		return nil, errScheme
 	}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*conn).begin() }}
-	return t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &body{ReadCloser: response.Body, response: response}
+	return response, nil
+}
+
+// body is the body of a response, with the trailer that follows it.
+type body struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read reads the body; it returns a *MalformedError instead of io.EOF if the trailer has a line that is no field.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		for name := range b.response.Trailer {
+			if !httpguts.ValidHeaderFieldName(name) {
+				return n, &MalformedError{Reason: "line of a trailer names no field", Text: name}
+			}
+		}
+	}
+	return n, err
 }
