An answer without a length is whole only if its request was sent without an error

What callers saw: an endpoint answered a long upload at once, with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as a complete answer; likewise a part of a failure.

Cause: the kernel reports a reset once, to whichever call comes first. If that is the write of the request, the reader then meets an ordinary end of the connection, which is the only mark of the end of such an answer. The writer's error was known to net/http and to nobody who decides about the answer.

Change: a connection of transport/response knows what has been sent of its request. Where an answer has neither a length nor chunks, its end counts only once the request has been sent whole; a server that reads on after its answer is waited for, for 1 s at most. An answer that says where it ends is not affected.

TestEndOfResponse has each order of the two errors, and a server that reads on, in virtual time on a connection of its own.

--- a/transport/response/conn.go
+++ b/transport/response/conn.go
@@ -1,6 +1,8 @@
 package response
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 )
@@ -14,20 +16,25 @@
 	net.Conn
 	limit  int         // largest size of the heads of one response
 	awaits atomic.Bool // the head of a response comes next
-	head   head        // that comes
-	came   []byte      // of it
-	passed []byte      // checked, and not read yet
-	failed error       // with which reading has failed for good
+	upload atomic.Pointer[upload]
+	framed bool   // the latest response says where its body ends
+	head   head   // that comes
+	came   []byte // of it
+	passed []byte // checked, and not read yet
+	failed error  // with which reading has failed for good
 }
 
 func newConn(c net.Conn, limit int) *conn {
 	wrapped := &conn{Conn: c, limit: limit}
-	wrapped.begin()
+	wrapped.begin(0)
 	return wrapped
 }
 
-// begin expects a response.
-func (c *conn) begin() { c.awaits.Store(true) }
+// begin expects a request with so many bytes in its body, and the response to it.
+func (c *conn) begin(bodyBytes int64) {
+	c.upload.Store(newUpload(bodyBytes))
+	c.awaits.Store(true)
+}
 
 // Read returns what has come, once the heads have been checked.
 func (c *conn) Read(p []byte) (int, error) {
@@ -37,7 +44,7 @@
 		}
 		n, err := c.Conn.Read(p)
 		if !c.awaits.Load() {
-			return n, err
+			return n, c.checkEnd(err)
 		}
 		if c.failed = c.take(p[:n]); c.failed == nil {
 			c.failed = err
@@ -56,6 +63,7 @@
 	case err != nil:
 		return err
 	case whole:
+		c.framed = c.head.isFramed()
 		c.passed, c.came, c.head = c.came, nil, head{}
 		c.awaits.Store(false)
 	case len(c.came) > c.limit:
@@ -63,3 +71,28 @@
 	}
 	return nil
 }
+
+// checkEnd returns the error of a read within a body. A body whose end nothing marks but the end of the connection is whole only if the request was
+// sent without an error: a reset that comes while it is being sent may be reported to the writer alone, and the reader then meets an end as usual.
+func (c *conn) checkEnd(err error) error {
+	if c.framed || !errors.Is(err, io.EOF) {
+		return err
+	}
+	if !c.upload.Load().await() {
+		return errUnsent
+	}
+	return err
+}
+
+// Write sends bytes of the request.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.upload.Load().note(p[:n], err)
+	return n, err
+}
+
+// Close closes the connection; what has not been sent of the request is not sent any more.
+func (c *conn) Close() error {
+	c.upload.Load().note(nil, net.ErrClosed)
+	return c.Conn.Close()
+}
--- a/transport/response/head.go
+++ b/transport/response/head.go
@@ -131,3 +131,6 @@
 		return nil
 	}
 }
+
+// isFramed reports whether the response says where its body ends, or has none; otherwise the end of the connection is its end.
+func (h *head) isFramed() bool { return h.lengths+h.codings > 0 || !h.bodied }
--- a/transport/response/transport.go
+++ b/transport/response/transport.go
@@ -14,10 +14,13 @@
 // defaultHeadBytes limits the heads of a response if the transport sets no limit.
 const defaultHeadBytes = 64 << 10
 
-var errScheme = errors.New("scheme of the request is not http")
+var (
+	errScheme        = errors.New("scheme of the request is not http")
+	errUnknownLength = errors.New("length of the request's body is unknown")
+)
 
 // Transport returns only responses that HTTP allows; for anything else it returns an error, which is a *MalformedError if bytes have come. Requests go to
-// http URLs.
+// http URLs, and have bodies of a known length.
 type Transport struct {
 	base *http.Transport
 }
@@ -47,7 +50,16 @@
 	if request.URL.Scheme != "http" {
 		return nil, errScheme
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*conn).begin() }}
+	length := request.ContentLength
+	if request.Body == nil || request.Body == http.NoBody {
+		length = 0
+	}
+	if length < 0 || length == 0 && request.Body != nil && request.Body != http.NoBody {
+		return nil, errUnknownLength
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		info.Conn.(*conn).begin(length) // as dialled
+	}}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, err
