--- a/protocol/relay/buffered.go
+++ b/protocol/relay/buffered.go
@@ -28,10 +28,10 @@
 	defer func() { _ = reply.Body.Close() }()
 	body, err := x.readBody(reply)
 	late.close()
-	if err != nil || reply.Encoded || IsSuccess(reply.Status) && !reply.Signed {
-		if err == nil {
-			err = errInvalidAnswer
-		}
+	if err == nil {
+		err = x.checkReply(reply)
+	}
+	if err != nil {
 		return x.handleFailure(ctx, d, err)
 	}
 	x.noteAnswer(reply)
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -30,6 +30,7 @@
 	ReasonConnectionLost Reason = "broken"      // the connection to the endpoint failed
 	ReasonSilent         Reason = "silent"      // the endpoint sent nothing in time
 	ReasonInvalidAnswer  Reason = "spoiled"     // the bytes that came are no answer, or one that was not signed by the endpoint or was content-encoded
+	ReasonUnproven       Reason = "unproven"    // the answer's status promises that the request has not run, and the endpoint did not say so
 	ReasonGap            Reason = "gap"         // the events of the stream are not numbered consecutively
 	ReasonStopped        Reason = "stopped"     // the run was stopped at its endpoint and could not continue
 	ReasonClosing        Reason = "closing"     // the instance was stopped
@@ -98,6 +99,8 @@
 		return ReasonClosing
 	case errors.Is(err, errInvalidAnswer), errors.Is(err, ErrMalformed):
 		return ReasonInvalidAnswer
+	case errors.Is(err, errUnproven):
+		return ReasonUnproven
 	case errors.Is(err, errGap), errors.Is(err, errUnnumbered):
 		return ReasonGap
 	case errors.Is(err, errStopped):
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -50,16 +50,16 @@
 		return nil, x.handleStreamFailure(d, err)
 	}
 	defer func() { _ = reply.Body.Close() }()
-	if !IsSuccess(reply.Status) || !reply.Signed || reply.Encoded {
+	if failure := x.streamFailure(reply); failure != nil {
 		silence.close()
 		stop := stopNotAsked
 		if reply.Signed && !IsSuccess(reply.Status) {
 			stop = stopped // an endpoint that answers so does not work on the run
 		}
-		if next := x.continueUntaken(d, invalidAnswer(reply), stop); next != nil {
+		if next := x.continueUntaken(d, failure, stop); next != nil {
 			return next, nil
 		}
-		return nil, x.handleInvalidStream(d, reply)
+		return nil, x.handleInvalidStream(d, reply, failure)
 	}
 	x.dispatchBegun = true
 	m := x.startMover(d, cancel)
@@ -159,14 +159,23 @@
 	x.slot.RecordTokens(stride, now)
 }
 
-// handleInvalidStream handles an answer that is not a signed and unencoded stream with a success status. An answer with an error status
-// is forwarded if no retry is allowed.
-func (x *execution) handleInvalidStream(d *Dispatch, reply *Reply) error {
+// streamFailure returns why an answer is not a signed and unencoded stream with a success status; nil if it is one.
+func (x *execution) streamFailure(reply *Reply) error {
+	if err := x.checkReply(reply); err != nil {
+		return err
+	}
+	if !IsSuccess(reply.Status) {
+		return &statusError{reply.Status}
+	}
+	return nil
+}
+
+// handleInvalidStream handles an answer that is no stream. An endpoint's own answer with an error status is forwarded if no retry is allowed.
+func (x *execution) handleInvalidStream(d *Dispatch, reply *Reply, failure error) error {
 	x.endPause(false)
 	x.exclude(d.Endpoint.Address)
 	x.release(routing.OutcomeFailed)
-	failure := invalidAnswer(reply)
-	if x.result.Begun || IsSuccess(reply.Status) {
+	if _, failed := errors.AsType[*statusError](failure); !failed || x.result.Begun {
 		return failure
 	}
 	body, err := x.readBody(reply)
@@ -183,14 +192,6 @@
 	return nil
 }
 
-// invalidAnswer returns the error for an answer that is not a signed and unencoded stream with a success status.
-func invalidAnswer(reply *Reply) error {
-	if IsSuccess(reply.Status) {
-		return errInvalidAnswer
-	}
-	return &statusError{reply.Status}
-}
-
 // handleStreamFailure releases the slot after a stream that broke off, and returns the cause.
 func (x *execution) handleStreamFailure(d *Dispatch, err error) error {
 	if x.callerLeft() {
