A panic of an answer's writer leaves nothing counted, and a line in the log

What was seen: after an answer with the status 001 the writer panicked, its bytes stayed in the memory budget for the life of the process (4 KB at least for each), and the request had no line "ended". The statuses are refused before that now; the class remains: whatever panics in the writer passed by the return of the memory.

Cause: conc hands the panic on in Wait, in the middle of finish, before the memory is returned and the result observed.

Change: the outbox takes a panic of the sink for an error. The request ends as interrupted with the reason "internal" and the panic in its line; its connection is closed as before.

Evidence: TestPanicOfWriterLeavesMemoryCounted panicked the test process before, and passes now (head and body of whole answers and streams, an endpoint's failure).

--- a/protocol/relay/ending.go
+++ b/protocol/relay/ending.go
@@ -71,9 +71,11 @@
 }
 
 // endUndelivered sets the result of a request whose caller has not taken all of the answer that is there: the caller has left or does not read, or
-// the callers' connections are closed.
+// the callers' connections are closed, or the answer could not be written.
 func (x *execution) endUndelivered(err error, closed bool) {
 	switch {
+	case isPanic(err):
+		x.result.Outcome, x.result.Reason, x.result.Err = OutcomeInterrupted, ReasonInternal, err
 	case x.result.Outcome == OutcomeInterrupted && (closed || x.result.Reason == ReasonClosing): // ended for another reason before
 	case closed:
 		x.result.Outcome, x.result.Reason, x.result.Err = OutcomeInterrupted, ReasonClosing, errClosing
--- a/protocol/relay/outbox.go
+++ b/protocol/relay/outbox.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"dogwooddyke/state/memory"
 )
@@ -87,8 +89,8 @@
 	notify(o.wake)
 }
 
-// close waits until the caller has been sent everything, or the context is done, and returns errCallerLeft if the caller has left or does not read.
-// The sink is not used after that.
+// close waits until the caller has been sent everything, or the context is done, and returns errCallerLeft if the caller has left or does not read, and
+// another error if the sink has panicked. The sink is not used after that.
 func (o *outbox) close(ctx context.Context) error {
 	o.mutex.Lock()
 	begun := o.begun
@@ -108,17 +110,26 @@
 	defer o.mutex.Unlock()
 	o.budget.Return(o.counts)
 	o.counts = 0
+	if isPanic(o.err) {
+		return o.err
+	}
 	if o.err != nil {
 		return errCallerLeft
 	}
 	return nil
 }
 
+// isPanic reports whether an error is a panic of the sink.
+func isPanic(err error) bool {
+	_, recovered := errors.AsType[*panics.ErrRecovered](err)
+	return recovered
+}
+
 // run writes what is held until nothing more will come or the caller has left.
 func (o *outbox) run() {
 	defer close(o.done)
 	for range o.wake {
-		if ended, err := o.writeHeld(); err != nil || ended {
+		if ended, err := o.tryWriteHeld(); err != nil || ended {
 			if err != nil {
 				o.fail(err)
 			}
@@ -127,6 +138,14 @@
 	}
 }
 
+// tryWriteHeld is writeHeld, but returns an error if the sink panics.
+func (o *outbox) tryWriteHeld() (ended bool, err error) {
+	if recovered := panics.Try(func() { ended, err = o.writeHeld() }); recovered != nil {
+		return false, recovered.AsError()
+	}
+	return ended, err
+}
+
 // writeHeld writes what is held, and reports whether nothing more will come.
 func (o *outbox) writeHeld() (ended bool, err error) {
 	o.mutex.Lock()
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -38,6 +38,7 @@
 	ReasonRetryBudget    Reason = "budget"      // the service's retry budget is exhausted
 	ReasonNoSlot         Reason = "place"       // the router granted no slot
 	ReasonQuarantined    Reason = "quarantined" // a part of the request crashes endpoints
+	ReasonInternal       Reason = "internal"    // a defect of the instance itself
 )
 
 // End is what ended the latest answer of an endpoint; it is a value of log lines.
