All clients read responses in one way: the own interface, the platform's logs

No report of a user; found by looking for the cause of the faults before on related paths.

Change: each uses transport/response, also over TLS. Heads of the log are limited to 64 KB; they were to net/http's 10 MB.

--- a/transport/endpoint/connection.go
+++ b/transport/endpoint/connection.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dogwooddyke/state/statement"
+	"dogwooddyke/transport/response"
 	"dogwooddyke/transport/traffic"
 )
 
@@ -41,13 +42,13 @@
 func newReportClient(meter *traffic.Meter) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: response.NewTransport(&http.Transport{
 			DialContext:            meter.Wrap(dialer.DialContext),
 			DisableCompression:     true,
 			IdleConnTimeout:        reportIdleTimeout,
 			MaxIdleConnsPerHost:    1,
 			MaxResponseHeaderBytes: maximumHeaderBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -55,7 +56,7 @@
 func newClient(fresh bool) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: response.NewTransport(&http.Transport{
 			DialContext:            dialer.DialContext,
 			DisableCompression:     true,
 			DisableKeepAlives:      fresh, // net/http repeats requests only on reused connections
@@ -65,22 +66,22 @@
 			ReadBufferSize:         streamBufferBytes,
 			WriteBufferSize:        streamBufferBytes,
 			ExpectContinueTimeout:  expectContinueBound,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
 // do sends a request to an endpoint, and notes whether the answer asks for rest.
 func (c *Clients) do(client *http.Client, request *http.Request, endpoint netip.AddrPort) (*http.Response, error) {
-	response, err := client.Do(request)
+	answer, err := client.Do(request)
 	if err != nil || c.OnRest == nil {
-		return response, err
+		return answer, err
 	}
 	// A value that can't be read asks for nothing.
-	if lasts, err := statement.ParseRest(response.Header.Get(headerRetry)); err == nil && lasts > 0 {
+	if lasts, err := statement.ParseRest(answer.Header.Get(headerRetry)); err == nil && lasts > 0 {
 		c.OnRest(endpoint, time.Now().Add(lasts))
 	}
-	return response, nil
+	return answer, nil
 }
 
 // departure records whether a request got a connection, before which no byte of it can have left.
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"dogwooddyke/transport/response"
 	"dogwooddyke/transport/traffic"
 )
 
@@ -21,11 +22,11 @@
 // NewMeteredClient returns such a client whose connections the meter counts.
 func NewMeteredClient(meter *traffic.Meter) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
-	transport := &http.Transport{
-		DialContext:           meter.Wrap(dialer.DialContext),
-		MaxIdleConnsPerHost:   16,
-		IdleConnTimeout:       idleTimeout,
-		ResponseHeaderTimeout: responseTimeout,
-	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: response.NewTransport(&http.Transport{
+		DialContext:            meter.Wrap(dialer.DialContext),
+		MaxIdleConnsPerHost:    16,
+		IdleConnTimeout:        idleTimeout,
+		ResponseHeaderTimeout:  responseTimeout,
+		MaxResponseHeaderBytes: maximumHeaderBytes,
+	})}
 }
--- a/transport/platform/constants.go
+++ b/transport/platform/constants.go
@@ -2,6 +2,7 @@
 
 // Bounds of what is read from the platform, in bytes.
 const (
+	maximumHeaderBytes = 64 << 10
 	maximumPageBytes   = 64 << 20
 	maximumAnswerBytes = 1 << 20
 	maximumRosterBytes = 8 << 20
--- a/transport/response/transport.go
+++ b/transport/response/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -14,13 +15,10 @@
 // defaultHeadBytes limits the heads of a response if the transport sets no limit.
 const defaultHeadBytes = 64 << 10
 
-var (
-	errScheme        = errors.New("scheme of the request is not http")
-	errUnknownLength = errors.New("length of the request's body is unknown")
-)
+var errUnknownLength = errors.New("length of the request's body is unknown")
 
-// Transport returns only responses that HTTP allows; for anything else it returns an error, which is a *MalformedError if bytes have come. Requests go to
-// http URLs, and have bodies of a known length.
+// Transport returns only responses that HTTP/1.1 allows; for anything else it returns an error, which is a *MalformedError if bytes have come that are
+// none. The bodies of requests have a known length.
 type Transport struct {
 	base *http.Transport
 }
@@ -39,17 +37,43 @@
 		}
 		return newConn(c, limit), nil
 	}
+	base.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secured, err := secure(ctx, c, base.TLSClientConfig, address)
+		if err != nil {
+			_ = c.Close()
+			return nil, err
+		}
+		return newConn(secured, limit), nil
+	}
 	return &Transport{base: base}
 }
 
+// secure makes the TLS handshake with the server at an address.
+func secure(ctx context.Context, c net.Conn, config *tls.Config, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	config = config.Clone()
+	if config == nil {
+		config = &tls.Config{}
+	}
+	if config.ServerName == "" {
+		config.ServerName = host
+	}
+	secured := tls.Client(c, config)
+	return secured, secured.HandshakeContext(ctx)
+}
+
 // CloseIdleConnections closes the connections without a request.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
 // RoundTrip sends one request.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	if request.URL.Scheme != "http" {
-		return nil, errScheme
-	}
 	length := request.ContentLength
 	if request.Body == nil || request.Body == http.NoBody {
 		length = 0
--- a/transport/response/transport_test.go
+++ b/transport/response/transport_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -119,8 +122,35 @@
 		_, err = newClient(t).Get("http://" + listener.Addr().String() + "/")
 		is.New(t).True(err != nil)
 	})
-	t.Run("refuses other schemes", func(t *testing.T) {
-		_, err := newClient(t).Get("https://127.0.0.1:1/")
-		is.New(t).True(errors.Is(err, errScheme))
+	t.Run("checks what comes over TLS", func(t *testing.T) {
+		is := is.New(t)
+		spoilt := false
+		server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if spoilt {
+				c, _, err := http.NewResponseController(w).Hijack()
+				is.NoErr(err)
+				_, _ = io.WriteString(c, "HTTP/1.1 000 OK\r\n\r\n")
+				_ = c.Close()
+			}
+		}))
+		t.Cleanup(server.Close)
+		roots := x509.NewCertPool()
+		roots.AddCert(server.Certificate())
+		client := &http.Client{Transport: NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext, TLSClientConfig: &tls.Config{RootCAs: roots}})}
+		t.Cleanup(client.CloseIdleConnections)
+		response, err := client.Get(server.URL)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusOK)
+		is.NoErr(response.Body.Close())
+		spoilt = true
+		_, err = client.Get(server.URL)
+		assertMalformed(t, err)
+		_, err = newClient(t).Get(server.URL)
+		_, unknown := errors.AsType[*tls.CertificateVerificationError](err)
+		is.True(unknown)
+	})
+	t.Run("refuses a body of unknown length", func(t *testing.T) {
+		_, err := newClient(t).Post("http://127.0.0.1:1/", "", io.MultiReader(strings.NewReader("x")))
+		is.New(t).True(errors.Is(err, errUnknownLength))
 	})
 }
