An event that comes again in one answer breaks its stream off

What was seen: of a stream whose endpoint sent an event with a number that had come before, that event was left out and the stream ended as complete, without a piece that the endpoint had sent.

Cause: events up to the last one that the caller has are skipped, since an endpoint that continues a run may begin before it; this was done anywhere in an answer, also after events that had been forwarded from the same one.

Change: the events of one answer rise by one; others are a gap, as they were where a number is left out.

--- a/protocol/relay/events.go
+++ b/protocol/relay/events.go
@@ -80,3 +80,19 @@
 	}
 	return nil
 }
+
+// numbering is the numbers of the events of one answer of an endpoint, which rise by one.
+type numbering struct {
+	latest int64
+	begun  bool
+}
+
+// follows reports whether an event may come next.
+func (n *numbering) follows(e event) bool {
+	if !e.hasID {
+		return true
+	}
+	follows := !n.begun || e.id == n.latest+1
+	n.latest, n.begun = e.id, true
+	return follows
+}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -101,6 +101,7 @@
 // relayEvents forwards events until the stream ends; it skips those that the caller has already received.
 func (x *execution) relayEvents(reply *Reply, silence *silenceTimer) error {
 	e := newEventReader(reply.Body)
+	numbers := numbering{}
 	for {
 		silence.reset()
 		found, err := e.next()
@@ -118,6 +119,9 @@
 		if !found.hasID && !found.comment && x.lastEvent > 0 {
 			return errUnnumbered
 		}
+		if !numbers.follows(found) {
+			return errGap
+		}
 		if found.hasID && found.id <= x.lastEvent && x.lastEvent > 0 {
 			continue
 		}
