Soak: engines send other bytes in place of some answers

Only the request that was spoilt may so end without an answer; that it runs twice, is told not to have run, or gets a wrong answer stays broken.

--- a/experiment/soak/fault.go
+++ b/experiment/soak/fault.go
@@ -59,6 +59,10 @@
 		return s.crashOn(ctx, &s.crashes.request, p.last)
 	case kindEvacuate:
 		return s.evacuate(ctx, p)
+	case kindSpoilt:
+		e := s.any(p.target).engine
+		e.Spoil(true)
+		defer e.Spoil(false)
 	case kindRest, kindSaidLeaving:
 		return s.state(ctx, p)
 	case kindCatalogue:
--- a/experiment/soak/options.go
+++ b/experiment/soak/options.go
@@ -54,6 +54,7 @@
 	RepeatedRequests bool // services do not crash under a request that callers repeat
 	Evacuations      bool // no data centre is evacuated
 	Statements       bool // engines do not say of themselves that they rest or leave
+	SpoiltAnswers    bool // engines do not send other bytes in place of answers
 
 	// Only for runs with planned work only.
 	Stops      bool // no instance is stopped
--- a/experiment/soak/plan.go
+++ b/experiment/soak/plan.go
@@ -30,6 +30,7 @@
 	kindEvacuate  kind = "evacuate"  // a data centre is evacuated; its engines are cold after that
 	kindRest      kind = "rest"      // an engine asks in its answers to be sent nothing
 
+	kindSpoilt      kind = "spoilt"      // an engine sends other bytes in place of some answers
 	kindSaidLeaving kind = "saidLeaving" // an engine says in its answers that it leaves, which the list does not show
 )
 
@@ -101,6 +102,9 @@
 	if !without.Statements {
 		steps = append(steps, statements(seed, span)...)
 	}
+	if !without.SpoiltAnswers {
+		steps = append(steps, spoiltAnswers(seed, span)...)
+	}
 	return sorted(steps)
 }
 
@@ -129,6 +133,16 @@
 	return steps
 }
 
+// spoiltAnswers draws when engines spoil some of their answers, from a source of its own as well.
+func spoiltAnswers(seed uint64, span time.Duration) []step {
+	random := rand.New(rand.NewPCG(seed, 0x5901))
+	var steps []step
+	for at := between(random, quietLead, mostCalm/2); at < span-quietTail; at += between(random, leastCalm, mostCalm/2) {
+		steps = append(steps, step{at: at, kind: kindSpoilt, target: random.IntN(1 << 16), mode: modeSilence, last: between(random, leastFault, mostFault)})
+	}
+	return steps
+}
+
 // crashingPart draws when engines begin to crash on a part of prompts, from a source of its own as well; that lasts until the tail.
 func crashingPart(seed uint64, span time.Duration) step {
 	random := rand.New(rand.NewPCG(seed, 0xdead))
--- a/experiment/soak/run.go
+++ b/experiment/soak/run.go
@@ -57,7 +57,7 @@
 	}
 	close(over)
 	background.Wait()
-	report.Broken = append(report.Broken, s.ledger.judge(o.Instances, s.engines.Ran)...)
+	report.Broken = append(report.Broken, s.ledger.judge(o.Instances, s.engines)...)
 	report.Broken = append(report.Broken, s.ledger.judgeLimits(o.Instances)...)
 	report.Broken = append(report.Broken, s.ledger.judgeCrashes(o.Instances)...)
 	report.Broken = append(report.Broken, s.ledger.judgeEvacuations(append(s.fleet, s.gone...), o.Instances)...)
