--- a/instance/hosted/spoilt_test.go
+++ b/instance/hosted/spoilt_test.go
@@ -162,6 +162,7 @@
 const (
 	informational = "informational responses only"
 	failure       = "the head of a failure"
+	nothing       = "nothing"
 )
 
 func TestBytesWithoutEnd(t *testing.T) {
@@ -175,6 +176,10 @@
 		{"in heads that never end", "/write/", f.desk, "", "X-More: y\r\n"},
 		{"in answers that announce others", "/write/", f.desk, informational, "HTTP/1.1 103 Early Hints\r\n\r\n"},
 		{"in the body of an answer", "/write/", f.desk, "\r\n", "x"},
+		{"in a status line", "/write/", f.desk, nothing, "HTTP/1.1 200 OK"},
+		{"in the size of a chunk", "/write/", f.desk, "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		{"in the extension of a chunk", "/write/", f.desk, "Transfer-Encoding: chunked\r\n\r\n4;", "x"},
+		{"in a trailer", "/write/", f.desk, "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "X-More: y\r\n"},
 		{"in the head of a stream", "/long/", f.model, "X-More: ", "x"},
 		{"in an event", "/long/", f.model, "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "x"},
 		{"in events without a number", "/long/", f.model, "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", ": x\n\n"},
@@ -185,7 +190,7 @@
 			closed := make(chan bool, 4)
 			c.engine.Fail(raw(func(connection net.Conn, r *http.Request) {
 				switch start := head(r); c.head {
-				case informational:
+				case informational, nothing:
 				case failure:
 					_, _ = io.WriteString(connection, strings.Replace(start, "200 OK", "500 Error", 1)+"\r\n")
 				default:
@@ -197,7 +202,7 @@
 			if c.path == "/long/" {
 				headers[standin.HeaderTokens] = "100,300"
 			}
-			response, body := f.request(requestSpec{instance: f.instance, method: "POST", path: c.path, id: "e-" + c.name[:8], headers: headers})
+			response, body := f.request(requestSpec{instance: f.instance, method: "POST", path: c.path, id: strings.ReplaceAll(c.name, " ", "-"), headers: headers})
 			whole := response.StatusCode == http.StatusOK && !bytes.Contains([]byte(body), []byte("broken: "))
 			is.True(!whole)
 			is.True(<-closed) // the instance closes the connection
