A service's response without a length is not whole if the service has crashed (own interface)

What was seen: nobody reported it; the same class as the upload that is reset.

Change: at the end of a response with neither a length nor chunks the instance looks whether anything still listens at the address.

Evidence: TestUnframedResponseOfCrashedService failed before and passes now.

--- a/transport/endpoint/malformed_test.go
+++ b/transport/endpoint/malformed_test.go
@@ -1,8 +1,10 @@
 package endpoint
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -91,6 +93,36 @@
 	}
 }
 
+// A response without a length counted as whole on the own interface although its service had crashed within it.
+func TestUnframedResponseOfCrashedService(t *testing.T) {
+	for _, crashes := range []bool{false, true} {
+		t.Run(fmt.Sprintf("crashes %t", crashes), func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			t.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+				}
+				if crashes {
+					_ = listener.Close()
+				}
+				_ = c.Close()
+			}()
+			response, err := newServices(t).Do(t.Context(), listener.Addr().(*net.TCPAddr).AddrPort(), &call.Request{Method: "POST", Path: "/"}, false)
+			is.NoErr(err)
+			_, err = io.ReadAll(response.Body)
+			is.Equal(err != nil, crashes)
+			is.NoErr(response.Body.Close())
+		})
+	}
+}
+
 // What an endpoint sends without end must be neither kept nor read without end.
 func TestResponseWithoutEnd(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
--- a/transport/endpoint/service.go
+++ b/transport/endpoint/service.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"syscall"
 
 	"dogwooddyke/protocol/answer"
@@ -56,5 +58,24 @@
 		refused.NotStarted = true
 		return nil, refused
 	}
-	return &call.Response{Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
+	body := response.Body
+	if response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked") {
+		body = &unframedBody{ReadCloser: body, crashed: func() bool { return s.Crashed(ctx, endpoint) }}
+	}
+	return &call.Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+// unframedBody is a body whose end is marked by nothing but the end of its connection, which a service that crashes ends in the same way.
+type unframedBody struct {
+	io.ReadCloser
+	crashed func() bool
+}
+
+// Read reads the body; it returns io.ErrUnexpectedEOF at its end if the service has crashed.
+func (u *unframedBody) Read(p []byte) (int, error) {
+	n, err := u.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && u.crashed() {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
 }
