--- a/instance/hosted/spoilt_test.go
+++ b/instance/hosted/spoilt_test.go
@@ -141,6 +141,22 @@
 		_, _, body := serve(func(f *spoiltFleet, _ net.Conn) { f.model.StopListening() })
 		is.True(broken(body))
 	})
+	t.Run("is broken off if its engine has crashed and another one listens at its address", func(t *testing.T) {
+		is := is.New(t)
+		_, _, body := serve(func(f *spoiltFleet, _ net.Conn) {
+			at := f.model.Address().String()
+			f.model.StopListening()
+			listener, err := net.Listen("tcp", at)
+			is.NoErr(err)
+			reborn := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Instance-Id", "m-9")
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			})}
+			go func() { _ = reborn.Serve(listener) }()
+			t.Cleanup(func() { _ = reborn.Close() })
+		})
+		is.True(broken(body))
+	})
 	t.Run("continues elsewhere if its run is moved", func(t *testing.T) {
 		f := newFleet(t)
 		f.publishCatalogue(1, "desk")
--- a/protocol/relay/ending.go
+++ b/protocol/relay/ending.go
@@ -104,8 +104,8 @@
 	x.setUnansweredOutcome()
 }
 
-// checkEnd returns an error if an answer whose end is marked by nothing but the end of its connection may have been broken off: its endpoint has
-// crashed, which ends its connections in the same way, or has stopped work at the deadline.
+// checkEnd returns an error if an answer whose end is marked by nothing but the end of its connection may have been broken off: its endpoint's process
+// has ended, which ends its connections in the same way, or has stopped work at the deadline. Another process may listen at the address by now.
 func (x *execution) checkEnd(reply *Reply) error {
 	x.result.End = EndFramed
 	if !reply.Unframed {
@@ -115,7 +115,7 @@
 	if !time.Now().Before(x.request.Deadline.Add(-deadlineMargin)) {
 		return errEndsAtDeadline
 	}
-	if x.runner.Endpoints.Crashed(x.ctx, x.result.Endpoint.Address) {
+	if !x.runner.Endpoints.Survives(x.ctx, x.result.Endpoint, x.request.AskPath) {
 		return io.ErrUnexpectedEOF
 	}
 	return nil
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -463,6 +463,11 @@
 	return f.copyRun(from.Address, to, last)
 }
 
+// Survives reports what the test says.
+func (f *fakeFleet) Survives(ctx context.Context, endpoint Endpoint, _ string) bool {
+	return !f.Crashed(ctx, endpoint.Address)
+}
+
 // Crashed reports what the test says.
 func (f *fakeFleet) Crashed(_ context.Context, address netip.AddrPort) bool {
 	return f.crashed != nil && f.crashed(address)
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -23,6 +23,7 @@
 	Body          []byte
 	Route         *route.Route
 	Service       string
+	AskPath       string        // where an endpoint of the service can be asked which process it is; empty: nowhere
 	Engine        *route.Engine // properties of the service's model engines; nil for a plain service
 	Workspace     string
 	Priority      int           // requests of priority 0 are served first
@@ -129,6 +130,9 @@
 	Move(ctx context.Context, id string, from Endpoint, to netip.AddrPort, last bool) (Copy, error)
 	// Drop frees a copy that is no longer needed.
 	Drop(ctx context.Context, c Copy)
+	// Survives reports whether the process of an endpoint still runs after it has ended a connection; it is asked at the path, if there is one. False
+	// if another process answers, or none can be reached; true if one listens that does not say which it is.
+	Survives(ctx context.Context, endpoint Endpoint, path string) bool
 	// Crashed reports whether no process listens at an endpoint's address any more; false if that can't be found out soon.
 	Crashed(ctx context.Context, address netip.AddrPort) bool
 }
