--- a/transport/response/conn.go
+++ b/transport/response/conn.go
@@ -14,14 +14,14 @@
 // no byte of a head is passed on before it is whole. One goroutine reads at a time, and one writes.
 type conn struct {
 	net.Conn
-	limit  int         // largest size of the heads of one response
-	awaits atomic.Bool // the head of a response comes next
-	upload atomic.Pointer[upload]
-	framed bool   // the latest response says where its body ends
-	head   head   // that comes
-	came   []byte // of it
-	passed []byte // checked, and not read yet
-	failed error  // with which reading has failed for good
+	limit      int         // largest size of the heads of one response
+	awaitsHead atomic.Bool // the head of a response comes next
+	upload     atomic.Pointer[upload]
+	framed     bool   // the latest response says where its body ends
+	head       head   // that comes
+	pending    []byte // of it, that has come
+	passed     []byte // checked, and not read yet
+	failed     error  // with which reading has failed for good
 }
 
 func newConn(c net.Conn, limit int) *conn {
@@ -33,7 +33,7 @@
 // begin expects a request with so many bytes in its body, and the response to it.
 func (c *conn) begin(bodyBytes int64) {
 	c.upload.Store(newUpload(bodyBytes))
-	c.awaits.Store(true)
+	c.awaitsHead.Store(true)
 }
 
 // Read returns what has come, once the heads have been checked.
@@ -43,7 +43,7 @@
 			return 0, c.failed
 		}
 		n, err := c.Conn.Read(p)
-		if !c.awaits.Load() {
+		if !c.awaitsHead.Load() {
 			return n, c.checkEnd(err)
 		}
 		if c.failed = c.take(p[:n]); c.failed == nil {
@@ -57,16 +57,16 @@
 
 // take checks bytes of a head, and passes them on once it is whole.
 func (c *conn) take(data []byte) error {
-	c.came = append(c.came, data...)
-	whole, err := c.head.check(c.came)
+	c.pending = append(c.pending, data...)
+	whole, err := c.head.check(c.pending)
 	switch {
 	case err != nil:
 		return err
 	case whole:
 		c.framed = c.head.isFramed()
-		c.passed, c.came, c.head = c.came, nil, head{}
-		c.awaits.Store(false)
-	case len(c.came) > c.limit:
+		c.passed, c.pending, c.head = c.pending, nil, head{}
+		c.awaitsHead.Store(false)
+	case len(c.pending) > c.limit:
 		return errLargeHead
 	}
 	return nil
