--- a/experiment/soak/ledger.go
+++ b/experiment/soak/ledger.go
@@ -62,7 +62,7 @@
 	l.troubles = append(l.troubles, t)
 }
 
-// runs tells what engines did with a request.
+// runs is what engines did with each request.
 type runs interface {
 	// Ran returns how often they began to work on it.
 	Ran(id string) int
--- a/experiment/soak/ledger_test.go
+++ b/experiment/soak/ledger_test.go
@@ -14,7 +14,7 @@
 	"dogwooddyke/platform/standin"
 )
 
-// fakeRuns tells the same of each request.
+// fakeRuns has the same answers for each request.
 type fakeRuns struct {
 	ran    int
 	spoilt bool
--- a/protocol/relay/promise.go
+++ b/protocol/relay/promise.go
@@ -8,8 +8,8 @@
 // errUnproven reports an answer whose status promises that the request has not run, and that does not say so otherwise.
 var errUnproven = errors.New("status of the answer promises that the request has not run, but the endpoint did not say so")
 
-// promisesNotRun reports whether a status tells a caller that its request has not run and never will. Callers send a request again after it, also one
-// that may run only once.
+// promisesNotRun reports whether a status means to a caller that its request has not run and never will. Callers send a request again after it, also
+// one that may run only once.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
