Lines name the software version of endpoints, and the request that began a stream which is taken up

`version` on `dispatched` and `endpoint changed`, `resumes` on `dispatched`. No decision reads any of it yet.

--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -59,8 +59,8 @@
 	if limited {
 		o.metrics.limitedDispatches.Inc()
 	}
-	o.logger.Info("dispatched", "id", d.Request.ID, "service", d.Request.Service, "endpoint", d.Endpoint.ID, "address", d.Endpoint.Address, "limited", limited,
-		"sent", dispatches, "after", d.After, "copied", d.Copy != nil, "from", d.Origin, "backup", d.Backup, "prompt", d.Request.PromptTokens, "request", d.Request.Whole.String(), "parts", prompt.Format(d.Request.Parts), "output", d.Request.MaximumTokens, "expected", int(d.ExpectedTokens), "batch", d.Choice.Batch, "filled", roundToThousandths(d.Choice.Memory), "score", roundToThousandths(d.Choice.Score), "expectedFirstMs", d.Choice.FirstToken.Milliseconds(), "leftMs", time.Until(d.Deadline).Milliseconds())
+	o.logger.Info("dispatched", "id", d.Request.ID, "service", d.Request.Service, "endpoint", d.Endpoint.ID, "address", d.Endpoint.Address, "version", d.Endpoint.Version, "limited", limited,
+		"sent", dispatches, "after", d.After, "resumes", d.Request.Resumes, "copied", d.Copy != nil, "from", d.Origin, "backup", d.Backup, "prompt", d.Request.PromptTokens, "request", d.Request.Whole.String(), "parts", prompt.Format(d.Request.Parts), "output", d.Request.MaximumTokens, "expected", int(d.ExpectedTokens), "batch", d.Choice.Batch, "filled", roundToThousandths(d.Choice.Memory), "score", roundToThousandths(d.Choice.Score), "expectedFirstMs", d.Choice.FirstToken.Milliseconds(), "leftMs", time.Until(d.Deadline).Milliseconds())
 }
 
 // statementUnreadable logs a part of what an endpoint says of itself that can't be read.
@@ -226,7 +226,7 @@
 		o.logger.Info("endpoint gone", "endpoint", c.ID, "era", c.Era, "offset", c.Offset, "source", source)
 		return
 	}
-	o.logger.Info("endpoint changed", "endpoint", c.ID, "service", c.Endpoint.Service, "address", c.Endpoint.Address, "leaving", c.Endpoint.Leaving, "coldMs", c.ColdFor.Milliseconds(), "era", c.Era, "offset", c.Offset, "source", source)
+	o.logger.Info("endpoint changed", "endpoint", c.ID, "service", c.Endpoint.Service, "address", c.Endpoint.Address, "version", c.Endpoint.Version, "leaving", c.Endpoint.Leaving, "coldMs", c.ColdFor.Milliseconds(), "era", c.Era, "offset", c.Offset, "source", source)
 }
 
 // evacuationChanged logs that a data centre is evacuated, or in use again.
--- a/instance/hosted/topics.go
+++ b/instance/hosted/topics.go
@@ -259,6 +259,7 @@
 		Address:    e.Address,
 		Born:       e.Born,
 		DataCentre: e.DataCentre,
+		Version:    e.Version,
 		Evacuated:  a.evacuations.Contains(e.DataCentre),
 		Notice:     notice,
 	}, true
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -34,6 +34,7 @@
 	Arrived       time.Time     // when the instance received the request
 	Deadline      time.Time     // deadline of the whole answer: the earlier of the caller's and the route's
 	After         int64         // id of the last event that the caller has received; zero if it has none
+	Resumes       string        // id of the request that brought the caller the first event of the stream; empty: unknown
 }
 
 // Endpoint is an endpoint to which a request can be sent.
@@ -42,6 +43,7 @@
 	Address    netip.AddrPort
 	Born       int64 // start of the process by the endpoint's clock, in Unix milliseconds; zero if unknown
 	DataCentre string
+	Version    string // of its software; empty: unknown
 	Evacuated  bool   // no request may be sent to its data centre
 	Notice     Notice // that the endpoint is leaving; nil if unknown
 }
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -14,6 +14,7 @@
 	Service     string
 	Address     netip.AddrPort
 	DataCentre  string
+	Version     string // of the endpoint's software; empty: unknown
 	Slots       int
 	Leaving     bool      // by the list; the endpoint takes no new work, and finishes the work that it has
 	Born        int64     // start time by the clock of the endpoint, in Unix milliseconds; zero if unknown
