--- /dev/null
+++ b/instance/hosted/versions_test.go
@@ -0,0 +1,196 @@
+package hosted
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dogwooddyke/platform"
+	"dogwooddyke/platform/standin"
+)
+
+// versionedStream is a stream as its caller sees it, over all of its tries.
+type versionedStream struct {
+	id       string   // of the request that brought its first event
+	versions []string // that made its events
+	last     int      // its latest event
+	response *http.Response
+	lines    *bufio.Reader
+}
+
+// beginStream sends a request for a resumable stream.
+func (f *fleet) beginStream(i *Instance, id string, tokens int) *versionedStream {
+	f.t.Helper()
+	return f.open(&versionedStream{id: id}, i, id, map[string]string{standin.HeaderTokens: fmt.Sprint("100,", tokens)})
+}
+
+// takeUp leaves a stream and takes it up at an instance, under the id of another request. It returns the status of the answer.
+func (f *fleet) takeUp(s *versionedStream, i *Instance, id string, tokens int) int {
+	f.t.Helper()
+	_ = s.response.Body.Close()
+	f.open(s, i, id, map[string]string{standin.HeaderTokens: fmt.Sprint("100,", tokens), standin.HeaderLastEvent: strconv.Itoa(s.last), standin.HeaderResumes: s.id})
+	return s.response.StatusCode
+}
+
+func (f *fleet) open(s *versionedStream, i *Instance, id string, headers map[string]string) *versionedStream {
+	f.t.Helper()
+	s.response = f.send(requestSpec{instance: i, method: "POST", path: "/short/", id: id, headers: headers})
+	f.t.Cleanup(func() { _ = s.response.Body.Close() })
+	s.lines = bufio.NewReader(s.response.Body)
+	return s
+}
+
+// read reads events until so many have come in all, or the answer ends.
+func (s *versionedStream) read(count int) error {
+	version := ""
+	for s.last < count {
+		line, err := s.lines.ReadString('\n')
+		if err != nil {
+			return err
+		}
+		if made, found := strings.CutPrefix(strings.TrimSpace(line), standin.VersionField); found {
+			version = made
+		}
+		if number, found := strings.CutPrefix(strings.TrimSpace(line), "id: "); found {
+			if number != strconv.Itoa(s.last+1) {
+				return fmt.Errorf("event %s follows %d", number, s.last)
+			}
+			s.last++
+			if !slices.Contains(s.versions, version) {
+				s.versions = append(s.versions, version)
+			}
+		}
+	}
+	return nil
+}
+
+// startVersion starts a model engine with a version of the software and lists it.
+func (f *fleet) startVersion(id, version string) *standin.Engine {
+	e := f.engines.StartVersion(id, version)
+	f.t.Cleanup(e.Close)
+	f.log.Put(platform.TopicEndpoints, id, e.Entry("model", "a", "ready"))
+	return e
+}
+
+// beginAtBothVersions starts instances and two engines of each of two versions, and begins half of the streams at each version.
+func (f *fleet) beginAtBothVersions(instances, streams, events int) []*versionedStream {
+	f.t.Helper()
+	f.publishCatalogue(1, "desk")
+	for range instances {
+		f.startInstance()
+	}
+	var all []*versionedStream
+	router := f.instances[0].router
+	for n, version := range []string{"v1", "v1.1"} {
+		earlier := router.Endpoints()
+		f.startVersion(fmt.Sprint("m-", 2*n), version)
+		f.startVersion(fmt.Sprint("m-", 2*n+1), version)
+		f.awaitFleet(2*n + 2)
+		for _, a := range earlier {
+			router.SetResting(a, time.Now().Add(time.Hour), time.Now())
+		}
+		for range streams / 2 {
+			s := f.beginStream(f.instances[0], fmt.Sprint("s", len(all)), events)
+			is.New(f.t).NoErr(s.read(5))
+			is.New(f.t).Equal(s.versions, []string{version})
+			all = append(all, s)
+		}
+	}
+	for _, a := range router.Endpoints() {
+		router.SetResting(a, time.Time{}, time.Now())
+	}
+	return all
+}
+
+// awaitFleet waits until all instances are ready, and know each other and so many engines.
+func (f *fleet) awaitFleet(engines int) {
+	f.t.Helper()
+	for _, i := range f.instances {
+		f.awaitReady(i)
+		f.eventually("endpoints", func() bool { return len(i.roster.List()) == engines })
+		f.eventually("peers", func() bool { return live(i) == len(f.instances) })
+	}
+}
+
+// A stream whose caller takes it up again went on at engines of another version than the one that began it.
+func TestStreamIsTakenUpAtAnotherVersion(t *testing.T) {
+	const streams, events = 24, 200
+	for _, c := range []struct {
+		name    string
+		at      func(f *fleet, first *Instance) *Instance
+		goingOn int // streams that must go on
+	}{
+		{"at the same instance", func(_ *fleet, first *Instance) *Instance { return first }, streams},
+		{"at another instance", func(f *fleet, _ *Instance) *Instance { return f.instances[1] }, streams},
+		{"at an instance that has started since", func(f *fleet, _ *Instance) *Instance {
+			f.startInstance()
+			f.awaitFleet(4)
+			return f.instances[3]
+		}, streams},
+		{"after the first instance has ended", func(f *fleet, first *Instance) *Instance {
+			first.Close()
+			return f.instances[1]
+		}, streams},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			all := f.beginAtBothVersions(3, streams, events)
+			next := c.at(f, f.instances[0])
+			whole := 0
+			statuses := make([]int, len(all))
+			for n, s := range all {
+				statuses[n] = f.takeUp(s, next, fmt.Sprint("t", n), events)
+			}
+			mixed := 0
+			for n, s := range all {
+				if statuses[n] == http.StatusOK && s.read(events) == nil {
+					whole++
+				}
+				if len(s.versions) > 1 {
+					mixed++
+				}
+			}
+			t.Logf("%d of %d streams went on, %d at another version", whole, streams, mixed)
+			is.Equal(mixed, 0)
+			is.True(whole >= c.goingOn)
+		})
+	}
+}
+
+// An engine crashes while another version serves beside it, and its streams went on there.
+func TestCrashMixesVersions(t *testing.T) {
+	const streams, events = 12, 200
+	is := is.New(t)
+	f := newFleet(t)
+	f.publishCatalogue(1, "desk")
+	first := f.startVersion("m-0", "v1")
+	f.startInstance()
+	f.awaitFleet(1)
+	var all []*versionedStream
+	for n := range streams {
+		s := f.beginStream(f.instances[0], fmt.Sprint("s", n), events)
+		is.NoErr(s.read(1))
+		all = append(all, s)
+	}
+	f.startVersion("m-1", "v1")
+	for n := range 3 {
+		f.startVersion(fmt.Sprint("m-", n+2), "v1.1")
+	}
+	f.awaitFleet(5)
+	first.Close()
+	for _, s := range all {
+		err := s.read(events)
+		is.True(err == nil)
+		is.Equal(s.versions, []string{"v1"})
+		_, _ = io.Copy(io.Discard, s.response.Body) // its end
+	}
+}
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -102,6 +102,7 @@
 	copiesAgain bool
 	evacuated   map[netip.AddrPort]bool
 	gone        map[netip.AddrPort]bool // endpoints that are not in the roster any more
+	versions    map[netip.AddrPort]string
 
 	mutex    sync.Mutex
 	first    netip.AddrPort // see onlyFirst
@@ -478,7 +479,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	n, found := f.notices[address]
-	return Endpoint{ID: address.String(), Address: address, Notice: n, Evacuated: f.evacuated[address]}, found && !f.gone[address]
+	return Endpoint{ID: address.String(), Address: address, Version: f.versions[address], Notice: n, Evacuated: f.evacuated[address]}, found && !f.gone[address]
 }
 
 // Register does nothing.
