A stream that has made an event goes on only at endpoints of the version that made it

Cause: the version of an entry was checked for presence and dropped; copies, backups, repeats and runs that continue were placed by load alone. The change: an execution is bound to the version of the endpoint that makes its first event; the router's request names the version, and one verdict (`version`) keeps it from endpoints of others, whichever way it is placed. A copy or a backup of a run is only ever made at an endpoint of the run's version, also before its first event; a run that no endpoint of its version can take stays at, or returns to, its own endpoint. The address of a slot is looked up again before the dispatch, and another version there counts as another endpoint. An instance uses at least two endpoints of each version of an entry. Requests that need a version wait in flows of their own, so that a full version holds up no request for the others; without an endpoint of it they are refused at once (reason `version`).

--- a/coordination/routing/admission.go
+++ b/coordination/routing/admission.go
@@ -40,7 +40,7 @@
 		return ReasonDraining, now.Add(minimumRetryDelay)
 	}
 	if !r.pool.hasEndpointFor(r) {
-		return ReasonNoEndpoint, now.Add(r.pool.retryDelay())
+		return r.missingEndpoint(), now.Add(r.pool.retryDelay())
 	}
 	r.decision.Ahead = c.queue.countAhead(r, func(f *flow) bool { return !c.withinLimits(f.first(), now) })
 	wait := c.expectedWait(r, now)
@@ -107,7 +107,7 @@
 			continue
 		}
 		f.triedRound = c.round
-		r.pool.recordMiss(c.round)
+		r.pool.recordMiss(r, c.round)
 	}
 	for _, p := range c.sortedPools {
 		p.backlogged = p.missRound == c.round
@@ -122,7 +122,7 @@
 // refuseExpired refuses a queued request whose deadline has passed or that no endpoint can serve any more, and reports whether it did.
 func (c *Core) refuseExpired(r *Request, now time.Time) bool {
 	if c.pools[r.spec.Entry] != r.pool || !r.pool.hasEndpointFor(r) {
-		c.Withdraw(r, ReasonNoEndpoint, now)
+		c.Withdraw(r, r.missingEndpoint(), now)
 		return true
 	}
 	if !r.spec.Deadline.IsZero() && now.After(r.spec.Deadline) {
--- a/coordination/routing/backup.go
+++ b/coordination/routing/backup.go
@@ -21,7 +21,7 @@
 	least := math.Inf(1)
 	for _, e := range r.pool.endpoints {
 		verdict := r.ineligibility(e, now)
-		if e == r.endpoint || e.doubted || verdict != "" && verdict != VerdictRateLimited {
+		if e == r.endpoint || e.version != r.endpoint.version || e.doubted || verdict != "" && verdict != VerdictRateLimited {
 			continue
 		}
 		e.refreshProfile(now)
--- a/coordination/routing/choice.go
+++ b/coordination/routing/choice.go
@@ -26,7 +26,8 @@
 		e := endpoints[(offset+i)%len(endpoints)]
 		candidate := c.assess(r, e, &runProfile, remaining, now)
 		r.decision.addCandidate(candidate)
-		if candidate.Verdict == VerdictNoMemory || candidate.Verdict == VerdictExcluded || candidate.Verdict == VerdictClosing {
+		switch candidate.Verdict {
+		case VerdictNoMemory, VerdictExcluded, VerdictClosing, VerdictVersion:
 			appliesToAll = false
 		}
 		if candidate.Verdict != VerdictFits {
@@ -97,6 +98,9 @@
 	if slices.Contains(r.spec.Exclude, e.address) {
 		return VerdictExcluded
 	}
+	if !r.needsVersionOf(e) {
+		return VerdictVersion
+	}
 	if !e.load.Ready() {
 		return VerdictNotReady
 	}
--- a/coordination/routing/closing.go
+++ b/coordination/routing/closing.go
@@ -18,7 +18,7 @@
 		return !start.Add(r.longestPlainAnswer()).After(c.closing)
 	}
 	return slices.ContainsFunc(r.pool.endpoints, func(e *endpointState) bool {
-		return !e.leaving() && !slices.Contains(r.spec.Exclude, e.address) && c.mayFinishAt(r, e, latest(start, e.restsUntil), now)
+		return !e.leaving() && !slices.Contains(r.spec.Exclude, e.address) && r.needsVersionOf(e) && c.mayFinishAt(r, e, latest(start, e.restsUntil), now)
 	})
 }
 
--- a/coordination/routing/constants.go
+++ b/coordination/routing/constants.go
@@ -5,6 +5,7 @@
 const (
 	defaultSampleSize       = 8    // endpoints with room that are compared per decision
 	defaultSubsetSize       = 16   // endpoints of an entry that one instance uses
+	leastOfVersion          = 2    // endpoints of each version among them, if there are so many
 	defaultQueueBound       = 2048 // queued requests of an instance
 	defaultWorkspaceBound   = 512  // queued requests of one workspace
 	progressInterval        = 16   // tokens of a run between two updates of the shared statistics
--- a/coordination/routing/core.go
+++ b/coordination/routing/core.go
@@ -119,6 +119,7 @@
 		e.entryCount++
 		e.plainService = entry.Kind == catalogue.KindService
 		e.dataCentre = listed.DataCentre
+		e.version = listed.Version
 		e.leavingInCatalogue = listed.Leaving
 		p.endpoints = append(p.endpoints, e)
 	}
--- a/coordination/routing/deadline.go
+++ b/coordination/routing/deadline.go
@@ -33,19 +33,22 @@
 }
 
 // lateRequests returns the pool's queued requests that would start after their deadlines. It predicts the wait of each
-// from the number of requests before it that are not refused.
+// from the number of requests before it that are not refused: of the same version if it needs one.
 func (c *Core) lateRequests(p *pool, now time.Time) []lateRequest {
 	var found []lateRequest
-	ahead := 0
+	ahead := make(map[string]int) // by version; of the empty one: all
 	for _, r := range c.servingOrder(p, now) {
 		model := c.modelledStartRate(r, now)
-		rate := max(p.startRate(model), model) * latenessFactor // the observed rate lags behind when engines return
-		wait := time.Duration(float64(ahead) / max(rate, minimumStartRate) * float64(time.Second))
+		rate := max(r.startRate(model), model) * latenessFactor // the observed rate lags behind when engines return
+		wait := time.Duration(float64(ahead[r.spec.Version]) / max(rate, minimumStartRate) * float64(time.Second))
 		if rate > 0 && !r.spec.Deadline.IsZero() && now.Add(wait).After(r.spec.Deadline) {
 			found = append(found, lateRequest{r, wait})
 			continue
 		}
-		ahead++
+		ahead[""]++
+		if r.spec.Version != "" {
+			ahead[r.spec.Version]++
+		}
 	}
 	return found
 }
--- a/coordination/routing/decision.go
+++ b/coordination/routing/decision.go
@@ -23,6 +23,7 @@
 const (
 	VerdictFits        Verdict = "fits"
 	VerdictExcluded    Verdict = "excluded"
+	VerdictVersion     Verdict = "version" // the endpoint is of another version than the request needs
 	VerdictLeaving     Verdict = "leaving"
 	VerdictNotReady    Verdict = "notReady"
 	VerdictEjected     Verdict = "ejected"
--- a/coordination/routing/endpoint.go
+++ b/coordination/routing/endpoint.go
@@ -11,6 +11,7 @@
 type endpointState struct {
 	address            netip.AddrPort
 	dataCentre         string
+	version            string    // of its software; empty: unknown
 	entryCount         int       // entries that use the endpoint
 	plainService       bool      // reports no load and has no shares
 	leavingInCatalogue bool      // the catalogue lists it as leaving
--- a/coordination/routing/estimate.go
+++ b/coordination/routing/estimate.go
@@ -37,12 +37,12 @@
 // isPlain reports whether the endpoints are plain services.
 func (p *pool) isPlain() bool { return p.entry.Kind == catalogue.KindService }
 
-// modelledStartRate returns the starts per second that the instance's shares allow if all requests are like this one.
+// modelledStartRate returns the starts per second that the instance's shares allow at endpoints of the request's version if all requests are like this one.
 func (c *Core) modelledStartRate(r *Request, now time.Time) float64 {
 	remaining := r.remainingTokens()
 	rate := 0.0
 	for _, e := range r.pool.endpoints {
-		if e.leaving() || e.health.Ejected() {
+		if e.leaving() || e.health.Ejected() || !r.needsVersionOf(e) {
 			continue
 		}
 		slots := c.shareSlots(e, now)
@@ -65,7 +65,7 @@
 	if ahead == 0 && c.hasFreeSlot(r, now) {
 		return 0
 	}
-	rate := r.pool.startRate(c.modelledStartRate(r, now))
+	rate := r.startRate(c.modelledStartRate(r, now))
 	if rate <= 0 {
 		// Other instances hold all shares; the stewards redistribute them once they learn of this instance's demand.
 		return shareRenewalPeriod
@@ -73,6 +73,14 @@
 	return time.Duration(float64(ahead+1) / rate * float64(time.Second))
 }
 
+// startRate returns the expected starts per second of requests like this one. What was observed counts for all versions together.
+func (r *Request) startRate(model float64) float64 {
+	if r.spec.Version != "" {
+		return model
+	}
+	return r.pool.startRate(model)
+}
+
 // startRate returns the expected starts per second: the observed rate, combined with the modelled one while there are few observations.
 func (p *pool) startRate(model float64) float64 {
 	return (p.backlogStarts + model*startRateModelSeconds) / (p.backlogSeconds + startRateModelSeconds)
@@ -81,7 +89,7 @@
 // hasFreeSlot reports whether this instance's share has a free slot on any endpoint.
 func (c *Core) hasFreeSlot(r *Request, now time.Time) bool {
 	for _, e := range r.pool.endpoints {
-		if !e.leaving() && e.quota.allows(r, now) && e.running() < c.shareSlots(e, now) {
+		if !e.leaving() && r.needsVersionOf(e) && e.quota.allows(r, now) && e.running() < c.shareSlots(e, now) {
 			return true
 		}
 	}
--- a/coordination/routing/outlier.go
+++ b/coordination/routing/outlier.go
@@ -11,7 +11,7 @@
 // endpoint that is leaving or excluded by the request doesn't count.
 func (p *pool) hasEndpointFor(r *Request) bool {
 	return slices.ContainsFunc(p.endpoints, func(e *endpointState) bool {
-		return !e.leaving() && !slices.Contains(r.spec.Exclude, e.address)
+		return !e.leaving() && !slices.Contains(r.spec.Exclude, e.address) && r.needsVersionOf(e)
 	})
 }
 
--- a/coordination/routing/pool.go
+++ b/coordination/routing/pool.go
@@ -34,11 +34,15 @@
 	rateUpdated    time.Time // when updateStartRate last ran
 }
 
-// recordMiss records a request that found no endpoint; after maximumMisses the other flows wait for the next round.
-func (p *pool) recordMiss(round uint64) {
+// recordMiss records a request that found no endpoint; after maximumMisses the other flows wait for the next round. A request that needs a version
+// says nothing of the other ones.
+func (p *pool) recordMiss(r *Request, round uint64) {
 	if p.missRound != round {
 		p.missRound, p.misses = round, 0
 	}
+	if r.spec.Version != "" {
+		return
+	}
 	if p.misses++; p.misses >= maximumMisses {
 		p.fullRound = round
 	}
@@ -67,13 +71,14 @@
 }
 
 // subset returns the endpoints that an instance uses: those chosen among the ones that take work, and the leaving ones that would be chosen if they
-// took work, since this instance may have runs there. When a whole data centre takes no work any more, the instance so uses others in its place.
+// took work, since this instance may have runs there. When a whole data centre takes no work any more, the instance so uses others in its place. Of each
+// version there are some, since a stream can go on only at the version that began it.
 func subset(self netip.AddrPort, dataCentre string, endpoints []catalogue.Endpoint, size int) []catalogue.Endpoint {
 	if len(endpoints) <= size {
 		return endpoints
 	}
 	working := slices.DeleteFunc(slices.Clone(endpoints), func(e catalogue.Endpoint) bool { return e.Leaving })
-	chosen := choose(self, dataCentre, working, size)
+	chosen := withEachVersion(choose(self, dataCentre, working, size), self, dataCentre, working)
 	if len(working) == len(endpoints) {
 		return chosen
 	}
--- a/coordination/routing/queue.go
+++ b/coordination/routing/queue.go
@@ -10,9 +10,15 @@
 	entry     string
 	workspace string
 	priority  int
+	version   string // that the requests need; empty: any
 }
 
-// flow is the queue of the requests of one workspace on one entry with one priority. They are served by earliest deadline, and in order
+// needsOtherVersion reports whether no endpoint can take requests of both flows.
+func (k flowKey) needsOtherVersion(other flowKey) bool {
+	return k.version != "" && other.version != "" && k.version != other.version
+}
+
+// flow is the queue of the requests of one workspace on one entry with one priority that need the same version. They are served by earliest deadline, and in order
 // of arrival where deadlines are equal; a request without a deadline is treated as if it had one of defaultPatience.
 type flow struct {
 	key        flowKey
@@ -73,7 +79,7 @@
 }
 
 func (q *queue) add(r *Request) {
-	key := flowKey{entry: r.spec.Entry, workspace: r.spec.Workspace, priority: r.spec.Priority}
+	key := keyOf(r.spec)
 	f := q.byKey[key]
 	if f == nil {
 		f = &flow{key: key}
@@ -116,16 +122,21 @@
 	return requests
 }
 
+// keyOf returns the key of the flow that a request belongs to.
+func keyOf(s *RequestSpec) flowKey {
+	return flowKey{entry: s.Entry, workspace: s.Workspace, priority: s.Priority, version: s.Version}
+}
+
 // countAhead returns the number of queued requests that are expected to be served before a new one. Flows that are delayed by limits
-// don't count, and other flows of the same priority take turns with the request's own flow.
+// don't count, nor do those that need another version; other flows of the same priority take turns with the request's own flow.
 func (q *queue) countAhead(r *Request, limited func(f *flow) bool) int {
-	ownPosition := 0
-	if f := q.byKey[flowKey{r.spec.Entry, r.spec.Workspace, r.spec.Priority}]; f != nil {
+	own, ownPosition := keyOf(r.spec), 0
+	if f := q.byKey[own]; f != nil {
 		ownPosition = f.position(r)
 	}
 	total := ownPosition
 	for _, f := range q.flows {
-		if f.key.entry != r.spec.Entry || f.key.workspace == r.spec.Workspace && f.key.priority == r.spec.Priority || limited(f) {
+		if f.key == own || f.key.entry != own.entry || f.key.needsOtherVersion(own) || limited(f) {
 			continue
 		}
 		if f.key.priority < r.spec.Priority {
--- a/coordination/routing/spec.go
+++ b/coordination/routing/spec.go
@@ -16,6 +16,7 @@
 	MaximumTokens       int              // limit on output tokens set by the caller; zero: none
 	GeneratedTokens     int              // output tokens that the run has already produced at another endpoint
 	Prefix              []uint64         // chained hashes of the prompt's blocks; see endpoint.Blocks
+	Version             string           // the only version of endpoints that may take it; empty: any
 	Begun               bool             // an endpoint may have run it, or its answer has begun: it is not refused because the instance closes
 	MovableRuns         int              // runs that can be moved off an endpoint at short notice; zero: any number
 	PreferredEndpoint   netip.AddrPort   // endpoint that Place chooses if it is eligible
@@ -52,6 +53,7 @@
 // The reasons for a refusal.
 const (
 	ReasonNoEndpoint     Reason = "noEndpoint"     // the entry is unknown or none of its endpoints takes the request
+	ReasonVersion        Reason = "version"        // no endpoint of the version that the request needs takes work
 	ReasonQueueFull      Reason = "queueFull"      // the queue of the instance or of the workspace is full
 	ReasonDeadline       Reason = "deadline"       // the request can't start before its deadline
 	ReasonWorkspaceLimit Reason = "workspaceLimit" // the workspace's limits delay the start past the deadline
--- a/instance/hosted/entries.go
+++ b/instance/hosted/entries.go
@@ -55,7 +55,7 @@
 	}
 	for _, e := range endpoints {
 		if e.Service == s.Name {
-			entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: e.Address, DataCentre: e.DataCentre, Leaving: e.Leaving || !e.LeavesSince.IsZero() || i.evacuations.Contains(e.DataCentre)})
+			entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: e.Address, DataCentre: e.DataCentre, Version: e.Version, Leaving: e.Leaving || !e.LeavesSince.IsZero() || i.evacuations.Contains(e.DataCentre)})
 		}
 	}
 	slices.SortFunc(entry.Endpoints, func(a, b catalogue.Endpoint) int { return a.Address.Compare(b.Address) })
--- a/protocol/relay/backup.go
+++ b/protocol/relay/backup.go
@@ -22,9 +22,10 @@
 	return backup
 }
 
-// specAfter describes the request for its continuation at another endpoint, at the backup if there is one.
+// specAfter describes the request for its continuation from the memory of its run at another endpoint of the same version, at the backup if there is one.
 func (x *execution) specAfter(d *Dispatch) routing.RequestSpec {
 	spec := x.spec
+	spec.Version = d.Endpoint.Version
 	spec.PreferredEndpoint = d.Backup
 	spec.GeneratedTokens = int(x.passedTokens.Load())
 	spec.Exclude = append(spec.Exclude[:len(spec.Exclude):len(spec.Exclude)], d.Endpoint.Address)
--- a/protocol/relay/continuation.go
+++ b/protocol/relay/continuation.go
@@ -199,7 +199,7 @@
 	if m.origin == OriginBackup {
 		endpoint, found = x.runner.Roster.At(x.request.Service, m.address)
 	}
-	if !found || !x.mayReceive(endpoint, time.Now()) {
+	if !found || !isVersion(endpoint, d.Endpoint.Version) || !x.mayReceive(endpoint, time.Now()) {
 		p.remove(m)
 		releaseSlot(m.slot, m.outcome)
 		m.slot = nil
@@ -246,7 +246,7 @@
 	if err != nil {
 		return nil
 	}
-	slot, target, found := x.lookUp(slot)
+	slot, target, found := x.lookUp(slot, spec.Version)
 	if !found {
 		return nil
 	}
--- a/protocol/relay/ending.go
+++ b/protocol/relay/ending.go
@@ -21,8 +21,11 @@
 	x.result.Reason = ReasonNoSlot
 	if refusal, ok := errors.AsType[*routing.RefusalError](err); ok {
 		x.result.RetryAt = refusal.RetryAt
-		if refusal.Reason == routing.ReasonDraining {
+		switch refusal.Reason {
+		case routing.ReasonDraining:
 			x.result.Reason = ReasonClosing
+		case routing.ReasonVersion:
+			x.result.Reason = ReasonVersion
 		}
 	}
 	if x.isClosing() {
--- a/protocol/relay/fake_test.go
+++ b/protocol/relay/fake_test.go
@@ -164,7 +164,7 @@
 		entry.Kind = catalogue.KindService
 	}
 	for n := range len(f.notices) {
-		entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: fakeAddress(byte(n + 1))})
+		entry.Endpoints = append(entry.Endpoints, catalogue.Endpoint{Address: fakeAddress(byte(n + 1)), Version: f.versions[fakeAddress(byte(n+1))]})
 	}
 	router.SetEntry(entry, time.Now())
 	for _, e := range entry.Endpoints {
--- a/protocol/relay/former.go
+++ b/protocol/relay/former.go
@@ -64,24 +64,48 @@
 	if x.request.Engine == nil || !x.request.Engine.Moves || isNotRun(err) || !x.mayRetry(err) {
 		return
 	}
-	slot, target, found := x.targetAfter(d)
+	target, found := x.anyTarget(d)
 	if !found {
 		return
 	}
-	slot.Release(routing.OutcomeCancelled, time.Now())
 	if copied, state, _ := x.stopFormer(x.ctx, d, target, x.hasBegun(d)); state == FormerStopped {
 		x.runner.background.Go(func() { x.dropCopy(copied) })
 	}
 }
 
-// targetAfter returns a slot for a run that is to leave its endpoint: at its backup if it has one and that takes it, else at the best endpoint.
+// targetAfter returns a slot for a run that is to leave its endpoint: at its backup if it has one and that takes it, else at the best endpoint of the
+// run's version.
 func (x *execution) targetAfter(d *Dispatch) (*routing.Slot, Endpoint, bool) {
 	spec := x.specAfter(d)
-	slot, err := x.placeSoon(&spec)
+	return x.placeAt(&spec)
+}
+
+// anyTarget returns an endpoint of any version, which takes a copy of the run's memory and not the run.
+func (x *execution) anyTarget(d *Dispatch) (Endpoint, bool) {
+	spec := x.specAfter(d)
+	spec.Version = ""
+	slot, target, found := x.placeAt(&spec)
+	releaseSlot(slot, routing.OutcomeCancelled)
+	return Endpoint{Address: target.Address}, found
+}
+
+// placeAt returns a slot for a run, and its endpoint.
+func (x *execution) placeAt(spec *routing.RequestSpec) (*routing.Slot, Endpoint, bool) {
+	slot, err := x.placeSoon(spec)
 	if err != nil {
 		return nil, Endpoint{}, false
 	}
-	return x.lookUp(slot)
+	return x.lookUp(slot, spec.Version)
+}
+
+// stopTarget returns where an endpoint is to copy the memory of a run that it stops: an endpoint with a slot for the run, else one that takes the copy
+// only, since the call needs a target even if the run then continues at the endpoint itself.
+func (x *execution) stopTarget(d *Dispatch) (*routing.Slot, Endpoint, bool) {
+	if slot, target, found := x.targetAfter(d); found {
+		return slot, target, true
+	}
+	target, found := x.anyTarget(d)
+	return nil, target, found
 }
 
 // targetForStop returns where the endpoint of a run whose stream has broken off is to copy the run's memory when it stops the run: an endpoint with
@@ -94,11 +118,14 @@
 			return slot, target
 		}
 		if known := x.knownEndpoint(d); known.IsValid() {
-			if target, found := x.runner.Roster.At(x.request.Service, known); found {
+			if target, found := x.runner.Roster.At(x.request.Service, known); found && isVersion(target, d.Endpoint.Version) {
 				return nil, target
 			}
 			return nil, Endpoint{Address: known} // takes the copy, and no run
 		}
+		if target, found := x.anyTarget(d); found {
+			return nil, target
+		}
 		if x.request.Route.Repeatable() || isCorrupt(cause) || !time.Now().Before(latest) || wait.For(x.ctx, continuationPollInterval) != nil {
 			return nil, Endpoint{}
 		}
--- a/protocol/relay/missing.go
+++ b/protocol/relay/missing.go
@@ -23,7 +23,7 @@
 
 // canContinue reports whether the run can continue without its connection: its endpoint has stopped it, or works on it no more and the target has its backup.
 func (a *askedRun) canContinue(d *Dispatch) bool {
-	return a.state == FormerStopped || a.state != FormerUnknown && a.target.Address == d.Backup
+	return a.state == FormerStopped || a.state != FormerUnknown && a.slot != nil && a.target.Address == d.Backup
 }
 
 // drop releases the slot, and the copy if there is one.
@@ -41,7 +41,7 @@
 	if d.Endpoint.Leaving() || x.result.Restores >= maximumRestores || !x.screening.AllowsMove(time.Now()) {
 		return false
 	}
-	slot, target, found := x.targetAfter(d)
+	slot, target, found := x.stopTarget(d)
 	if !found {
 		return false
 	}
@@ -50,7 +50,7 @@
 		part, missing = x.hasMade(ctx, d, s, target)
 	}
 	if !missing {
-		slot.Release(routing.OutcomeCancelled, time.Now())
+		releaseSlot(slot, routing.OutcomeCancelled)
 		return false
 	}
 	a := &askedRun{slot: slot, target: target}
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -179,6 +179,7 @@
 func (m *mover) findTarget(tried []netip.AddrPort) (*routing.Slot, Endpoint, bool) {
 	spec := m.execution.spec
 	spec.Exclude = slices.Clone(tried)
+	spec.Version = m.from.Version
 	spec.PreferredDataCentre, spec.RemoteCost = m.from.DataCentre, remoteCopyCost
 	if m.localOnly {
 		spec.RemoteCost = infeasibleCopyCost
@@ -189,7 +190,7 @@
 		return nil, Endpoint{}, false
 	}
 	target, found := m.execution.runner.Roster.At(m.execution.request.Service, slot.Endpoint())
-	if !found {
+	if !found || !isVersion(target, m.from.Version) {
 		slot.Release(routing.OutcomeCancelled, time.Now())
 		return nil, Endpoint{}, false
 	}
--- a/protocol/relay/repeat.go
+++ b/protocol/relay/repeat.go
@@ -64,14 +64,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, repeatPause)
 	defer cancel()
-	spec := x.spec
+	spec := x.boundSpec()
 	spec.Exclude = r.exclude
 	spec.Begun = false // the attempt goes on if the repeat is refused
 	slot, err := x.runner.Router.Acquire(ctx, &spec)
 	if err != nil {
 		return nil, err
 	}
-	if _, found := x.runner.Roster.At(x.request.Service, slot.Endpoint()); !found || !budget.Take(limits, time.Now()) {
+	if endpoint, found := x.runner.Roster.At(x.request.Service, slot.Endpoint()); !found || !x.fits(endpoint) || !budget.Take(limits, time.Now()) {
 		slot.Release(routing.OutcomeCancelled, time.Now())
 		return nil, nil
 	}
--- a/protocol/relay/result.go
+++ b/protocol/relay/result.go
@@ -37,6 +37,7 @@
 	ReasonCallerLeft     Reason = "caller"      // the caller disconnected
 	ReasonRetryBudget    Reason = "budget"      // the service's retry budget is exhausted
 	ReasonNoSlot         Reason = "place"       // the router granted no slot
+	ReasonVersion        Reason = "version"     // the version that began the stream is not known, or no endpoint of it takes work
 	ReasonQuarantined    Reason = "quarantined" // a part of the request crashes endpoints
 	ReasonInternal       Reason = "internal"    // a defect of the instance itself
 )
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -75,16 +75,17 @@
 	repeat         *routing.Slot // reserved for a repeat that the retry budget has counted; nil if there is none
 	asked          *askedRun     // run of a silent connection whose endpoint was asked to stop it; nil if there is none
 	result         Result
-	unreached      int          // dispatches that did not reach an endpoint
-	notRun         int          // dispatches that endpoints refused to run
-	mayHaveRun     int          // dispatches that may have run
-	lastEvent      int64        // id of the last event that was put into the outbox, or that the caller had before; zero if there is none
-	lastEventAt    time.Time    // when the latest event was forwarded, or a buffered answer was whole
-	passedTokens   atomic.Int32 // tokens forwarded to the caller
-	receivedEvent  atomic.Int64 // lastEvent, for the silence timer
-	beginning      atomic.Int32 // whether the answer has begun, or may not begin any more
-	dispatchBegun  bool         // the head of the latest dispatch's answer has come
-	dispatchEvents int          // events that the latest dispatch has received
+	unreached      int                    // dispatches that did not reach an endpoint
+	notRun         int                    // dispatches that endpoints refused to run
+	mayHaveRun     int                    // dispatches that may have run
+	version        atomic.Pointer[string] // that the stream is bound to; nil: none
+	lastEvent      int64                  // id of the last event that was put into the outbox, or that the caller had before; zero if there is none
+	lastEventAt    time.Time              // when the latest event was forwarded, or a buffered answer was whole
+	passedTokens   atomic.Int32           // tokens forwarded to the caller
+	receivedEvent  atomic.Int64           // lastEvent, for the silence timer
+	beginning      atomic.Int32           // whether the answer has begun, or may not begin any more
+	dispatchBegun  bool                   // the head of the latest dispatch's answer has come
+	dispatchEvents int                    // events that the latest dispatch has received
 	screening      *quarantine.Screening
 	held           int              // bytes of buffered answers that the memory budget counts
 	kept           *keptAnswer      // latest answer with an error status; nil if there is none
@@ -196,13 +197,15 @@
 		return nil
 	}
 	x.spec.Begun = x.result.Begun || x.mayHaveRun > 0 && x.kept == nil
-	slot, err := x.runner.Router.Acquire(x.ctx, &x.spec)
+	spec := x.boundSpec()
+	slot, err := x.runner.Router.Acquire(x.ctx, &spec)
 	if refusal, ok := errors.AsType[*routing.RefusalError](err); ok && refusal.MayPassWithoutExclusions() && len(x.spec.Exclude) > 0 {
 		if err := wait.For(x.ctx, x.refusalPause()); err != nil {
 			return err
 		}
 		x.spec.Exclude = nil
-		slot, err = x.runner.Router.Acquire(x.ctx, &x.spec)
+		spec = x.boundSpec()
+		slot, err = x.runner.Router.Acquire(x.ctx, &spec)
 	}
 	if err != nil {
 		return err
@@ -222,7 +225,7 @@
 // attempt sends the request to the endpoint of its slot, and forwards the answer.
 func (x *execution) attempt() error {
 	endpoint, found := x.runner.Roster.At(x.request.Service, x.slot.Endpoint())
-	if !found {
+	if !found || !x.fits(endpoint) {
 		x.unreached++
 		x.exclude(x.slot.Endpoint())
 		x.release(routing.OutcomeCancelled)
--- a/protocol/relay/slots.go
+++ b/protocol/relay/slots.go
@@ -25,10 +25,10 @@
 	}
 }
 
-// lookUp returns the endpoint of a slot, which is released if the endpoint is not in the roster any more.
-func (x *execution) lookUp(slot *routing.Slot) (*routing.Slot, Endpoint, bool) {
+// lookUp returns the endpoint of a slot, which is released if the endpoint is not in the roster any more, or another version has its address.
+func (x *execution) lookUp(slot *routing.Slot, version string) (*routing.Slot, Endpoint, bool) {
 	target, found := x.runner.Roster.At(x.request.Service, slot.Endpoint())
-	if !found {
+	if !found || !isVersion(target, version) {
 		slot.Release(routing.OutcomeCancelled, time.Now())
 		return nil, Endpoint{}, false
 	}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -131,6 +131,9 @@
 		if err := x.passHead(reply.Status, reply.Header); err != nil {
 			return err
 		}
+		if !found.comment {
+			x.bind(x.result.Endpoint.Version)
+		}
 		if err := x.outbox.put(x.ctx, found.data); err != nil {
 			return err
 		}
--- a/state/catalogue/entry.go
+++ b/state/catalogue/entry.go
@@ -30,6 +30,7 @@
 	DataCentre string         `cbor:"dataCentre" json:"dataCentre"`
 	Role       string         `cbor:"role,omitempty" json:"role,omitempty"` // role sent with orders; empty if the engine keeps its own
 	Leaving    bool           `cbor:"leaving,omitempty" json:"leaving,omitempty"`
+	Version    string         `cbor:"-" json:"-"` // of its software, where the list of endpoints names it; empty: unknown
 }
 
 // Limits holds the limits on what a workspace may use; zero means no limit.
