A stream that its caller takes up again goes on only at the version that began it, at whatever instance

What callers saw: a stream whose connection broke went on, at their next request, with events of another version. Cause: the instance that gets such a request chose any endpoint; the one that had seen the begin told nobody, and what the caller names (`Resumes`) was not read. The change: with the first event of a resumable stream its instance tells three others, chosen by the stream's ID, which version made it (coordination/resumption, state/stream). A request that takes a stream up asks five of those that rank first; without a record it goes on only where no other version has served within 60 s, by an up-to-date list of this instance or one that answers, and else is refused with 503 and a time to return: it has not run. An instance that starts is sent what it is to keep. Messages per stream do not grow with the fleet; at most 32,768 beginnings are kept, until 30 s after the deadline. A `Last-Event-Id` that names no event is not passed on, so that endpoint and instance agree that the stream starts anew.

--- a/instance/hosted/bundles.go
+++ b/instance/hosted/bundles.go
@@ -12,17 +12,20 @@
 
 // Types of messages between instances, in the first byte of a datagram.
 const (
-	messageReport       byte = iota // a report
-	messageForward                  // a report that the receiver forwards to its data centre at once
-	messageCollect                  // a report that the receiver forwards in its next bundle
-	messageBundle                   // reports that a forwarder has collected
-	messageRemoteBundle             // the same from another data centre, which the receiver forwards in its own
-	messageAsk                      // an ask for permits of an endpoint
-	messageGrant                    // the answer to an ask for permits
-	messageTrialAsk                 // an ask whether a request with a blamed part may be sent
-	messageTrialGrant               // the answer to such an ask
-	messageComparison               // a digest of what the sender knows of crashes
-	messageNews                     // what the sender knows of crashes
+	messageReport         byte = iota // a report
+	messageForward                    // a report that the receiver forwards to its data centre at once
+	messageCollect                    // a report that the receiver forwards in its next bundle
+	messageBundle                     // reports that a forwarder has collected
+	messageRemoteBundle               // the same from another data centre, which the receiver forwards in its own
+	messageAsk                        // an ask for permits of an endpoint
+	messageGrant                      // the answer to an ask for permits
+	messageTrialAsk                   // an ask whether a request with a blamed part may be sent
+	messageTrialGrant                 // the answer to such an ask
+	messageComparison                 // a digest of what the sender knows of crashes
+	messageNews                       // what the sender knows of crashes
+	messageBeginnings                 // beginnings of streams that the receiver keeps
+	messageStreamQuestion             // a question for the beginning of a stream
+	messageStreamAnswer               // the answer to such a question
 )
 
 // addToBundle adds a report to the next bundle; remote reports come from another data centre. A report that carries changes
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -19,6 +19,7 @@
 
 	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
+	"dogwooddyke/coordination/resumption"
 	"dogwooddyke/coordination/routing"
 	"dogwooddyke/coordination/shutdown"
 	"dogwooddyke/coordination/standing"
@@ -67,6 +68,7 @@
 	standings        *standing.Exchange
 	engines          *platform.Engines
 	quarantine       *quarantine.Exchange
+	resumption       *resumption.Exchange
 	sharers          *sharers
 	scheduler        *moveScheduler
 	callerServer     *http.Server
@@ -87,6 +89,7 @@
 	restored         chan struct{}                     // receives requests to register in the log again after it was restored
 	restoredAt       atomic.Pointer[time.Time]         // time of the latest restore of the log whose lists do not agree yet; nil: none
 	listed           atomic.Bool                       // whether the endpoint list has been read or fetched at least once
+	listedSince      atomic.Pointer[time.Time]         // time since which this instance has read the endpoint list; nil: it has not
 	restartCatalogue chan struct{}                     // receives requests to restart the current read of the catalogue's topic
 	registered       chan struct{}                     // closed once this instance has registered in the log, or has waited for registrationGrace
 	registeredOnce   sync.Once
@@ -144,6 +147,7 @@
 	i.engines = platform.NewEngines(i.stated)
 	i.standings = i.newStandings()
 	i.quarantine = i.newQuarantine()
+	i.resumption = i.newResumption()
 	i.node = peer.NewNode(peer.Config{Address: i.gossiper.self, Keys: [][]byte{[]byte(settings.PeerKey)}})
 	i.node.Handle(methodState, i.serveState)
 	i.scheduler = newMoveScheduler(i.gossiper)
@@ -154,6 +158,7 @@
 	i.observer.metrics.registerCount("resting_endpoints", "Endpoints that have asked for rest.", i.standings.Resting)
 	i.observer.metrics.registerCount("departing_endpoints", "Endpoints that leave by their own word.", i.standings.Leaving)
 	i.observer.metrics.registerCount("held_bytes", "Bytes that are held for callers who send or read slowly.", i.memory.Used)
+	i.observer.metrics.registerCount("kept_streams", "Streams of all instances whose first version this instance keeps.", i.resumption.Kept)
 	i.observer.metrics.registerCount("evacuated_data_centres", "Data centres to which no request may be sent.", i.evacuations.Count)
 	i.runner = &relay.Runner{
 		Endpoints:     i.engines,
@@ -164,6 +169,7 @@
 		Drain:         settings.Drain,
 		MoveScheduler: i.scheduler,
 		Quarantine:    i.quarantine,
+		Streams:       streams{i.resumption, i.observer},
 		Memory:        i.memory,
 		Observer:      i.observer,
 		Closing:       i.closing,
@@ -226,6 +232,7 @@
 	i.group.Go(func() { i.quotas.Run(ctx) })
 	i.group.Go(func() { i.standings.Run(ctx) })
 	i.group.Go(func() { i.quarantine.Run(ctx) })
+	i.group.Go(func() { i.resumption.Run(ctx) })
 	i.group.Go(func() { i.tick(ctx) })
 	i.logger.Info("started", "dataCentre", i.settings.DataCentre)
 	return nil
--- a/instance/hosted/metrics.go
+++ b/instance/hosted/metrics.go
@@ -21,6 +21,7 @@
 	unansweredReads   prometheus.Counter
 	silentStreams     prometheus.Counter
 	formerRuns        *prometheus.CounterVec
+	takenUp           *prometheus.CounterVec
 	crashes           prometheus.Counter
 	suspicions        prometheus.Counter
 	trials            *prometheus.CounterVec
@@ -59,6 +60,7 @@
 		suspicions:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "suspected_parts_total", Help: "Suspicions that a part of prompts crashes endpoints; each further crash counts again."}),
 		silentStreams:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "silent_streams_total", Help: "Streams whose endpoint made events that did not arrive."}),
 		formerRuns:        counter("former_runs_total", "Runs whose stream broke off, by what their endpoint said when it was asked to stop them.", "state"),
+		takenUp:           counter("streams_taken_up_total", "Streams that their callers took up again, by what the version that began them was known by.", "known_by"),
 		trials:            counter("trials_total", "Decisions about requests with a part that is blamed for crashes, by verdict.", "verdict"),
 		limitedDispatches: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "dogwooddyke", Name: "limited_dispatches_total", Help: "Dispatches to endpoints whose rate limit was known."}),
 		permitAsks:        counter("permit_asks_total", "Asks for permits of endpoints that limit their rate, by result.", "result"),
@@ -71,7 +73,7 @@
 		totalTime:         histogram("whole_seconds", "Time to the end of the answer."),
 		longestPause:      histogram("pause_seconds", "Longest time between two events of a stream."),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.unansweredReads, m.formerRuns, m.silentStreams, m.crashes, m.suspicions, m.trials, m.limitedDispatches, m.permitAsks, m.permits, m.rests, m.doubts, m.questions, m.lateFirstTokens, m.timeToAnswer, m.totalTime, m.longestPause)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.ended, m.declined, m.retries, m.moves, m.restores, m.unansweredReads, m.formerRuns, m.takenUp, m.silentStreams, m.crashes, m.suspicions, m.trials, m.limitedDispatches, m.permitAsks, m.permits, m.rests, m.doubts, m.questions, m.lateFirstTokens, m.timeToAnswer, m.totalTime, m.longestPause)
 	return m
 }
 
--- a/instance/hosted/observer.go
+++ b/instance/hosted/observer.go
@@ -11,6 +11,7 @@
 
 	"dogwooddyke/coordination/quarantine"
 	"dogwooddyke/coordination/quota"
+	"dogwooddyke/coordination/resumption"
 	"dogwooddyke/coordination/standing"
 	"dogwooddyke/protocol/relay"
 	"dogwooddyke/state/process"
@@ -148,6 +149,15 @@
 	o.logger.Info(message, "id", d.Request.ID, "endpoint", d.Endpoint.ID, "address", d.Endpoint.Address, "events", events, "copied", d.Copy != nil, "request", d.Request.Whole.String(), "parts", prompt.Format(d.Request.Parts))
 }
 
+// streamTakenUp logs and counts a stream that its caller takes up again, with the version that began it and by what that is known.
+func (o *observer) streamTakenUp(r *relay.Request, version string, source resumption.Source, began time.Time) {
+	o.metrics.takenUp.WithLabelValues(string(source)).Inc()
+	o.logger.Info("stream taken up", "id", r.ID, "service", r.Service, "resumes", r.Resumes, "after", r.After, "version", version, "knownBy", source, "tookMs", time.Since(began).Milliseconds())
+}
+
+// StreamMessageUnreadable logs a message about the beginnings of streams that could not be encoded or decoded.
+func (o *observer) StreamMessageUnreadable(err error) { o.recordUnreadable("streams", err) }
+
 // Moved logs and counts an attempt to move a run.
 func (o *observer) Moved(r *relay.Request, from, to netip.AddrPort, c relay.Copy, last bool, began time.Time, err error) {
 	text := ""
--- a/instance/hosted/receiver.go
+++ b/instance/hosted/receiver.go
@@ -29,6 +29,12 @@
 			g.instance.quarantine.ReceiveComparison(body, time.Now())
 		case messageNews:
 			g.instance.quarantine.ReceiveNews(body, time.Now())
+		case messageBeginnings:
+			g.instance.resumption.ReceiveBeginnings(body, time.Now())
+		case messageStreamQuestion:
+			g.instance.resumption.ReceiveQuestion(body, time.Now())
+		case messageStreamAnswer:
+			g.instance.resumption.ReceiveAnswer(body)
 		default:
 			g.receiveReport(body, message[0])
 		}
@@ -67,6 +73,7 @@
 	g.mutex.Unlock()
 	if newcomer {
 		g.sendRateLimits(r.From, now)
+		g.instance.resumption.Welcome(r.From, now)
 	}
 	r.Updates = g.instance.applyUpdates(r)
 	g.instance.quotas.Receive(r.RateLimits, r.From, now)
--- a/instance/hosted/topics.go
+++ b/instance/hosted/topics.go
@@ -203,6 +203,7 @@
 	i.readPosition.Store(&next)
 	i.latestRead.Store(&now)
 	i.latestOwnRead.Store(&now)
+	i.listedSince.CompareAndSwap(nil, &now)
 }
 
 // notOlderThanList reports whether another instance's change is not older than this instance's own read of the log. An endpoint that
--- a/instance/hosted/versions_test.go
+++ b/instance/hosted/versions_test.go
@@ -110,6 +110,16 @@
 	return all
 }
 
+// drop takes engines off the list, and waits until all instances know.
+func (f *fleet) drop(ids ...string) {
+	f.t.Helper()
+	before := len(f.instances[0].roster.List())
+	for _, id := range ids {
+		f.log.Drop(id)
+	}
+	f.awaitFleet(before - len(ids))
+}
+
 // awaitFleet waits until all instances are ready, and know each other and so many engines.
 func (f *fleet) awaitFleet(engines int) {
 	f.t.Helper()
@@ -139,6 +149,19 @@
 			first.Close()
 			return f.instances[1]
 		}, streams},
+		{"while the log is silent", func(f *fleet, _ *Instance) *Instance {
+			f.log.Silence(true)
+			f.t.Cleanup(func() { f.log.Silence(false) })
+			return f.instances[1]
+		}, streams},
+		{"with one engine of each version gone", func(f *fleet, _ *Instance) *Instance {
+			f.drop("m-0", "m-2")
+			return f.instances[1]
+		}, streams},
+		{"with both engines of the first version gone", func(f *fleet, _ *Instance) *Instance {
+			f.drop("m-0", "m-1")
+			return f.instances[1]
+		}, streams / 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -194,3 +217,60 @@
 		_, _ = io.Copy(io.Discard, s.response.Body) // its end
 	}
 }
+
+// A stream that can go on nowhere gets a refusal that is true, at once, with a time to come back.
+func TestStreamThatCanGoOnNowhereIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	all := f.beginAtBothVersions(2, 2, 400)
+	first, second := all[0], all[1]
+	for name, headers := range map[string]map[string]string{
+		"without the request that began it": {standin.HeaderLastEvent: "5"},
+		"with one that nobody knows":        {standin.HeaderLastEvent: "5", standin.HeaderResumes: "unknown"},
+		"with itself":                       {standin.HeaderLastEvent: "5", standin.HeaderResumes: "refused"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			headers[standin.HeaderTokens] = "100,40"
+			response, _ := f.request(requestSpec{instance: f.instances[1], method: "POST", path: "/short/", id: "refused", headers: headers})
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			seconds, err := strconv.ParseFloat(response.Header.Get(standin.HeaderRetry), 64)
+			is.NoErr(err)
+			is.True(seconds > 0 && seconds < 2)
+			is.Equal(f.engines.Ran("refused"), 0)
+		})
+	}
+	for name, value := range map[string]string{"zero": "0", "no number": "x", "negative": "-3"} {
+		t.Run("a stream of which the caller has no event begins anew: "+name, func(t *testing.T) {
+			response := f.send(requestSpec{instance: f.instances[1], method: "POST", path: "/short/", id: name, headers: map[string]string{
+				standin.HeaderTokens: "100,4", standin.HeaderLastEvent: value, standin.HeaderResumes: "unknown",
+			}})
+			defer func() { _ = response.Body.Close() }()
+			assertEvents(t, response.Body, name, 4)
+		})
+	}
+	t.Run("its version's engines are gone", func(t *testing.T) {
+		is := is.New(t)
+		f.drop("m-0", "m-1")
+		is.Equal(f.takeUp(first, f.instances[1], "gone", 400), http.StatusServiceUnavailable)
+		is.True(first.response.Header.Get(standin.HeaderRetry) != "")
+		is.Equal(f.engines.Ran("gone"), 0)
+	})
+	t.Run("one of its version's engines starts again", func(t *testing.T) {
+		is := is.New(t)
+		f.startVersion("m-9", "v1")
+		f.awaitFleet(3)
+		is.Equal(f.takeUp(first, f.instances[1], "back", 400), http.StatusOK)
+		is.NoErr(first.read(400))
+		is.Equal(first.versions, []string{"v1"})
+	})
+	t.Run("a stream is taken up again and again", func(t *testing.T) {
+		is := is.New(t)
+		for n := range 4 {
+			is.Equal(f.takeUp(second, f.instances[n%2], fmt.Sprint("again-", n), 400), http.StatusOK)
+			is.NoErr(second.read(second.last + 5))
+		}
+		is.Equal(second.versions, []string{"v1.1"})
+	})
+	is.True(second.last >= 25)
+}
--- a/protocol/relay/constants.go
+++ b/protocol/relay/constants.go
@@ -15,6 +15,7 @@
 	maximumUnreached     = 12                     // dispatches of one request that did not reach an endpoint
 	streamStartFraction  = 0.6                    // part of a request's time within which a generation must have started
 	plainStartFraction   = 0.9                    // part of a request's time within which a plain request must have been sent
+	unknownVersionRetry  = 500 * time.Millisecond // until a caller comes back whose stream began at a version that is not known
 	answeredEvents       = 2                      // events of a stream after which its endpoint counts as having survived the begin of the answer
 	hedgeTargetFactor    = 1.6                    // multiple of the route's target after which a repeatable request is sent to another endpoint
 	repeatPause          = 250 * time.Millisecond // between two requests for the place of a repeat, for which each waits at most
--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -11,6 +11,7 @@
 	"dogwooddyke/state/process"
 	"dogwooddyke/state/prompt"
 	"dogwooddyke/state/route"
+	"dogwooddyke/state/stream"
 )
 
 // Request is one request of a caller; its body is read completely before the first dispatch.
@@ -37,6 +38,14 @@
 	Resumes       string        // id of the request that brought the caller the first event of the stream; empty: unknown
 }
 
+// Stream returns the identity of the request's stream, which the request that brought its first event began.
+func (r *Request) Stream() stream.ID {
+	if r.After > 0 && r.Resumes != "" {
+		return stream.Of(r.Workspace, r.Resumes)
+	}
+	return stream.Of(r.Workspace, r.ID)
+}
+
 // Endpoint is an endpoint to which a request can be sent.
 type Endpoint struct {
 	ID         string // identifies one start of the endpoint's process
--- a/protocol/relay/runner.go
+++ b/protocol/relay/runner.go
@@ -44,6 +44,14 @@
 	Ready(r *Request, from Endpoint) bool
 }
 
+// Streams knows which version of the endpoints' software began each stream that its caller may take up again.
+type Streams interface {
+	// Began notes the version that made the first event of a request's stream; it must be fast.
+	Began(r *Request, version string)
+	// Find returns the version that began the stream which a request takes up; empty if it is not known.
+	Find(ctx context.Context, r *Request) string
+}
+
 // Runner runs requests; it is safe for concurrent use once its fields are set.
 type Runner struct {
 	Endpoints     Endpoints
@@ -52,6 +60,7 @@
 	Budgets       *Budgets
 	MoveScheduler MoveScheduler
 	Quarantine    *quarantine.Exchange // may be nil: no request is kept back then
+	Streams       Streams              // may be nil: streams that callers take up go on at any version then
 	RetryLimits   func() RetryLimits
 	Drain         time.Duration  // from an endpoint's notice until no request may reach it, not even one that continues a run there; zero: no limit
 	Memory        *memory.Budget // of answers that callers have not read yet; nil: no limit
@@ -79,6 +88,7 @@
 	notRun         int                    // dispatches that endpoints refused to run
 	mayHaveRun     int                    // dispatches that may have run
 	version        atomic.Pointer[string] // that the stream is bound to; nil: none
+	hasEvent       bool                   // this request has brought an event
 	lastEvent      int64                  // id of the last event that was put into the outbox, or that the caller had before; zero if there is none
 	lastEventAt    time.Time              // when the latest event was forwarded, or a buffered answer was whole
 	passedTokens   atomic.Int32           // tokens forwarded to the caller
@@ -130,7 +140,9 @@
 		x.spec.MovableRuns = movableRuns(request)
 	}
 	r.Budgets.Of(request.Service).CountRequest(r.RetryLimits().Window, time.Now())
-	x.run()
+	if x.findVersion() {
+		x.run()
+	}
 	x.dropReserved()
 	x.finish()
 	return x.result
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -132,7 +132,7 @@
 			return err
 		}
 		if !found.comment {
-			x.bind(x.result.Endpoint.Version)
+			x.noteEvent(x.result.Endpoint.Version)
 		}
 		if err := x.outbox.put(x.ctx, found.data); err != nil {
 			return err
--- a/protocol/relay/version.go
+++ b/protocol/relay/version.go
@@ -1,12 +1,37 @@
 package relay
 
-import "dogwooddyke/coordination/routing"
+import (
+	"time"
 
-// bind notes the version of the software that has made an event of the stream. From then on only endpoints of that version may go on with it, since what
-// two versions make does not fit together.
-func (x *execution) bind(version string) {
-	if x.version.Load() == nil && version != "" {
-		x.version.Store(&version)
+	"dogwooddyke/coordination/routing"
+)
+
+// findVersion binds a stream that its caller takes up again to the version that began it. It reports whether the request may be sent: if the version is
+// not known, no endpoint may go on with the stream.
+func (x *execution) findVersion() bool {
+	if x.request.After == 0 || !x.request.Route.Resumable || x.runner.Streams == nil {
+		return true
+	}
+	version := x.runner.Streams.Find(x.ctx, x.request)
+	if version == "" {
+		x.screening.End()
+		x.endUnadmitted(&routing.RefusalError{Reason: routing.ReasonVersion, RetryAt: time.Now().Add(unknownVersionRetry)})
+		return false
+	}
+	x.version.Store(&version)
+	return true
+}
+
+// noteEvent notes the version that has made an event of the stream. From then on only endpoints of that version may go on with it, since what two
+// versions make does not fit together.
+func (x *execution) noteEvent(version string) {
+	if x.hasEvent || version == "" {
+		return
+	}
+	x.hasEvent = true
+	x.version.CompareAndSwap(nil, &version)
+	if x.request.Route.Resumable && x.runner.Streams != nil {
+		x.runner.Streams.Began(x.request, version)
 	}
 }
 
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -47,13 +47,14 @@
 // function of its user.
 type Table struct {
 	mutex   sync.Mutex
-	entries map[string]*entry // by id
-	latest  position.Position // of the newest change that affected which endpoints take work
+	entries map[string]*entry            // by id
+	latest  position.Position            // of the newest change that affected which endpoints take work
+	left    map[serviceVersion]time.Time // when an endpoint of the version left the list last
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{entries: make(map[string]*entry)}
+	return &Table{entries: make(map[string]*entry), left: make(map[serviceVersion]time.Time)}
 }
 
 // Apply applies a change unless a newer one of the same endpoint was applied, and reports whether it changed which endpoints take work.
@@ -74,8 +75,12 @@
 	}
 	same := false
 	coldUntil := c.coldUntil(now)
+	updated := e.withVersion(*c.Endpoint)
 	switch {
 	case e == nil, e.gone, !e.endpoint.sameProcess(c.Endpoint):
+		if e != nil && !e.gone {
+			t.noteLeft(&e.endpoint, now)
+		}
 		e.giveNotice(now)
 		e = &entry{notice: newNotice(), knownSince: now}
 		t.entries[c.ID] = e
@@ -83,11 +88,11 @@
 		return false
 	case c.Position == e.position:
 		coldUntil = e.endpoint.ColdUntil // the record has been applied before
-		same = e.endpoint.Leaving == c.Endpoint.Leaving
+		same = e.endpoint.Leaving == updated.Leaving && e.endpoint.Version == updated.Version
 	default:
-		same = e.endpoint.Leaving == c.Endpoint.Leaving && e.endpoint.Service == c.Endpoint.Service && !e.becomesCold(coldUntil, now)
+		same = e.endpoint.Leaving == updated.Leaving && e.endpoint.Service == updated.Service && e.endpoint.Version == updated.Version && !e.becomesCold(coldUntil, now)
 	}
-	e.endpoint, e.position, e.missingSince = *c.Endpoint, c.Position, time.Time{}
+	e.endpoint, e.position, e.missingSince = updated, c.Position, time.Time{}
 	e.endpoint.ColdUntil = coldUntil
 	e.updateNotice(now)
 	if !same {
@@ -121,6 +126,7 @@
 		return false
 	}
 	e.gone, e.position, e.forgetAt = true, at, now.Add(forgetAfter)
+	t.noteLeft(&e.endpoint, now)
 	t.latest = position.Latest(t.latest, at)
 	e.giveNotice(now)
 	return true
@@ -171,6 +177,7 @@
 func (t *Table) Expire(grace time.Duration, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.forgetVersions(now)
 	for id, e := range t.entries {
 		switch {
 		case e.gone && now.After(e.forgetAt):
