A stream of a split route is taken up at the service that began it

What callers saw (by reading, not reported): on a route that is split among services each request got its service at random, also one that takes a stream up; its events then came from two services. The change: of a resumable stream the number that picks the service follows from the stream's ID, which is the same for each of its requests at each instance; shares stay as the weights say. If the split changes in between and leads elsewhere, the record names another service and the request is refused.

--- a/protocol/relay/request.go
+++ b/protocol/relay/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"io"
 	"net/http"
 	"net/netip"
@@ -46,6 +47,16 @@
 	return stream.Of(r.Workspace, r.ID)
 }
 
+// SplitFraction returns the number from 0 to 1 by which the request gets one of its route's services: the given random one, but of a stream that its caller
+// may take up again one that follows from the stream, so that each instance sends it to the same service.
+func (r *Request) SplitFraction(random float64) float64 {
+	if r.Route.Kind != route.KindStream || !r.Route.Resumable {
+		return random
+	}
+	id := r.Stream()
+	return float64(binary.BigEndian.Uint32(id[:])) / (1 << 32)
+}
+
 // Endpoint is an endpoint to which a request can be sent.
 type Endpoint struct {
 	ID         string // identifies one start of the endpoint's process
