--- a/protocol/relay/version_test.go
+++ b/protocol/relay/version_test.go
@@ -126,3 +126,37 @@
 		f.is.True(f.versions[f.sends[0].endpoint] != f.versions[f.latest()])
 	})
 }
+
+// An endpoint of another version has started at the address that the router still knows for one of the stream's version.
+func TestAddressIsOfAnotherVersion(t *testing.T) {
+	for name, resumable := range map[string]bool{"resumable": true, "once": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, 4, 250)
+				f.versions = make(map[netip.AddrPort]string)
+				for n := range byte(4) {
+					f.versions[fakeAddress(n+1)] = "v0"
+				}
+				crashesOnce(f)
+				go func() {
+					first := f.firstRun()
+					time.Sleep(10 * fakeEventPause)
+					f.mutex.Lock()
+					defer f.mutex.Unlock()
+					for address := range f.versions {
+						if address != first {
+							f.versions[address] = "v1"
+						}
+					}
+				}()
+				result, text := f.serve(t, resumable)
+				f.assertAnswer(result, text)
+				f.is.Equal(result.Outcome, OutcomeInterrupted)
+				for _, s := range f.sends {
+					f.is.Equal(s.endpoint, f.sends[0].endpoint)
+				}
+				f.assertNothingHeld()
+			})
+		})
+	}
+}
