Soak: engines of three versions, released in steps and back; callers that leave streams and take them up at other instances

The judge sees all events of a stream over all tries: none may have events of two versions, and while two engines of their version can take them, streams that are taken up go on at least half as often as new ones begin.

--- a/cmd/dykectl/soak.go
+++ b/cmd/dykectl/soak.go
@@ -27,6 +27,7 @@
 	WithoutEvacuations   bool    `long:"withoutEvacuations" description:"evacuates no data centre, as for seeds of older runs"`
 	WithoutStatements    bool    `long:"withoutStatements" description:"has no engine say of itself that it rests or leaves, as for seeds of older runs"`
 	WithoutSpoilt        bool    `long:"withoutSpoilt" description:"has no engine send other bytes in place of answers, as for seeds of older runs"`
+	WithoutVersions      bool    `long:"withoutVersions" description:"has engines of one version only and callers that do not leave streams, as for seeds of older runs"`
 	WithoutLimits        bool    `long:"withoutLimits" description:"has no engine name a limit on the rate of requests, as for seeds of older runs"`
 	WithoutRestores      bool    `long:"withoutRestores" description:"never restores the log from an older copy, as for seeds of older runs"`
 	Planned              bool    `long:"planned" description:"has planned work only: instances stopped in turn, engines that leave after a notice, SIGHUP, new catalogues; with streams longer than the grace period and callers that don't wait for each other, and judged by which requests are lost"`
@@ -84,7 +85,7 @@
 	}
 	options := &soak.Options{
 		Binary: c.Binary, Directory: directory, Seed: seed, Seconds: c.Seconds, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers,
-		Without: soak.Without{Limits: c.WithoutLimits, Restores: c.WithoutRestores, CrashingParts: c.WithoutCrashingParts, RepeatedRequests: c.WithoutRepeated, Evacuations: c.WithoutEvacuations, Statements: c.WithoutStatements, SpoiltAnswers: c.WithoutSpoilt, Stops: c.WithoutStops, Reclaims: c.WithoutReclaims, Reloads: c.WithoutReloads, Catalogues: c.WithoutCatalogues},
+		Without: soak.Without{Limits: c.WithoutLimits, Restores: c.WithoutRestores, CrashingParts: c.WithoutCrashingParts, RepeatedRequests: c.WithoutRepeated, Evacuations: c.WithoutEvacuations, Statements: c.WithoutStatements, SpoiltAnswers: c.WithoutSpoilt, Versions: c.WithoutVersions, Stops: c.WithoutStops, Reclaims: c.WithoutReclaims, Reloads: c.WithoutReloads, Catalogues: c.WithoutCatalogues},
 	}
 	if c.Planned {
 		seconds := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- a/experiment/soak/caller.go
+++ b/experiment/soak/caller.go
@@ -1,14 +1,13 @@
 package soak
 
 import (
-	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -41,6 +40,7 @@
 	slowness time.Duration // between two reads of an answer
 
 	crashes *crashes // requests that crash engines
+	takesUp bool     // it leaves resumable streams and takes them up again
 }
 
 func newCaller(number int, seed uint64, nodes []*node, l *ledger) *caller {
@@ -55,7 +55,12 @@
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		instance := c.random.IntN(len(c.nodes))
-		pause := c.call(c.demand(instance, c.pick()))
+		d := c.demand(instance, c.pick())
+		send := c.call
+		if c.takesUp && d.route == routeShort {
+			send = c.follow
+		}
+		pause := send(d)
 		_ = wait.For(ctx, pause+time.Duration(c.random.Int64N(int64(thinkMost)))) // an ended context ends the loop
 	}
 }
@@ -94,6 +99,13 @@
 // call sends one request to its end and returns how long to wait before the next.
 func (c *caller) call(d demand) time.Duration {
 	r := record{id: d.id, route: d.route, instance: d.instance, slow: c.slowness > 0, began: time.Now()}
+	if d.stream == nil {
+		d.stream = &streamed{}
+	}
+	last := d.stream.last
+	if last > 0 {
+		r.resumes = d.stream.first
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.patience)
 	defer cancel()
 	var whole atomic.Pointer[time.Time]
@@ -103,6 +115,7 @@
 		}
 	}}), &d, &r)
 	r.ended = time.Now()
+	r.versions, r.hasEvent = slices.Clone(d.stream.versions), d.stream.last > last
 	if at := whole.Load(); at != nil {
 		r.whole = *at
 	}
@@ -139,6 +152,10 @@
 		request.Header.Set(standin.HeaderTokens, fmt.Sprint(promptTokens, ",", d.tokens))
 		request.Header.Set(standin.HeaderParts, c.parts(r))
 	}
+	if r.resumes != "" {
+		request.Header.Set(standin.HeaderResumes, r.resumes)
+		request.Header.Set(standin.HeaderLastEvent, strconv.Itoa(d.stream.last))
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		r.outcome, r.why = outcomeBroken, err.Error()
@@ -152,7 +169,7 @@
 		return refused(r, response)
 	}
 	if d.events > 0 {
-		r.outcome, r.why = readEvents(response.Body, r.id, d.events)
+		r.outcome, r.why = d.stream.read(response.Body, r.id, d.events)
 		return 0
 	}
 	r.outcome, r.why = readWhole(response, method, path)
@@ -198,28 +215,5 @@
 
 // readEvents checks that a stream has each event once and in order, and ends as whole only after the last.
 func readEvents(body io.Reader, id string, count int) (outcome, string) {
-	lines := bufio.NewReader(body)
-	last := 0
-	line, err := lines.ReadString('\n')
-	for ; err == nil; line, err = lines.ReadString('\n') { // a line that breaks off is no event
-		text, found := strings.CutPrefix(strings.TrimSuffix(line, "\n"), "data: ")
-		if !found {
-			continue
-		}
-		last++
-		if text != fmt.Sprintf("%s-%d", id, last) {
-			return outcomeWrong, fmt.Sprintf("event %q in the place of %d", text, last)
-		}
-	}
-	switch {
-	case !errors.Is(err, io.EOF) && last == count:
-		return outcomeBroken, "end missing"
-	case !errors.Is(err, io.EOF):
-		return outcomeBroken, fmt.Sprintf("after %d of %d events: %v", last, count, err)
-	case line != "":
-		return outcomeWrong, fmt.Sprintf("ends as whole within line %q", line)
-	case last != count:
-		return outcomeWrong, fmt.Sprintf("ends as whole after %d of %d events", last, count)
-	}
-	return outcomeServed, ""
+	return (&streamed{}).read(body, id, count)
 }
--- a/experiment/soak/constants.go
+++ b/experiment/soak/constants.go
@@ -25,6 +25,12 @@
 	leastEvacuation   = 6 * time.Second // that a data centre is evacuated
 	mostEvacuation    = 8 * time.Second
 	evacuationTime    = 5 * time.Second        // from an order until nothing may be sent to the data centre
+	versionLearning   = time.Second            // after an engine has begun or ceased to take work, in which instances may not know
+	versionExcuse     = 4 * time.Second        // before the end of a stream, in which a second engine of its version must have served
+	versionStep       = 100 * time.Millisecond // between the times that are looked at
+	leastTakenUp      = 12                     // streams taken up from which on their share counts
+	leastFollowed     = 40                     // events of a stream that its caller may leave
+	mostTries         = 6                      // requests for one such stream
 	coldTime          = time.Second            // that engines are cold after it
 	coldRate          = 4.0                    // requests a second that a cold engine takes
 	leastCalm         = 700 * time.Millisecond // between two restores of the log
--- a/experiment/soak/crash.go
+++ b/experiment/soak/crash.go
@@ -71,7 +71,7 @@
 	t := trouble{step: step{kind: kindCrash}, began: began}
 	if wait.For(ctx, lapse) == nil {
 		s.announce(m, 0)
-		_ = s.add(m.service) // without a replacement the run has fewer engines
+		_ = s.add(m.service, m.engine.Version) // without a replacement the run has fewer engines
 	}
 	t.ended = time.Now()
 	s.ledger.trouble(t)
@@ -85,6 +85,7 @@
 		if m.engine == e {
 			s.fleet = append(s.fleet[:n:n], s.fleet[n+1:]...)
 			s.gone = append(s.gone, m)
+			s.ledger.servesNoMore(m.serving)
 			return m
 		}
 	}
--- a/experiment/soak/fault.go
+++ b/experiment/soak/fault.go
@@ -46,7 +46,9 @@
 		l.set(p.mode)
 		defer l.set(modePass)
 	case kindEngine:
-		l := s.any(p.target).link
+		m := s.any(p.target)
+		s.ledger.holds(m.serving, p.last)
+		l := m.link
 		l.set(p.mode)
 		defer l.set(modePass)
 	case kindReclaim, kindCrash:
@@ -63,6 +65,9 @@
 		e := s.any(p.target).engine
 		e.Spoil(true)
 		defer e.Spoil(false)
+	case kindRelease:
+		s.release(p)
+		return true
 	case kindRest, kindSaidLeaving:
 		return s.state(ctx, p)
 	case kindCatalogue:
@@ -119,7 +124,7 @@
 		}
 		s.announce(m, 0)
 	}
-	return s.add(serviceModel) == nil
+	return s.add(serviceModel, m.engine.Version) == nil
 }
 
 // announce tells that an engine is leaving: some say so, of others the entry is just removed. It waits while the log takes nothing.
--- a/experiment/soak/ledger.go
+++ b/experiment/soak/ledger.go
@@ -15,6 +15,7 @@
 	outcomeUnknown outcome = "unknown" // the answer says nothing of that
 	outcomeBroken  outcome = "broken"  // no whole answer
 	outcomeWrong   outcome = "wrong"   // an answer that is not the engine's
+	outcomeLeft    outcome = "left"    // the caller left
 )
 
 // record is one request as its caller saw it.
@@ -29,6 +30,10 @@
 	why      string
 	crashing cause // why engines crash under it
 	slow     bool  // its caller read slowly, and so saw its end late
+
+	resumes  string   // request that brought the first event of the stream which it takes up; empty: it takes up none
+	versions []string // that have made the stream's events, over all of its tries
+	hasEvent bool     // it has brought an event
 }
 
 // trouble is a fault as it happened.
@@ -47,6 +52,7 @@
 	arrivals []arrival // of requests that crash engines, at engines
 
 	evacuations []*evacuation
+	servings    []*serving
 	planned     bool // judgeLosses judges what has no whole answer
 }
 
@@ -95,7 +101,7 @@
 		return "wrong answer"
 	case r.outcome == outcomeRefused && ran > 0:
 		return "said not to have run"
-	case !l.planned && (r.outcome == outcomeBroken || r.outcome == outcomeUnknown) && ran > 0 && r.crashing == causeNone && !all.Spoilt(r.id) && !l.excused(r, instances):
+	case !l.planned && (r.outcome == outcomeBroken || r.outcome == outcomeUnknown) && ran > 0 && r.crashing == causeNone && !all.Spoilt(r.id) && !l.excused(r, instances) && !l.isStranded(r):
 		return "not answered"
 	}
 	return ""
--- a/experiment/soak/ledger_test.go
+++ b/experiment/soak/ledger_test.go
@@ -102,7 +102,7 @@
 			is.True(s.at >= quietLead && s.at < 2*time.Minute-quietTail)
 			is.True(s.mode > modePass && s.mode <= modeOneWay)
 		}
-		is.Equal(len(seen), len(shares)+8)
+		is.Equal(len(seen), len(shares)+9)
 	})
 }
 
--- a/experiment/soak/load.go
+++ b/experiment/soak/load.go
@@ -23,6 +23,7 @@
 	instance int
 	events   int           // of a stream
 	tokens   int           // of its output
+	stream   *streamed     // that the request takes up if it has events; nil: a new one
 	pieces   time.Duration // between the pieces in which the body is sent; zero: it is sent whole
 }
 
--- a/experiment/soak/options.go
+++ b/experiment/soak/options.go
@@ -55,6 +55,7 @@
 	Evacuations      bool // no data centre is evacuated
 	Statements       bool // engines do not say of themselves that they rest or leave
 	SpoiltAnswers    bool // engines do not send other bytes in place of answers
+	Versions         bool // engines are of one version, and callers do not leave streams that they may take up
 
 	// Only for runs with planned work only.
 	Stops      bool // no instance is stopped
--- a/experiment/soak/plan.go
+++ b/experiment/soak/plan.go
@@ -30,6 +30,7 @@
 	kindEvacuate  kind = "evacuate"  // a data centre is evacuated; its engines are cold after that
 	kindRest      kind = "rest"      // an engine asks in its answers to be sent nothing
 
+	kindRelease     kind = "release"     // engines that start are of another version from now on
 	kindSpoilt      kind = "spoilt"      // an engine sends other bytes in place of some answers
 	kindSaidLeaving kind = "saidLeaving" // an engine says in its answers that it leaves, which the list does not show
 )
@@ -105,6 +106,9 @@
 	if !without.SpoiltAnswers {
 		steps = append(steps, spoiltAnswers(seed, span)...)
 	}
+	if !without.Versions {
+		steps = append(steps, releases(seed, span)...)
+	}
 	return sorted(steps)
 }
 
--- a/experiment/soak/run.go
+++ b/experiment/soak/run.go
@@ -23,11 +23,12 @@
 
 // Report is what a run showed.
 type Report struct {
-	Seed   uint64
-	Faults map[kind]int
-	Counts map[string]map[outcome]int
-	Others map[string]int // of a run with planned work only: refusals, failures and cuts that are excused
-	Broken []string       // promises that did not hold
+	Seed    uint64
+	Faults  map[kind]int
+	Counts  map[string]map[outcome]int
+	Streams string         // how resumable streams went
+	Others  map[string]int // of a run with planned work only: refusals, failures and cuts that are excused
+	Broken  []string       // promises that did not hold
 }
 
 // Run carries out one run; an error means that it could not be carried out.
@@ -62,6 +63,8 @@
 	report.Broken = append(report.Broken, s.ledger.judgeCrashes(o.Instances)...)
 	report.Broken = append(report.Broken, s.ledger.judgeEvacuations(append(s.fleet, s.gone...), o.Instances)...)
 	report.Broken = append(report.Broken, s.ledger.judgeStatements(append(s.fleet, s.gone...), o.Instances)...)
+	mixed, summary := s.ledger.judgeVersions()
+	report.Broken, report.Streams = append(report.Broken, mixed...), summary
 	if s.ledger.planned {
 		lost, others := s.ledger.judgeLosses(&losses{instances: o.Instances, grace: o.grace(), patience: longPatience, worked: s.engines.Worked})
 		report.Broken, report.Others = append(report.Broken, lost...), others
@@ -87,7 +90,7 @@
 			continue
 		}
 		c := newCaller(n, s.options.Seed, s.nodes, s.ledger)
-		c.crashes = &s.crashes
+		c.crashes, c.takesUp = &s.crashes, !s.options.Without.Versions
 		callers.Go(func() { c.run(ctx) })
 	}
 	for _, p := range s.options.steps(span) {
@@ -131,6 +134,9 @@
 			return err
 		}
 	}
+	if _, err := fmt.Fprintf(w, "  %s\n", r.Streams); err != nil {
+		return err
+	}
 	for _, other := range slices.Sorted(maps.Keys(r.Others)) {
 		if _, err := fmt.Fprintf(w, "  %4d %s\n", r.Others[other], other); err != nil {
 			return err
--- a/experiment/soak/site.go
+++ b/experiment/soak/site.go
@@ -33,6 +33,7 @@
 	busy    map[*node]bool // a fault has its process
 	copies  []standin.Copy // of the log, oldest first
 
+	releasing release         // in progress
 	evacuated map[string]bool // data centres for which an order holds
 }
 
@@ -43,6 +44,7 @@
 	service string
 	place   string
 	state   string // in the list of engines; empty: not listed
+	serving *serving
 }
 
 func newSite(o *Options) (*site, error) {
@@ -53,7 +55,7 @@
 	}
 	s.publish()
 	for range o.Engines {
-		if err := s.add(serviceModel); err != nil {
+		if err := s.add(serviceModel, standin.FirstVersion); err != nil {
 			return s, err
 		}
 	}
@@ -64,7 +66,7 @@
 		plain = append(plain, serviceDesk, serviceDesk) // which crash one after the other
 	}
 	for _, name := range plain {
-		if err := s.add(name); err != nil {
+		if err := s.add(name, standin.FirstVersion); err != nil {
 			return s, err
 		}
 	}
@@ -102,12 +104,16 @@
 	s.log.Put(platform.TopicOperator, platform.KeyCatalogue, standin.TimedCatalogue(s.version, writes, coldRate, s.options.patience()))
 }
 
-// add starts an engine and lists it.
-func (s *site) add(service string) error {
+// add starts an engine in the place of one of the given version, and lists it.
+func (s *site) add(service, former string) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.started++
-	m := &member{engine: s.engines.Start(fmt.Sprint("e-", s.started)), service: service, place: dataCentres[s.started%len(dataCentres)]}
+	version := former
+	if service == serviceModel {
+		version = s.nextVersion(former)
+	}
+	m := &member{engine: s.engines.StartVersion(fmt.Sprint("e-", s.started), version), service: service, place: dataCentres[s.started%len(dataCentres)]}
 	l, err := newLink(m.engine.Address())
 	if err != nil {
 		return err
@@ -116,6 +122,9 @@
 	s.engines.Announce(m.engine, l.address())
 	s.fleet = append(s.fleet, m)
 	m.state = "ready"
+	if service == serviceModel {
+		m.serving = s.ledger.serves(version, m.place)
+	}
 	s.list(m)
 	return nil
 }
@@ -154,6 +163,7 @@
 	m := s.fleet[at]
 	s.fleet = append(s.fleet[:at:at], s.fleet[at+1:]...)
 	s.gone = append(s.gone, m)
+	s.ledger.servesNoMore(m.serving)
 	return m
 }
 
--- a/experiment/soak/statement.go
+++ b/experiment/soak/statement.go
@@ -27,7 +27,9 @@
 
 // state has an engine say for a while that it rests or that it leaves. The list of engines shows neither, and the engine does not end.
 func (s *site) state(ctx context.Context, p step) bool {
-	e := s.any(p.target).engine
+	m := s.any(p.target)
+	s.ledger.holds(m.serving, p.last)
+	e := m.engine
 	if p.kind == kindRest {
 		e.Rest(http.StatusServiceUnavailable, p.last)
 		return wait.For(ctx, p.last) == nil
