An endpoint that said that it leaves, and stays, gets work again within two seconds

The longest pause is 2 s now; an endpoint that really leaves is asked once or twice more. Evidence: the new case of TestDeparture fails with the pause of 15 s.

--- a/coordination/standing/departure_test.go
+++ b/coordination/standing/departure_test.go
@@ -55,6 +55,18 @@
 		none(d, 21, 50)
 		is.True(!d.doubted())
 	})
+	t.Run("an endpoint that said for a while that it leaves is asked again within two seconds", func(t *testing.T) {
+		is := is.New(t)
+		d := &departure{}
+		confirmed := at(0)
+		d.observe(statement.Statement{Closes: true}, confirmed, confirmed)
+		for now := confirmed; now.Before(at(60000)); now = d.askAt {
+			is.True(d.ask(now))
+			d.observe(statement.Statement{Closes: true, Health: true}, now, now)
+			d.asked(now)
+			is.True(d.askAt.Sub(now) <= 2*time.Second)
+		}
+	})
 	t.Run("an endpoint that stays after all gets work again", func(t *testing.T) {
 		is := is.New(t)
 		d := &departure{}
--- a/coordination/standing/question.go
+++ b/coordination/standing/question.go
@@ -43,7 +43,7 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	var due []Endpoint
-	next := longestQuestionPause
+	next := idlePause
 	for p, st := range x.states {
 		e := x.endpoints[p]
 		switch d := &st.departure; {
