Instances that have told each other that an endpoint leaves believe its own later answer

Cause: an instance whose own question was answered without the sign kept the word of another one, which kept the word of the first; neither told the others that the endpoint stays, and all waited 10 s until the words lapsed. The change: an answer without the sign, to something sent after the latest word came, takes that word back too, and the others are told. Evidence: TestLeaving/two_that_have_told_each_other and a case of TestDeparture fail without it.

--- a/coordination/standing/departure.go
+++ b/coordination/standing/departure.go
@@ -14,6 +14,7 @@
 	confirmed bool
 	toldSince time.Time // receipt of another instance's first word that the endpoint leaves
 	toldUntil time.Time // time until which that word holds
+	toldAt    time.Time // receipt of the latest such word
 
 	questions int       // asked since the first sign
 	askAt     time.Time // time of the next question
@@ -27,7 +28,10 @@
 	switch {
 	case !s.Closes && !s.Replaced:
 		if !d.doubtedAt.IsZero() && later {
-			*d = departure{toldSince: d.toldSince, toldUntil: d.toldUntil, asking: d.asking}
+			*d = departure{toldSince: d.toldSince, toldUntil: d.toldUntil, toldAt: d.toldAt, asking: d.asking}
+		}
+		if sent.After(d.toldAt) {
+			d.toldUntil = time.Time{} // each answer of an endpoint that leaves would carry the sign
 		}
 		return
 	case d.doubtedAt.IsZero():
@@ -65,7 +69,7 @@
 	if !now.Before(d.toldUntil) {
 		d.toldSince = now
 	}
-	d.toldUntil = now.Add(lasts)
+	d.toldUntil, d.toldAt = now.Add(lasts), now
 }
 
 // ask reports whether a question is due, and marks it as asked.
--- a/coordination/standing/departure_test.go
+++ b/coordination/standing/departure_test.go
@@ -67,6 +67,17 @@
 			is.True(d.askAt.Sub(now) <= 2*time.Second)
 		}
 	})
+	t.Run("an answer that was asked for after another instance's word takes it back", func(t *testing.T) {
+		is := is.New(t)
+		d := &departure{}
+		sign(d, 0, 10)
+		confirm(d, 11, 20)
+		d.tell(toldLifetime, at(30))
+		none(d, 29, 40) // sent before the word came
+		is.True(d.leaves(at(40)))
+		none(d, 41, 50)
+		is.True(!d.leaves(at(50)))
+	})
 	t.Run("an endpoint that stays after all gets work again", func(t *testing.T) {
 		is := is.New(t)
 		d := &departure{}
--- a/coordination/standing/exchange_test.go
+++ b/coordination/standing/exchange_test.go
@@ -254,6 +254,32 @@
 			is.True(!other.leaves())
 		})
 	})
+	t.Run("two that have told each other don't keep an endpoint from work that stays after all", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n, other, third := newNode(), newNode(), newNode()
+			for _, told := range []*node{n, other} {
+				told.says(statement.Statement{Replaced: true})
+			}
+			exchange := func() {
+				from := [][]Notice{n.Notices(true, time.Now()), other.Notices(true, time.Now())}
+				other.Receive(from[0], "n", time.Now())
+				n.Receive(from[1], "other", time.Now())
+				third.Receive(append(from[0], from[1]...), "both", time.Now())
+			}
+			for range newsRepeats + 1 {
+				exchange()
+			}
+			is.True(third.leaves())
+			time.Sleep(time.Second)
+			n.says(statement.Statement{Signed: true})
+			other.says(statement.Statement{Signed: true})
+			exchange()
+			is.True(!n.leaves())
+			is.True(!other.leaves())
+			is.True(!third.leaves())
+		})
+	})
 	t.Run("what others tell lapses unless they repeat it", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
