--- a/coordination/internal/message/codec.go
+++ b/coordination/internal/message/codec.go
@@ -30,3 +30,27 @@
 	}
 	return nil
 }
+
+// Codec encodes and decodes messages, and passes on why that is not possible.
+type Codec struct {
+	Unreadable func(err error) // must be safe for concurrent use
+}
+
+// Encode returns an encoded message; nil if it could not be encoded.
+func (c Codec) Encode(m Checked) []byte {
+	data, err := Encode(m)
+	if err != nil {
+		c.Unreadable(err)
+		return nil
+	}
+	return data
+}
+
+// Decode decodes a message, and reports whether that was possible.
+func (c Codec) Decode(data []byte, m Checked) bool {
+	if err := Decode(data, m); err != nil {
+		c.Unreadable(err)
+		return false
+	}
+	return true
+}
--- a/coordination/quarantine/admission.go
+++ b/coordination/quarantine/admission.go
@@ -135,7 +135,7 @@
 		x.endHere(ask, now)
 		return
 	}
-	if data := x.encode(ask); data != nil {
+	if data := x.codec.Encode(ask); data != nil {
 		x.config.Network.SendTrialAsk(a.steward, data)
 	}
 }
--- a/coordination/quarantine/ask.go
+++ b/coordination/quarantine/ask.go
@@ -90,7 +90,7 @@
 
 // askSteward sends an ask and returns the answer; nil if there is none.
 func (x *Exchange) askSteward(ctx context.Context, steward netip.AddrPort, ask *Ask) (*Grant, error) {
-	data := x.encode(ask)
+	data := x.codec.Encode(ask)
 	if data == nil {
 		return nil, nil
 	}
@@ -141,7 +141,7 @@
 // ReceiveAsk decides about an ask of another instance and sends the answer.
 func (x *Exchange) ReceiveAsk(data []byte, now time.Time) {
 	ask := &Ask{}
-	if !x.decode(data, ask) {
+	if !x.codec.Decode(data, ask) {
 		return
 	}
 	if ask.Ended {
@@ -153,7 +153,7 @@
 	news := x.newsOf(ask.Parts, now)
 	x.mutex.Unlock()
 	grant := &Grant{Number: ask.Number, Verdict: d.Verdict, Part: d.Part, RetryAfter: d.RetryAfter, News: news}
-	if answer := x.encode(grant); answer != nil {
+	if answer := x.codec.Encode(grant); answer != nil {
 		x.config.Network.SendTrialGrant(ask.From, answer)
 	}
 }
@@ -161,7 +161,7 @@
 // ReceiveGrant takes the steward's answer to an ask.
 func (x *Exchange) ReceiveGrant(data []byte) {
 	grant := &Grant{}
-	if !x.decode(data, grant) {
+	if !x.codec.Decode(data, grant) {
 		return
 	}
 	x.mutex.Lock()
--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -66,7 +66,7 @@
 	if news == nil {
 		return nil
 	}
-	return x.encode(news)
+	return x.codec.Encode(news)
 }
 
 // Receive records what another instance has told, and reports whether any of it was new.
@@ -95,7 +95,7 @@
 // ReceiveNews records the news of a message of another instance, and reports whether any of it was new.
 func (x *Exchange) ReceiveNews(data []byte, now time.Time) bool {
 	news := &News{}
-	if !x.decode(data, news) {
+	if !x.codec.Decode(data, news) {
 		return false
 	}
 	changed := x.Receive(news, now)
@@ -116,7 +116,7 @@
 // ReceiveComparison answers with news if the sender knows something else, or has just started.
 func (x *Exchange) ReceiveComparison(data []byte, now time.Time) {
 	comparison := &Comparison{}
-	if !x.decode(data, comparison) {
+	if !x.codec.Decode(data, comparison) {
 		return
 	}
 	x.mutex.Lock()
@@ -127,7 +127,7 @@
 	if !comparison.Starting && (!differs || news.IsEmpty()) {
 		return
 	}
-	if answer := x.encode(&news); answer != nil {
+	if answer := x.codec.Encode(&news); answer != nil {
 		x.config.Network.SendNews(comparison.From, answer)
 	}
 }
--- a/coordination/quarantine/exchange.go
+++ b/coordination/quarantine/exchange.go
@@ -60,6 +60,7 @@
 // safe for concurrent use; Fleet, Network, Observer and OnNews are not called while its mutex is held.
 type Exchange struct {
 	config Config
+	codec  message.Codec
 
 	mutex       sync.Mutex
 	table       *suspicion.Table
@@ -93,6 +94,7 @@
 func NewExchange(c Config) *Exchange {
 	return &Exchange{
 		config:   c,
+		codec:    message.Codec{Unreadable: c.Observer.TrialMessageUnreadable},
 		table:    suspicion.NewTable(),
 		steward:  NewSteward(),
 		reported: make(map[prompt.Part]int),
@@ -127,7 +129,7 @@
 	x.mutex.Lock()
 	digest := x.digest(now)
 	x.mutex.Unlock()
-	if data := x.encode(&Comparison{From: x.config.Self, Digest: digest, Starting: starting}); data != nil {
+	if data := x.codec.Encode(&Comparison{From: x.config.Self, Digest: digest, Starting: starting}); data != nil {
 		x.config.Network.SendComparison(to, data)
 	}
 }
@@ -261,22 +263,3 @@
 		x.config.Observer.PartSuspected(p, crashes)
 	}
 }
-
-// encode returns an encoded message, or nil after it has reported why it could not be encoded.
-func (x *Exchange) encode(m message.Checked) []byte {
-	data, err := message.Encode(m)
-	if err != nil {
-		x.config.Observer.TrialMessageUnreadable(err)
-		return nil
-	}
-	return data
-}
-
-// decode decodes a message, and reports whether that was possible.
-func (x *Exchange) decode(data []byte, m message.Checked) bool {
-	if err := message.Decode(data, m); err != nil {
-		x.config.Observer.TrialMessageUnreadable(err)
-		return false
-	}
-	return true
-}
--- a/coordination/quarantine/exchange_test.go
+++ b/coordination/quarantine/exchange_test.go
@@ -92,7 +92,7 @@
 		}
 	}
 	now := start.Add(2 * time.Minute)
-	x.ReceiveComparison(other.encode(&Comparison{From: other.config.Self, Starting: true}), now)
+	x.ReceiveComparison(other.codec.Encode(&Comparison{From: other.config.Self, Starting: true}), now)
 	is.Equal(len(q.news), 1)
 	t.Logf("%d bytes", len(q.news[0]))
 	is.True(len(q.news[0]) < datagramBytes)
@@ -109,7 +109,7 @@
 		comparison := &Comparison{From: x.config.Self, Digest: x.digest(start), Starting: starting}
 		x.mutex.Unlock()
 		before := len(sent.news)
-		known.ReceiveComparison(x.encode(comparison), start)
+		known.ReceiveComparison(x.codec.Encode(comparison), start)
 		return len(sent.news) - before
 	}
 	t.Run("an instance that lacks news gets them, once", func(t *testing.T) {
@@ -134,7 +134,7 @@
 		other, _ := newQuietExchange()
 		for range uninformedAnswers {
 			is.True(!other.hasBeenInformed())
-			other.ReceiveNews(other.encode(&News{Answer: true, Starting: true}), start)
+			other.ReceiveNews(other.codec.Encode(&News{Answer: true, Starting: true}), start)
 		}
 		is.True(other.hasBeenInformed())
 	})
--- a/coordination/resumption/exchange.go
+++ b/coordination/resumption/exchange.go
@@ -68,6 +68,7 @@
 // Exchange keeps the beginnings of streams for all instances, and finds them. It is safe for concurrent use.
 type Exchange struct {
 	config Config
+	codec  message.Codec
 	table  *stream.Table
 
 	mutex   sync.Mutex
@@ -77,7 +78,8 @@
 
 // NewExchange returns an exchange that knows no stream; Run must be called.
 func NewExchange(c Config) *Exchange {
-	return &Exchange{config: c, table: stream.NewTable(maximumStreams), waiting: make(map[uint64]chan *Answer)}
+	codec := message.Codec{Unreadable: c.Observer.StreamMessageUnreadable}
+	return &Exchange{config: c, codec: codec, table: stream.NewTable(maximumStreams), waiting: make(map[uint64]chan *Answer)}
 }
 
 // Run drops what is over until the context ends.
@@ -94,7 +96,7 @@
 func (x *Exchange) Began(id stream.ID, service, version string, deadline, now time.Time) {
 	b := stream.Beginning{Service: service, Version: version, Until: deadline.Add(returnTime)}
 	x.table.Add(id, b, now)
-	data := x.encode(&Notice{Records: []Record{newRecord(id, b, now)}})
+	data := x.codec.Encode(&Notice{Records: []Record{newRecord(id, b, now)}})
 	if data == nil {
 		return
 	}
@@ -118,7 +120,7 @@
 		}
 	})
 	for some := range slices.Chunk(records, maximumRecords) {
-		if data := x.encode(&Notice{Records: some}); data != nil {
+		if data := x.codec.Encode(&Notice{Records: some}); data != nil {
 			x.config.Network.SendBeginnings(to, data)
 		}
 	}
@@ -149,74 +151,10 @@
 	return version, source
 }
 
-// ask asks instances for the beginning of a stream until one knows it, all have answered, or none answers any more. It returns the beginning, nil if
-// there is none, and what those know of the service's versions that have answered.
-func (x *Exchange) ask(ctx context.Context, id stream.ID, service string, others []netip.AddrPort) (*Record, []View) {
-	question, answers := x.open(id, service, len(others))
-	defer x.close(question.Number)
-	data := x.encode(question)
-	if data == nil {
-		return nil, nil
-	}
-	var views []View
-	silent := slices.Clone(others)
-	for attempt := 0; attempt < askAttempts && len(silent) > 0; attempt++ {
-		for _, to := range silent {
-			x.config.Network.SendStreamQuestion(to, data)
-		}
-		found, ended := x.await(ctx, answers, &silent, &views)
-		if found != nil || ended {
-			return found, views
-		}
-	}
-	return nil, views
-}
-
-// await takes answers until one has the beginning, no instance is silent any more, or the time for an attempt is over; ended says that the context is.
-func (x *Exchange) await(ctx context.Context, answers <-chan *Answer, silent *[]netip.AddrPort, views *[]View) (found *Record, ended bool) {
-	timer := time.NewTimer(askTimeout)
-	defer timer.Stop()
-	for len(*silent) > 0 {
-		select {
-		case <-ctx.Done():
-			return nil, true
-		case <-timer.C:
-			return nil, false
-		case a := <-answers:
-			if a.Record != nil {
-				return a.Record, false
-			}
-			at := slices.Index(*silent, a.From)
-			if at < 0 {
-				continue // its answer to the question as first sent was late
-			}
-			*silent = slices.Delete(*silent, at, at+1)
-			*views = append(*views, View{Versions: a.Versions, Fresh: a.Fresh, Span: a.Span})
-		}
-	}
-	return nil, false
-}
-
-// open returns a question, and where its answers arrive.
-func (x *Exchange) open(id stream.ID, service string, others int) (*Question, chan *Answer) {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	x.number++
-	answers := make(chan *Answer, others*askAttempts)
-	x.waiting[x.number] = answers
-	return &Question{From: x.config.Self, Number: x.number, Stream: id, Service: service}, answers
-}
-
-func (x *Exchange) close(number uint64) {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	delete(x.waiting, number)
-}
-
 // ReceiveBeginnings keeps the beginnings that another instance has sent.
 func (x *Exchange) ReceiveBeginnings(data []byte, now time.Time) {
 	n := &Notice{}
-	if !x.decode(data, n) {
+	if !x.codec.Decode(data, n) {
 		return
 	}
 	for i := range n.Records {
@@ -227,7 +165,7 @@
 // ReceiveQuestion answers a question of another instance.
 func (x *Exchange) ReceiveQuestion(data []byte, now time.Time) {
 	q := &Question{}
-	if !x.decode(data, q) {
+	if !x.codec.Decode(data, q) {
 		return
 	}
 	a := &Answer{From: x.config.Self, Number: q.Number}
@@ -238,7 +176,7 @@
 		v := x.config.Services.View(q.Service)
 		a.Versions, a.Fresh, a.Span = v.Versions[:min(len(v.Versions), maximumListed)], v.Fresh, v.Span
 	}
-	if answer := x.encode(a); answer != nil {
+	if answer := x.codec.Encode(a); answer != nil {
 		x.config.Network.SendStreamAnswer(q.From, answer)
 	}
 }
@@ -246,7 +184,7 @@
 // ReceiveAnswer takes the answer to a question.
 func (x *Exchange) ReceiveAnswer(data []byte) {
 	a := &Answer{}
-	if !x.decode(data, a) {
+	if !x.codec.Decode(data, a) {
 		return
 	}
 	x.mutex.Lock()
@@ -257,22 +195,3 @@
 	default: // the question is closed, or has been answered more often than it was sent
 	}
 }
-
-// encode returns an encoded message, or nil after it has reported why it could not be encoded.
-func (x *Exchange) encode(m message.Checked) []byte {
-	data, err := message.Encode(m)
-	if err != nil {
-		x.config.Observer.StreamMessageUnreadable(err)
-		return nil
-	}
-	return data
-}
-
-// decode decodes a message, and reports whether that was possible.
-func (x *Exchange) decode(data []byte, m message.Checked) bool {
-	if err := message.Decode(data, m); err != nil {
-		x.config.Observer.StreamMessageUnreadable(err)
-		return false
-	}
-	return true
-}
--- a/instance/hosted/core.go
+++ b/instance/hosted/core.go
@@ -152,14 +152,8 @@
 	i.node.Handle(methodState, i.serveState)
 	i.scheduler = newMoveScheduler(i.gossiper)
 	i.observer.onGenerationDispatched = i.gossiper.reportUse
+	i.registerCounts()
 	i.observer.rateLimit = func(e process.ID) ratelimit.Limit { return i.quotas.Limit(e, time.Now()) }
-	i.observer.metrics.registerCount("limited_endpoints", "Endpoints that name a limit on the rate of requests.", i.quotas.LimitedEndpoints)
-	i.observer.metrics.registerCount("cold_endpoints", "Endpoints that have just started and take few requests.", i.quotas.ColdEndpoints)
-	i.observer.metrics.registerCount("resting_endpoints", "Endpoints that have asked for rest.", i.standings.Resting)
-	i.observer.metrics.registerCount("departing_endpoints", "Endpoints that leave by their own word.", i.standings.Leaving)
-	i.observer.metrics.registerCount("held_bytes", "Bytes that are held for callers who send or read slowly.", i.memory.Used)
-	i.observer.metrics.registerCount("kept_streams", "Streams of all instances whose first version this instance keeps.", i.resumption.Kept)
-	i.observer.metrics.registerCount("evacuated_data_centres", "Data centres to which no request may be sent.", i.evacuations.Count)
 	i.runner = &relay.Runner{
 		Endpoints:     i.engines,
 		Router:        i.router,
--- a/instance/hosted/metrics.go
+++ b/instance/hosted/metrics.go
@@ -86,6 +86,18 @@
 	}, func() float64 { return float64(count()) }))
 }
 
+// registerCounts adds the gauges of what the instance's parts know.
+func (i *Instance) registerCounts() {
+	m := i.observer.metrics
+	m.registerCount("limited_endpoints", "Endpoints that name a limit on the rate of requests.", i.quotas.LimitedEndpoints)
+	m.registerCount("cold_endpoints", "Endpoints that have just started and take few requests.", i.quotas.ColdEndpoints)
+	m.registerCount("resting_endpoints", "Endpoints that have asked for rest.", i.standings.Resting)
+	m.registerCount("departing_endpoints", "Endpoints that leave by their own word.", i.standings.Leaving)
+	m.registerCount("held_bytes", "Bytes that are held for callers who send or read slowly.", i.memory.Used)
+	m.registerCount("kept_streams", "Streams of all instances whose first version this instance keeps.", i.resumption.Kept)
+	m.registerCount("evacuated_data_centres", "Data centres to which no request may be sent.", i.evacuations.Count)
+}
+
 // observe counts an ended request and records its latencies.
 func (m *metrics) observe(r *relay.Request, result *relay.Result, workspace string, now time.Time) {
 	class := r.Route.Kind.String()
