--- a/instance/hosted/versions_test.go
+++ b/instance/hosted/versions_test.go
@@ -274,3 +274,41 @@
 	})
 	is.True(second.last >= 25)
 }
+
+// All instances end at once, so that none keeps a beginning. While one version serves that must not cost the callers their streams.
+func TestStreamIsTakenUpAfterAllInstancesEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		engines []string // versions
+		status  int
+	}{
+		"one version serves":  {[]string{"v1", "v1"}, http.StatusOK},
+		"two versions serve":  {[]string{"v1", "v1", "v1.1"}, http.StatusServiceUnavailable},
+		"one engine is there": {[]string{"v1"}, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.publishCatalogue(1, "desk")
+			for n, version := range c.engines {
+				f.startVersion(fmt.Sprint("m-", n), version)
+			}
+			f.startInstance()
+			f.startInstance()
+			f.awaitFleet(len(c.engines))
+			s := f.beginStream(f.instances[0], "s", 60)
+			is.NoErr(s.read(5))
+			for _, i := range f.instances {
+				i.Close()
+			}
+			f.instances = nil
+			f.startInstance()
+			f.startInstance()
+			f.awaitFleet(len(c.engines))
+			is.Equal(f.takeUp(s, f.instances[1], "t", 60), c.status)
+			if c.status == http.StatusOK {
+				is.NoErr(s.read(60))
+			}
+			is.Equal(s.versions, []string{s.versions[0]})
+		})
+	}
+}
