--- a/instance/hosted/versions_test.go
+++ b/instance/hosted/versions_test.go
@@ -22,6 +22,7 @@
 	id       string   // of the request that brought its first event
 	versions []string // that made its events
 	last     int      // its latest event
+	path     string
 	response *http.Response
 	lines    *bufio.Reader
 }
@@ -29,7 +30,7 @@
 // beginStream sends a request for a resumable stream.
 func (f *fleet) beginStream(i *Instance, id string, tokens int) *versionedStream {
 	f.t.Helper()
-	return f.open(&versionedStream{id: id}, i, id, map[string]string{standin.HeaderTokens: fmt.Sprint("100,", tokens)})
+	return f.open(&versionedStream{id: id, path: "/short/"}, i, id, map[string]string{standin.HeaderTokens: fmt.Sprint("100,", tokens)})
 }
 
 // takeUp leaves a stream and takes it up at an instance, under the id of another request. It returns the status of the answer.
@@ -42,7 +43,7 @@
 
 func (f *fleet) open(s *versionedStream, i *Instance, id string, headers map[string]string) *versionedStream {
 	f.t.Helper()
-	s.response = f.send(requestSpec{instance: i, method: "POST", path: "/short/", id: id, headers: headers})
+	s.response = f.send(requestSpec{instance: i, method: "POST", path: s.path, id: id, headers: headers})
 	f.t.Cleanup(func() { _ = s.response.Body.Close() })
 	s.lines = bufio.NewReader(s.response.Body)
 	return s
@@ -189,32 +190,62 @@
 	}
 }
 
-// An engine crashes while another version serves beside it, and its streams went on there.
-func TestCrashMixesVersions(t *testing.T) {
+// An engine ends or leaves while another version serves beside it, and its streams went on there.
+func TestEndOfEngineMixesVersions(t *testing.T) {
 	const streams, events = 12, 200
-	is := is.New(t)
-	f := newFleet(t)
-	f.publishCatalogue(1, "desk")
-	first := f.startVersion("m-0", "v1")
-	f.startInstance()
-	f.awaitFleet(1)
-	var all []*versionedStream
-	for n := range streams {
-		s := f.beginStream(f.instances[0], fmt.Sprint("s", n), events)
-		is.NoErr(s.read(1))
-		all = append(all, s)
+	crash := func(_ *fleet, e *standin.Engine) { e.Close() }
+	vanish := func(f *fleet, e *standin.Engine) {
+		f.log.Drop(e.ID)
+		time.Sleep(100 * time.Millisecond)
+		e.Close()
 	}
-	f.startVersion("m-1", "v1")
-	for n := range 3 {
-		f.startVersion(fmt.Sprint("m-", n+2), "v1.1")
+	leave := func(f *fleet, e *standin.Engine) {
+		f.log.Put(platform.TopicEndpoints, e.ID, e.Entry("model", "a", "draining"))
 	}
-	f.awaitFleet(5)
-	first.Close()
-	for _, s := range all {
-		err := s.read(events)
-		is.True(err == nil)
-		is.Equal(s.versions, []string{"v1"})
-		_, _ = io.Copy(io.Discard, s.response.Body) // its end
+	for _, c := range []struct {
+		name   string
+		path   string
+		others []string // versions of the engines that start beside it
+		end    func(f *fleet, e *standin.Engine)
+		whole  bool
+	}{
+		{"it crashes, and one of its version is there", "/short/", []string{"v1", "v1.1", "v1.1", "v1.1"}, crash, true},
+		{"it crashes, and none of its version is there", "/short/", []string{"v1.1", "v1.1", "v1.1"}, crash, false},
+		{"its entry goes before it crashes, and one of its version is there", "/short/", []string{"v1", "v1.1", "v1.1", "v1.1"}, vanish, true},
+		{"its entry goes before it crashes, and none of its version is there", "/short/", []string{"v1.1", "v1.1", "v1.1"}, vanish, false},
+		{"it leaves, and one of its version is there", "/long/", []string{"v1", "v1.1", "v1.1"}, leave, true},
+		{"it leaves, and none of its version is there", "/long/", []string{"v1.1", "v1.1"}, leave, true}, // its streams stay
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.publishCatalogue(1, "desk")
+			first := f.startVersion("m-0", "v1")
+			f.startInstance()
+			f.awaitFleet(1)
+			var all []*versionedStream
+			for n := range streams {
+				s := &versionedStream{id: fmt.Sprint("s", n), path: c.path}
+				f.open(s, f.instances[0], s.id, map[string]string{standin.HeaderTokens: fmt.Sprint("100,", events)})
+				is.NoErr(s.read(1))
+				all = append(all, s)
+			}
+			for n, version := range c.others {
+				f.startVersion(fmt.Sprint("m-", n+1), version)
+			}
+			f.awaitFleet(len(c.others) + 1)
+			c.end(f, first)
+			whole := 0
+			for _, s := range all {
+				if s.read(events) == nil {
+					whole++
+				}
+				is.Equal(s.versions, []string{"v1"})
+				_, _ = io.Copy(io.Discard, s.response.Body) // its end
+			}
+			t.Logf("%d of %d streams are whole", whole, streams)
+			is.Equal(whole == streams, c.whole)
+		})
 	}
 }
 
