--- a/instance/hosted/stop_test.go
+++ b/instance/hosted/stop_test.go
@@ -150,7 +150,7 @@
 			model.Rest(http.StatusServiceUnavailable, 2*grace) // requests for it wait in the queue
 			first := f.connect(i)
 			first.write(headOf("POST", "/long/", "first", fmt.Sprintf(stream, "100,50")))
-			f.eventually("rest", func() bool { return len(model.Seen()) == 1 })
+			f.eventually("rest", func() bool { return i.standings.Resting() == 1 })
 			caller := f.connect(i)
 			noticed := make(chan struct{})
 			var sender sync.WaitGroup
